Rename the module to larchscale; settings mapping in internal/settings

The mapping from settings to control.Config and to gauges moves out of the adapter unchanged, so that the real app server uses the same one. Class and tenant names are read as well. No decision changes. One test constant gave way to the package's name.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Command adapter hosts many lemonstack controllers on the simulator's wire: batches of events on
+// Command adapter hosts many larchscale controllers on the simulator's wire: batches of events on
 // standard input, one reply to each on standard output. It decides nothing.
 package main
 
@@ -10,8 +10,9 @@
 	"os"
 	"time"
 
-	"lemonstack/control"
-	"lemonstack/internal/wire"
+	"larchscale/control"
+	"larchscale/internal/settings"
+	"larchscale/internal/wire"
 )
 
 func main() {
@@ -120,7 +121,7 @@
 		return
 	}
 	w.gauges = s.FamilyInfo.OwnStats
-	w.ctl, err = control.New(configOf(s, e.Seed), now, w)
+	w.ctl, err = control.New(settings.Config(s, e.Seed), now, w)
 	if err != nil {
 		w.giveIn(err.Error())
 	}
@@ -141,14 +142,12 @@
 	case wire.Notice:
 		w.ctl.Leave(now, us(e.LeftUs))
 	case wire.Due:
-		w.ctl.Tick(now, w.gaugesOf(e.Gauges))
+		w.ctl.Tick(now, settings.Gauges(w.gauges, e.Gauges))
 	}
 }
 
 func us(n uint32) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func usf(n float64) time.Duration { return time.Duration(n * float64(time.Microsecond)) }
-
 // micros is d on the wire, rounded up so that a short time never becomes none.
 func micros(d time.Duration) uint32 {
 	if d <= 0 {
@@ -157,27 +156,6 @@
 	return uint32(min((d+time.Microsecond-1)/time.Microsecond, math.MaxUint32))
 }
 
-func (w *worker) gaugesOf(values []float32) control.Gauges {
-	g := control.Gauges{CoreUse: math.NaN(), OnCores: math.NaN(), Memory: math.NaN(), Conns: math.NaN()}
-	for i, name := range w.gauges {
-		if i >= len(values) {
-			break
-		}
-		v := float64(values[i])
-		switch name {
-		case "core_use":
-			g.CoreUse = v
-		case "on_cores":
-			g.OnCores = v
-		case "heap_share":
-			g.Memory = v
-		case "links":
-			g.Conns = v
-		}
-	}
-	return g
-}
-
 func outcomeOf(code uint16) control.Outcome {
 	switch code {
 	case 200:
@@ -212,58 +190,6 @@
 	return r
 }
 
-func configOf(s *wire.Settings, seed uint64) control.Config {
-	f, l, q := &s.FamilyInfo, &s.Limits, &s.Safety
-	c := control.Config{
-		Seed: seed, Servers: s.Servers, Cores: f.Cpus, Callers: f.Upstreams,
-		Cold: f.JustStarted, ColdFrom: q.ColdFrom, ColdFor: usf(q.ColdUs),
-		Memory: f.MemoryKb, RunFactor: f.RunFactor, KeyMemory: f.KeyKb,
-		Crowd: q.FallMultiple, CrowdFor: usf(q.FallUs),
-		CallWindow: usf(f.DepWindowUs), CallLingers: usf(f.LingersUs), CallShare: f.CallsOut,
-		DrainGrace: usf(q.DrainGraceUs), Slack: usf(q.AnswerSlackUs),
-		HeardFor: usf(f.HeardForUs), IdleMax: usf(f.KeepaliveMaxUs), Quantum: usf(s.QuantumUs),
-		HearsGone: f.HangupSeen, DearChecks: f.FullChecks, OverWorth: s.OverShareWorth,
-	}
-	if l.RetryAfter {
-		c.MaxAdvice = usf(l.MaxRetryAfterUs)
-	}
-	switch f.Advert {
-	case "level":
-		c.Advert = control.AdvertLevel
-	case "credit":
-		c.Advert = control.AdvertCredit
-	case "weight":
-		c.Advert = control.AdvertWeight
-	}
-	switch f.Preemption {
-	case "drop":
-		c.Stopping = control.StopDrops
-	case "pause":
-		c.Stopping = control.StopHolds
-	}
-	for i, k := range s.RequestClasses {
-		class := control.Class{Aim: usf(k.AimUs), Deadline: usf(k.GiveUpUs), Window: usf(k.MemorySpanUs),
-			Worth: k.Importance, LateWorth: k.LateWorth}
-		switch k.Effect {
-		case "by_key":
-			class.Effect = control.Keyed
-		case "once":
-			class.Effect = control.Unsafe
-		}
-		if i < len(f.ClassCalls) {
-			class.Calls = f.ClassCalls[i]
-		}
-		if i < len(f.ClassSkipWorth) {
-			class.SkipWorth = f.ClassSkipWorth[i]
-		}
-		c.Classes = append(c.Classes, class)
-	}
-	for _, t := range s.Tenants {
-		c.Tenants = append(c.Tenants, control.Tenant{Share: t.Fraction, Quota: t.QuotaPerS})
-	}
-	return c
-}
-
 // The worker's actions, as the wire has them.
 
 func (w *worker) Run(id uint32)    { w.host.reply.Action(wire.Run, w.who, id) }
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"testing"
 
-	"lemonstack/internal/wire"
+	"larchscale/internal/wire"
 )
 
-const settings = `{"Servers": 2, "QuantumUs": 5000, "RequestClasses": [{"AimUs": 1000000,
+const oneServer = `{"Servers": 2, "QuantumUs": 5000, "RequestClasses": [{"AimUs": 1000000,
  "GiveUpUs": 3000000, "Effect": "repeatable", "Importance": 1}], "FamilyInfo": {"Cpus": 2,
  "Advert": "level", "RunFactor": 8, "OwnStats": ["core_use", "on_cores"]},
  "Safety": {"FallMultiple": 5, "FallUs": 2000000}, "Unknown": 1}`
@@ -79,8 +79,8 @@
 	var in, out bytes.Buffer
 	in.Write((&frame{}).bytes(1))
 	var f frame
-	f.born(1, settings)
-	f.born(2, settings)
+	f.born(1, oneServer)
+	f.born(2, oneServer)
 	in.Write(f.bytes(2))
 	f = frame{}
 	f.order(1, 7)
@@ -100,7 +100,7 @@
 		var in, out bytes.Buffer
 		var f frame
 		f.born(1, bad)
-		f.born(2, settings)
+		f.born(2, oneServer)
 		f.order(1, 7)
 		f.order(2, 8)
 		in.Write(f.bytes(2))
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"lemonstack/control"
+	"larchscale/control"
 )
 
 // shop is a worker in memory: it only prints what it is told.
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,85 @@
+// Package settings turns the settings of an instance into the controller's configuration, for the
+// simulator's adapter and the real app server alike.
+package settings
+
+import (
+	"math"
+	"time"
+
+	"larchscale/control"
+	"larchscale/internal/wire"
+)
+
+func usf(n float64) time.Duration { return time.Duration(n * float64(time.Microsecond)) }
+
+// Config is what s, with the seed of one start, tells a controller.
+func Config(s *wire.Settings, seed uint64) control.Config {
+	f, l, q := &s.FamilyInfo, &s.Limits, &s.Safety
+	c := control.Config{
+		Seed: seed, Servers: s.Servers, Cores: f.Cpus, Callers: f.Upstreams,
+		Cold: f.JustStarted, ColdFrom: q.ColdFrom, ColdFor: usf(q.ColdUs),
+		Memory: f.MemoryKb, RunFactor: f.RunFactor, KeyMemory: f.KeyKb,
+		Crowd: q.FallMultiple, CrowdFor: usf(q.FallUs),
+		CallWindow: usf(f.DepWindowUs), CallLingers: usf(f.LingersUs), CallShare: f.CallsOut,
+		DrainGrace: usf(q.DrainGraceUs), Slack: usf(q.AnswerSlackUs),
+		HeardFor: usf(f.HeardForUs), IdleMax: usf(f.KeepaliveMaxUs), Quantum: usf(s.QuantumUs),
+		HearsGone: f.HangupSeen, DearChecks: f.FullChecks, OverWorth: s.OverShareWorth,
+	}
+	if l.RetryAfter {
+		c.MaxAdvice = usf(l.MaxRetryAfterUs)
+	}
+	switch f.Advert {
+	case "level":
+		c.Advert = control.AdvertLevel
+	case "credit":
+		c.Advert = control.AdvertCredit
+	case "weight":
+		c.Advert = control.AdvertWeight
+	}
+	switch f.Preemption {
+	case "drop":
+		c.Stopping = control.StopDrops
+	case "pause":
+		c.Stopping = control.StopHolds
+	}
+	for i, k := range s.RequestClasses {
+		class := control.Class{Aim: usf(k.AimUs), Deadline: usf(k.GiveUpUs), Window: usf(k.MemorySpanUs),
+			Worth: k.Importance, LateWorth: k.LateWorth}
+		switch k.Effect {
+		case "by_key":
+			class.Effect = control.Keyed
+		case "once":
+			class.Effect = control.Unsafe
+		}
+		if i < len(f.ClassCalls) {
+			class.Calls = f.ClassCalls[i]
+		}
+		if i < len(f.ClassSkipWorth) {
+			class.SkipWorth = f.ClassSkipWorth[i]
+		}
+		c.Classes = append(c.Classes, class)
+	}
+	for _, t := range s.Tenants {
+		c.Tenants = append(c.Tenants, control.Tenant{Share: t.Fraction, Quota: t.QuotaPerS})
+	}
+	return c
+}
+
+// Gauges names the readings that came in the order of names; what is missing is unknown.
+func Gauges[F float32 | float64](names []string, values []F) control.Gauges {
+	g := control.Gauges{CoreUse: math.NaN(), OnCores: math.NaN(), Memory: math.NaN(), Conns: math.NaN()}
+	for i, name := range names[:min(len(names), len(values))] {
+		v := float64(values[i])
+		switch name {
+		case "core_use":
+			g.CoreUse = v
+		case "on_cores":
+			g.OnCores = v
+		case "heap_share":
+			g.Memory = v
+		case "links":
+			g.Conns = v
+		}
+	}
+	return g
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -13,9 +13,12 @@
 	RequestClasses []struct {
 		AimUs, GiveUpUs, MemorySpanUs float64
 		Importance, LateWorth         float64
-		Effect                        string
+		Effect, Name                  string
+	}
+	Tenants []struct {
+		Name                string
+		Fraction, QuotaPerS float64
 	}
-	Tenants    []struct{ Fraction, QuotaPerS float64 }
 	FamilyInfo struct {
 		Advert, Below, Preemption string
 		CallsOut, DepWindowUs     float64
