--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Build, test, lint and run larchscale. `make check` is what every landing must pass.
+BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
+
+.PHONY: check build test race lint size run fuzz
+
+check: lint build size test
+
+# Both programs, just as the platform builds them.
+build:
+	$(BUILD)
+
+test:
+	go test ./...
+
+race:
+	go test -race -count=3 ./...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+
+# The decision module: 950 non-blank lines at most, none longer than 110 characters.
+size:
+	@lines=$$(grep -c '[^[:space:]]' control/control.go); \
+	if [ $$lines -gt 950 ]; then echo "control/control.go: $$lines non-blank lines, 950 at most"; exit 1; fi
+	@expand -t 4 control/control.go | awk 'length($$0) > 110 {print "control/control.go:" NR ": longer than 110 characters"; bad = 1} END {exit bad}'
+
+# CONFIG names a config.json as the platform writes it.
+run: build
+	BALANCER_CONFIG=$(CONFIG) bin/larchscale
--- a/control/check.go
+++ b/control/check.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// check tells what of a Config cannot be, naming the field and its value.
-func (c *Config) check() error {
+// Check tells what of a Config cannot be, naming the field and its value.
+func (c *Config) Check() error {
 	var err error
 	bad := func(field string, value any) {
 		if err == nil {
--- a/control/control.go
+++ b/control/control.go
@@ -177,7 +177,7 @@
 
 // New makes the controller of a worker that starts now. Its error names a field of cfg that cannot be.
 func New(cfg Config, now time.Duration, w Worker) (*Controller, error) {
-	if err := cfg.check(); err != nil {
+	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
 	c := &Controller{cfg: cfg, w: w, all: map[uint32]*request{}, hold: line{less: before},
--- /dev/null
+++ b/internal/core/api.go
@@ -0,0 +1,212 @@
+// Package core carries a request from its arrival to its one final answer. It knows no wire: fronts,
+// the worker pool, the calls below, the directory and the shared store reach it as typed events and are
+// reached through the small interfaces of this file. The decisions are the controller's alone.
+package core
+
+import (
+	"time"
+
+	"larchscale/control"
+)
+
+// Kind tells what an Answer means.
+type Kind uint8
+
+// The kinds of answer.
+const (
+	Served   Kind = iota // the result of a run of this request
+	Refused              // this try never ran
+	Failed               // an error; it may have run
+	TimedOut             // as Failed, and the caller's time is over
+	Conflict             // its token belongs to another body; it never ran
+	Invalid              // it cannot be a request; it never ran
+	Checked              // a health check
+)
+
+// Answer is what a front sends back. Kinds but Checked are final.
+type Answer struct {
+	Kind Kind
+	Body []byte        // Served: the result
+	Why  string        // not Served: a few words for people
+	Away time.Duration // Refused: stay away so long
+	Last bool          // Refused: try nowhere else
+	Up   bool          // Checked
+	Hint float64       // the free value; negative = none yet
+}
+
+// Reply takes the answer to one request or check. It must not block.
+type Reply interface{ Answer(Answer) }
+
+// Session is one connection of a front. Its methods must not block.
+type Session interface {
+	Drain() // tell the other side to send nothing new
+	Close() // no request is open on it
+}
+
+// Runner passes commands to the worker pool. Its methods must not block.
+type Runner interface {
+	Run(handle, class string, body []byte)
+	Stop(handle string)
+	Supply(handle string, body []byte)
+	Poll(ticket string)
+}
+
+// Caller makes calls below. Its methods must not block; each Call ends with one CallEnded, unless it was
+// given up by Abandon or by a further Call for the same handle.
+type Caller interface {
+	Call(handle, class string, patience time.Duration, body []byte)
+	Abandon(handle string)
+}
+
+// Lister tells the directory whether this server takes work. It must not block.
+type Lister interface{ Report(open bool) }
+
+// Key names one request with an effect, whichever front its tries come by.
+type Key struct {
+	Class int
+	Token string
+}
+
+// Claim is the state of a key in the shared store.
+type Claim uint8
+
+// The states of a key.
+const (
+	ClaimWon    Claim = iota // this server may run it, and nobody else
+	ClaimOther               // another server has it in hand
+	ClaimDone                // it ran, and this is its result
+	ClaimFailed              // it ran or may have run, and failed
+	ClaimOff                 // it belongs to another body
+	ClaimDown                // the store does not tell
+)
+
+// Store is the table of keys that several servers share. Its methods must not block; each Claim ends with
+// one Claimed event.
+type Store interface {
+	Claim(k Key, sum [32]byte, life time.Duration)
+	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration)
+	Release(k Key)
+}
+
+// Site is what a server is told of its place.
+type Site struct {
+	Control control.Config
+	Classes []string // their names, in the order of Control.Classes
+	Tenants []string
+	Gauges  []string
+	Stop    time.Duration // from the notice to leave until the process is killed
+}
+
+// Class gives the place of a class by its name; -1 = none.
+func (s *Site) Class(name string) int { return place(s.Classes, name) }
+
+// Tenant gives the place of a tenant by its name; -1 = none.
+func (s *Site) Tenant(name string) int { return place(s.Tenants, name) }
+
+func place(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Keyed tells whether requests of a class carry a token.
+func (s *Site) Keyed(class int) bool { return s.Control.Classes[class].Effect == control.Keyed }
+
+// Incoming is one request as a front read it.
+type Incoming struct {
+	Handle  string // new with every try
+	Class   int
+	Tenant  int // -1 = none
+	Caller  uint32
+	Arrived time.Time     // at the machine
+	Budget  time.Duration // the caller waits so long from Arrived; 0 = not told
+	Rank    float64
+	Memory  float64 // kilobytes while held
+	Token   string  // keyed classes
+	Subject uint64
+	Retry   bool
+	Body    []byte
+}
+
+// Event is what reaches the core's loop.
+type Event interface{ event() }
+
+// The events of fronts.
+type (
+	// Opened tells of a new connection.
+	Opened struct{ Session Session }
+	// Closed tells that a connection is gone.
+	Closed struct{ Session Session }
+	// Arrive brings a request.
+	Arrive struct {
+		Session Session
+		Reply   Reply
+		Req     Incoming
+	}
+	// Withdraw tells that nobody waits for a request any longer.
+	Withdraw struct{ Handle string }
+	// Check asks for the health.
+	Check struct {
+		Session Session
+		Reply   Reply
+	}
+)
+
+// The events of the worker pool.
+type (
+	// PoolBound tells that a link is up, and how long ago the pool started, cold or warm.
+	PoolBound struct {
+		Cold bool
+		Age  time.Duration
+	}
+	// PoolFinished tells that a run is over.
+	PoolFinished struct {
+		Handle string
+		End    control.Outcome // OK, Errored, Stopped or Moot
+		Took   time.Duration
+		Body   []byte
+	}
+	// PoolBlocked tells that a run waits for a call.
+	PoolBlocked struct {
+		Handle string
+		Body   []byte
+	}
+	// PoolPolled brings the gauges.
+	PoolPolled struct {
+		Ticket  string
+		Figures []float64
+	}
+)
+
+// CallEnded tells how a call below ended.
+type CallEnded struct {
+	Handle  string
+	Outcome control.Outcome
+	Body    []byte // OK: the reply
+}
+
+// Claimed tells what the shared store said of a key.
+type Claimed struct {
+	Key    Key
+	State  Claim
+	Result []byte // ClaimDone
+}
+
+// Drain is the notice to leave.
+type Drain struct{}
+
+func (Opened) event()       {}
+func (Closed) event()       {}
+func (Arrive) event()       {}
+func (Withdraw) event()     {}
+func (Check) event()        {}
+func (PoolBound) event()    {}
+func (PoolFinished) event() {}
+func (PoolBlocked) event()  {}
+func (PoolPolled) event()   {}
+func (CallEnded) event()    {}
+func (Claimed) event()      {}
+func (Drain) event()        {}
--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"time"
+
+	"larchscale/control"
+)
+
+// The stage "book": the one final answer, and the end of a request.
+
+// answer gives the final answer. This is the one place where a request becomes answered with one, so that
+// none gets two; a caller that has gone counts as answered too.
+func (c *Core) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	a.Hint = c.level
+	r.reply.Answer(a)
+	c.left(r)
+}
+
+// left takes an answered request off its connection.
+func (c *Core) left(r *request) {
+	r.session.open--
+	c.rest(r.session)
+}
+
+// refuse turns away a request that never ran.
+func (c *Core) refuse(r *request, away time.Duration, last bool) {
+	if r.ran && r.entry != nil { // guards against a refusal after an effect
+		c.fail(r)
+		return
+	}
+	c.answer(r, Answer{Kind: Refused, Why: "turned away", Away: away, Last: last})
+	if r.state == held {
+		c.drop(r)
+	}
+}
+
+// fail answers with an error. A run goes on until it ends or reaches a call.
+func (c *Core) fail(r *request) {
+	k := Failed
+	if c.now >= r.due-100*time.Millisecond {
+		k = TimedOut
+	}
+	c.answer(r, Answer{Kind: k, Why: "no result in time"})
+	switch r.state {
+	case held, replaying:
+		c.drop(r)
+	case calling:
+		c.abandon(r)
+	}
+}
+
+// drop takes a request off the books that neither the controller nor the worker pool has any longer.
+func (c *Core) drop(r *request) {
+	was := r.state
+	r.state = ended
+	c.late.drop(&r.patience)
+	delete(c.byID, r.id)
+	c.forgetHandle(r)
+	e := r.entry
+	if e == nil {
+		return
+	}
+	if e.owner == r {
+		switch {
+		case !e.ran && was == claiming && e.phase == asking && len(e.waiters) > 0:
+			e.owner, e.waiters = e.waiters[0], e.waiters[1:] // the store's answer is still to come
+		case !e.ran:
+			c.again = append(c.again, func() { c.release(e) })
+		default: // stopped for good after it had begun
+			c.conclude(e, false, nil)
+		}
+		return
+	}
+	for i, w := range e.waiters {
+		if w == r {
+			e.waiters = append(e.waiters[:i:i], e.waiters[i+1:]...)
+			break
+		}
+	}
+}
+
+func (c *Core) forgetHandle(r *request) {
+	if c.byHandle[r.Handle] == r {
+		delete(c.byHandle, r.Handle)
+	}
+}
+
+// finish tells the controller that a run or a replay is over, after this round of actions.
+func (c *Core) finish(r *request, how control.Outcome, took time.Duration) {
+	r.state = ended
+	c.late.drop(&r.patience)
+	delete(c.byID, r.id)
+	c.forgetHandle(r)
+	c.again = append(c.again, func() { c.ctl.Done(c.now, r.id, took, how) })
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,265 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"larchscale/control"
+)
+
+// Limits and times of the mechanism; what is decided by load is in the controller.
+const (
+	maxEvents  = 4096                   // events on their way to the loop: readers wait beyond
+	maxTurn    = 256                    // events of one turn
+	maxOpen    = 4096                   // requests in hand: guards the process's own memory
+	reportEach = time.Second            // the directory forgets after 3 s
+	pollEach   = 50 * time.Millisecond  // between two questions for the gauges
+	stopEarly  = 200 * time.Millisecond // before the kill by which the controller answers all
+	quitEarly  = 100 * time.Millisecond // before the kill at which the program ends
+	quitAfter  = 500 * time.Millisecond // beyond the grace: with nothing left, the program ends sooner
+	callMargin = 100 * time.Millisecond // the layer below is given its patience and this
+)
+
+// Core owns the controller and the state of all requests. All fields belong to the goroutine of Run.
+type Core struct {
+	site   Site
+	runner Runner
+	caller Caller
+	lister Lister
+	store  Store // nil = keys are this server's alone
+	log    *slog.Logger
+	events chan Event
+	ended  chan struct{} // closed when the loop is over
+
+	start    time.Time
+	now      time.Duration // since start, of this turn
+	ctl      *control.Controller
+	poolAt   time.Duration // when the worker pool started
+	acts     []act         // what the controller asked for in this turn
+	again    []func()      // what this turn's actions have to tell the controller
+	late     deadlines
+	wake     deadline
+	report   deadline
+	polled   time.Duration
+	polls    uint64
+	resync   string // ticket of the question that follows a new link
+	lastID   uint32
+	byID     map[uint32]*request
+	byHandle map[string]*request
+	sessions map[Session]*session
+	table    table
+
+	level     float64
+	up        bool
+	idleAfter time.Duration
+	leaving   bool
+	notice    time.Duration
+	over      bool
+}
+
+type session struct {
+	Session
+	open  int
+	since time.Duration // nothing has been open on it
+	idle  deadline
+	told  bool // it was told to drain
+}
+
+type state uint8
+
+const (
+	claiming state = iota // waits for the shared store, unknown to the controller
+	held
+	running
+	blocked
+	calling
+	replaying
+	ended
+)
+
+// request is one try. It moves to answered once, in book.go.
+type request struct {
+	Incoming
+	id       uint32
+	arrived  time.Duration
+	due      time.Duration
+	session  *session
+	reply    Reply
+	state    state
+	ran      bool
+	answered bool
+	entry    *entry // the key it owns or repeats
+	patience deadline
+	began    time.Duration // of the call in hand
+	callBody []byte
+	resend   func() // repeats its last command on a new link to the worker pool
+}
+
+// New makes a core; its loop starts with Run.
+func New(site Site, log *slog.Logger) *Core {
+	c := &Core{site: site, log: log, events: make(chan Event, maxEvents), ended: make(chan struct{}), start: time.Now(), up: true, level: -1,
+		byID: map[uint32]*request{}, byHandle: map[string]*request{}, sessions: map[Session]*session{},
+		idleAfter: site.Control.IdleMax, polled: -time.Hour}
+	c.table.entries = map[Key]*entry{}
+	c.wake.do = c.woken
+	c.report.do = c.reported
+	return c
+}
+
+// Attach names the other parties; store may be nil. It is called before Run.
+func (c *Core) Attach(r Runner, below Caller, l Lister, s Store) {
+	c.runner, c.caller, c.lister, c.store = r, below, l, s
+}
+
+// Send hands an event to the loop; it waits while the loop's queue is full. After the loop it does nothing.
+func (c *Core) Send(e Event) {
+	select {
+	case c.events <- e:
+	case <-c.ended:
+	}
+}
+
+// Run is the loop. It returns when all is answered after a Drain, or when ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.ended)
+	c.reported()
+	clock := time.NewTimer(0)
+	for !c.over {
+		select {
+		case e := <-c.events:
+			c.tell()
+			c.feed(e)
+		case <-clock.C:
+			c.tell()
+		case <-ctx.Done():
+			return
+		}
+		for n := 1; n < maxTurn && len(c.events) > 0; n++ {
+			c.feed(<-c.events)
+		}
+		c.turn()
+		clock.Reset(c.next())
+	}
+}
+
+// tell reads the clock, once a turn.
+func (c *Core) tell() { c.now = time.Since(c.start) }
+
+func (c *Core) next() time.Duration {
+	if len(c.late.list) == 0 {
+		return time.Second
+	}
+	return max(0, c.late.list[0].at-time.Since(c.start))
+}
+
+// turn sweeps the deadlines, lets the controller decide once and carries out what it says. What an action
+// has to tell the controller at once (a repeat served from the table) makes a further round.
+func (c *Core) turn() {
+	c.late.sweep(c.now)
+	for {
+		if c.ctl != nil {
+			c.ctl.Decide(c.now)
+		}
+		acts := c.acts
+		c.acts = nil
+		for _, a := range acts {
+			c.carry(a)
+		}
+		c.acts = append(acts[:0], c.acts...)
+		if len(c.again) == 0 && len(c.acts) == 0 {
+			break
+		}
+		again := c.again
+		c.again = nil
+		for _, f := range again {
+			f()
+		}
+	}
+	c.checkEnd()
+}
+
+func (c *Core) feed(e Event) {
+	switch e := e.(type) {
+	case Opened:
+		c.opened(e.Session)
+	case Closed:
+		c.closed(e.Session)
+	case Arrive:
+		c.arrive(e)
+	case Withdraw:
+		c.withdraw(e.Handle)
+	case Check:
+		c.check(e)
+	case PoolBound:
+		c.bound(e)
+	case PoolFinished:
+		c.finished(e)
+	case PoolBlocked:
+		c.blocked(e)
+	case PoolPolled:
+		c.gauges(e)
+	case CallEnded:
+		c.callEnded(e)
+	case Claimed:
+		c.claimed(e)
+	case Drain:
+		c.drain()
+	}
+}
+
+// woken is the wake-up that the controller asked for: it brings the gauges.
+func (c *Core) woken() {
+	if c.now-c.polled < pollEach {
+		return
+	}
+	c.polled = c.now
+	c.polls++
+	c.runner.Poll(strconv.FormatUint(c.polls, 10))
+}
+
+func (c *Core) gauges(e PoolPolled) {
+	if c.ctl == nil {
+		return
+	}
+	if e.Ticket == c.resync {
+		c.resume()
+	}
+	c.ctl.Tick(c.now, gaugesOf(c.site.Gauges, e.Figures))
+}
+
+// reported tells the directory where this server stands, over and over.
+func (c *Core) reported() {
+	c.lister.Report(c.up && !c.leaving)
+	c.late.set(&c.report, c.now+reportEach)
+}
+
+// drain is the notice to leave.
+func (c *Core) drain() {
+	if c.leaving {
+		return
+	}
+	c.leaving, c.notice = true, c.now
+	c.log.Info("draining", "open", len(c.byHandle), "stop_ms", c.site.Stop.Milliseconds())
+	if c.ctl != nil {
+		c.ctl.Leave(c.now, max(0, c.site.Stop-stopEarly))
+	}
+	for _, s := range c.sessions {
+		s.told = true
+		s.Drain()
+	}
+	c.reported()
+	c.late.set(&deadline{do: func() {}}, c.now+c.site.Control.DrainGrace+quitAfter)
+	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
+}
+
+// checkEnd ends the loop early when the grace is over, all is answered and nobody is connected.
+func (c *Core) checkEnd() {
+	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 {
+		return
+	}
+	if c.ctl == nil || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
+		c.over = true
+	}
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"time"
+
+	"larchscale/control"
+)
+
+// The stage "relay": calls below, from the run that waits to the reply it is supplied with.
+
+// blocked is a run that waits for a call.
+func (c *Core) blocked(e PoolBlocked) {
+	r := c.byHandle[e.Handle]
+	if r == nil || r.state != running {
+		return
+	}
+	r.resend = nil
+	r.state = blocked
+	r.callBody = e.Body
+	c.ctl.AtCall(c.now, r.id)
+}
+
+// call makes the call that r waits for.
+func (c *Core) call(r *request, patience time.Duration) {
+	if r.state != blocked || r.answered {
+		return
+	}
+	r.state, r.began = calling, c.now
+	c.late.set(&r.patience, c.now+patience+callMargin)
+	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, r.callBody)
+}
+
+// abandon gives up the call in hand.
+func (c *Core) abandon(r *request) {
+	c.late.drop(&r.patience)
+	c.caller.Abandon(r.Handle)
+}
+
+// callEnded is how a call ended. One that found no run waiting ends with the run's own end.
+func (c *Core) callEnded(e CallEnded) {
+	r := c.byHandle[e.Handle]
+	if r == nil || r.state != calling || e.Outcome == control.Moot {
+		return
+	}
+	c.late.drop(&r.patience)
+	if e.Outcome == control.OK {
+		r.state = running
+		c.command(r, func() { c.runner.Supply(r.Handle, e.Body) })
+	} else {
+		r.state = blocked
+	}
+	c.ctl.CallDone(c.now, r.id, c.now-r.began, e.Outcome)
+}
+
+// outOfPatience is the deadline of a call, or of a request that waits for the shared store.
+func (c *Core) outOfPatience(r *request) {
+	switch r.state {
+	case calling:
+		c.caller.Abandon(r.Handle)
+		r.state = blocked
+		c.ctl.CallDone(c.now, r.id, c.now-r.began, control.TimedOut)
+	case claiming: // another server may have run it: no assurance
+		c.answer(r, Answer{Kind: TimedOut, Why: "the shared store did not tell in time"})
+		c.drop(r)
+	}
+}
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,246 @@
+package core
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"larchscale/control"
+)
+
+// The stage "route": a keyed request goes to the controller as new, to the try that it repeats, or to the
+// shared store first.
+
+const (
+	tableBytes   = 24 << 20               // of keys and results; with no room, refuse before running
+	entryBytes   = 512                    // of an entry beyond its token and result
+	resultBytes  = 4 << 10                // room that a result may need
+	windowMargin = 2 * time.Second        // an entry outlives its window: a repeat may be read late
+	askEach      = 100 * time.Millisecond // between two questions to the store for a key that another has
+)
+
+type phase uint8
+
+const (
+	asking phase = iota // the shared store has not answered
+	open                // the owner is held, or its run goes on
+	done
+	failed
+)
+
+// entry is what is known of one key: which try has it, and how that ended.
+type entry struct {
+	key     Key
+	sum     [32]byte // of the body: all tries carry the same
+	owner   *request // nil once it is over
+	phase   phase
+	ran     bool
+	claimed bool // it is this server's in the shared store
+	result  []byte
+	waiters []*request
+	size    int
+	until   time.Duration
+	expiry  deadline
+}
+
+type table struct {
+	entries map[Key]*entry
+	bytes   int
+}
+
+// routeKeyed links the tries of one request. Guards against effects that happen twice: a try whose key is
+// known is never run.
+func (c *Core) routeKeyed(r *request) {
+	key := Key{r.Class, r.Token}
+	sum := sha256.Sum256(r.Body)
+	e := c.table.entries[key]
+	switch {
+	case e == nil:
+		size := entryBytes + len(r.Token) + resultBytes
+		if c.table.bytes+size > tableBytes {
+			c.forgetHandle(r)
+			c.turnAway(r, Refused, "no room for its key")
+			return
+		}
+		e = &entry{key: key, sum: sum, owner: r, phase: open, size: size}
+		e.expiry.do = func() { c.expire(e) }
+		c.table.entries[key] = e
+		c.table.bytes += size
+		r.entry = e
+		if c.store == nil {
+			c.enter(r, 0)
+			return
+		}
+		e.phase = asking
+		c.ask(e)
+	case e.sum != sum:
+		c.forgetHandle(r)
+		c.turnAway(r, Conflict, "the token belongs to another body")
+	case e.phase == asking:
+		r.entry = e
+		e.waiters = append(e.waiters, r)
+		c.holdForStore(r)
+	default:
+		r.entry = e
+		c.enter(r, 1)
+	}
+}
+
+// enter hands a request to the controller, as new or as the repeat of another.
+func (c *Core) enter(r *request, repeats uint32) {
+	c.late.drop(&r.patience)
+	c.lastID++
+	r.id, r.state = c.lastID, held
+	c.byID[r.id] = r
+	if repeats != 0 && r.entry.owner != nil {
+		repeats = r.entry.owner.id
+	}
+	c.ctl.Request(c.now, control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory,
+		Left: max(r.due-c.now, time.Millisecond), Waited: c.now - r.arrived, Caller: r.Caller, Subject: r.Subject,
+		Repeat: repeats, Retry: r.Retry})
+}
+
+// replay serves a repeat with the result of the try it repeats, now or once that is over.
+func (c *Core) replay(r *request) {
+	r.state = replaying
+	if e := r.entry; e.phase == open {
+		e.waiters = append(e.waiters, r)
+	} else {
+		c.share(r)
+	}
+}
+
+// share gives a repeat the end of the try that ran.
+func (c *Core) share(r *request) {
+	how := control.Errored
+	if r.entry.phase == done {
+		how = control.OK
+		c.answer(r, Answer{Kind: Served, Body: r.entry.result})
+	} else {
+		c.answer(r, Answer{Kind: Failed, Why: "an earlier try failed"})
+	}
+	c.finish(r, how, 0)
+}
+
+// conclude books the end of the try that has the key, and of those that wait for it.
+func (c *Core) conclude(e *entry, ok bool, result []byte) {
+	e.phase, e.owner, e.result = failed, nil, nil
+	if ok {
+		e.phase, e.result = done, append([]byte(nil), result...)
+	}
+	if e.claimed {
+		c.store.Finish(e.key, e.sum, ok, result, e.until-c.now)
+	}
+	waiters := e.waiters
+	e.waiters = nil
+	for _, r := range waiters {
+		switch r.state {
+		case replaying:
+			c.share(r)
+		case claiming:
+			c.enter(r, 1)
+		}
+	}
+}
+
+// release drops the key of a try that ended without having run. The tries that waited for it never ran
+// either: the next of them takes its place, as if it came only now.
+func (c *Core) release(e *entry) {
+	c.late.drop(&e.expiry)
+	if c.table.entries[e.key] == e {
+		delete(c.table.entries, e.key)
+		c.table.bytes -= e.size
+	}
+	if e.claimed {
+		c.store.Release(e.key)
+	}
+	waiters := e.waiters
+	e.waiters, e.owner = nil, nil
+	for _, r := range waiters {
+		if r.state == replaying {
+			delete(c.byID, r.id)
+			c.ctl.Done(c.now, r.id, 0, control.Errored)
+		}
+		if r.state != ended {
+			c.routeKeyed(r)
+		}
+	}
+}
+
+// remember keeps an entry at least until its window, counted from t0 of the try that runs, is over.
+func (c *Core) remember(r *request) {
+	e := r.entry
+	e.ran = true
+	e.until = max(e.until, r.arrived+c.site.Control.Classes[r.Class].Window+windowMargin)
+	c.late.set(&e.expiry, e.until)
+}
+
+// expire forgets a key whose window is over, unless a run of it still goes on.
+func (c *Core) expire(e *entry) {
+	if e.owner != nil {
+		c.late.set(&e.expiry, c.now+windowMargin)
+		return
+	}
+	if c.table.entries[e.key] == e {
+		delete(c.table.entries, e.key)
+		c.table.bytes -= e.size
+	}
+}
+
+// ask claims a key in the shared store.
+func (c *Core) ask(e *entry) {
+	k := &c.site.Control.Classes[e.key.Class]
+	c.holdForStore(e.owner)
+	c.store.Claim(e.key, e.sum, k.Window+k.Deadline+windowMargin)
+}
+
+// holdForStore keeps a request until the store answers, until its due time at the most.
+func (c *Core) holdForStore(r *request) {
+	r.state = claiming
+	c.late.set(&r.patience, r.due)
+}
+
+// claimed is the store's answer. Without one a new keyed request is refused, never run on a guess.
+func (c *Core) claimed(a Claimed) {
+	e := c.table.entries[a.Key]
+	if e == nil || e.phase != asking {
+		if a.State == ClaimWon && e == nil { // nobody waits for it any longer
+			c.store.Release(a.Key)
+		}
+		return
+	}
+	switch a.State {
+	case ClaimWon:
+		e.phase, e.claimed = open, true
+		c.enter(e.owner, 0)
+		waiters := e.waiters
+		e.waiters = nil
+		for _, r := range waiters {
+			c.enter(r, 1)
+		}
+	case ClaimOther:
+		again := &deadline{do: func() {
+			if c.table.entries[a.Key] == e && e.phase == asking {
+				c.store.Claim(e.key, e.sum, c.site.Control.Classes[e.key.Class].Window+windowMargin)
+			}
+		}}
+		c.late.set(again, c.now+askEach)
+	case ClaimDone, ClaimFailed:
+		owner := e.owner
+		e.waiters = append([]*request{owner}, e.waiters...)
+		e.until = c.now + windowMargin
+		c.late.set(&e.expiry, e.until)
+		c.conclude(e, a.State == ClaimDone, a.Result)
+	default:
+		k, why := Refused, "the shared store does not answer"
+		if a.State == ClaimOff {
+			k, why = Conflict, "the token belongs to another body"
+		}
+		all := append([]*request{e.owner}, e.waiters...)
+		e.waiters, e.owner = nil, nil
+		c.release(e)
+		for _, r := range all {
+			c.forgetHandle(r)
+			c.turnAway(r, k, why)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"larchscale/control"
+	"larchscale/internal/settings"
+)
+
+// The stage "send": the controller's actions on their way out, and the link to the worker pool.
+
+type verb uint8
+
+const (
+	doRun verb = iota
+	doStop
+	doRefuse
+	doFail
+	doCall
+	doReplay
+	doLevel
+	doHealth
+	doIdle
+	doWake
+)
+
+// act is one action of the controller, kept until it has decided.
+type act struct {
+	verb verb
+	id   uint32
+	span time.Duration
+	flag bool
+	x    float64
+}
+
+// hand is the control.Worker: it only notes what it is told, as its methods must not call back.
+type hand struct{ c *Core }
+
+func (h hand) note(a act)         { h.c.acts = append(h.c.acts, a) }
+func (h hand) Run(id uint32)      { h.note(act{verb: doRun, id: id}) }
+func (h hand) Stop(id uint32)     { h.note(act{verb: doStop, id: id}) }
+func (h hand) Fail(id uint32)     { h.note(act{verb: doFail, id: id}) }
+func (h hand) Replay(id uint32)   { h.note(act{verb: doReplay, id: id}) }
+func (h hand) SetLevel(x float64) { h.note(act{verb: doLevel, x: x}) }
+func (h hand) Log(text string)    { h.c.log.Info("controller", "says", text) }
+func (h hand) Refuse(id uint32, away time.Duration, last bool) {
+	h.note(act{verb: doRefuse, id: id, span: away, flag: last})
+}
+func (h hand) Call(id uint32, patience time.Duration) {
+	h.note(act{verb: doCall, id: id, span: patience})
+}
+
+// Skip is never asked for: no class of a Site may leave out a call.
+func (h hand) Skip(uint32) {}
+
+// Keep and Forget book the controller's memory. The table of keys has its own, longer terms: an entry
+// stands from admission on and goes with a try that never ran.
+func (h hand) Keep(uint32, time.Duration) {}
+
+// Forget: see Keep.
+func (h hand) Forget(uint32) {}
+
+func (h hand) SetHealth(ok, _ bool)          { h.note(act{verb: doHealth, flag: ok}) }
+func (h hand) CloseIdle(after time.Duration) { h.note(act{verb: doIdle, span: after}) }
+func (h hand) Wake(in time.Duration)         { h.note(act{verb: doWake, span: in}) }
+
+// carry carries out one action. One that comes too late for its request does nothing.
+func (c *Core) carry(a act) {
+	switch a.verb {
+	case doLevel:
+		c.level = a.x
+		return
+	case doHealth:
+		if c.up != a.flag {
+			c.up = a.flag
+			c.log.Info("health", "up", a.flag)
+			c.reported()
+		}
+		return
+	case doIdle:
+		c.idleAfter = a.span
+		for _, x := range c.sessions {
+			c.watch(x)
+		}
+		return
+	case doWake:
+		c.late.set(&c.wake, c.now+a.span)
+		return
+	}
+	r := c.byID[a.id]
+	if r == nil {
+		return
+	}
+	switch a.verb {
+	case doRun:
+		c.run(r)
+	case doStop:
+		c.runner.Stop(r.Handle)
+	case doRefuse:
+		c.refuse(r, a.span, a.flag)
+	case doFail:
+		c.fail(r)
+	case doCall:
+		c.call(r, a.span)
+	case doReplay:
+		c.replay(r)
+	}
+}
+
+// run starts a held request.
+func (c *Core) run(r *request) {
+	if r.state != held {
+		return
+	}
+	r.state, r.ran = running, true
+	if r.entry != nil {
+		c.remember(r)
+	}
+	c.command(r, func() { c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body) })
+}
+
+// command sends a command for r and keeps it until the worker pool has shown that it came.
+func (c *Core) command(r *request, f func()) {
+	r.resend = f
+	f()
+}
+
+// bound is a new link to the worker pool. The first one makes the controller; a pool that has started
+// anew has lost its runs, which then count as run and failed.
+func (c *Core) bound(e PoolBound) {
+	at := c.now - e.Age
+	if c.ctl == nil {
+		cfg := c.site.Control
+		cfg.Cold = e.Cold
+		ctl, err := control.New(cfg, max(at, 0), hand{c})
+		if err != nil { // checked at the start of the program
+			c.log.Error("controller", "err", err)
+			c.over = true
+			return
+		}
+		c.ctl, c.poolAt = ctl, at
+		c.log.Info("worker pool up", "cold", e.Cold, "age_ms", e.Age.Milliseconds())
+		if c.leaving {
+			c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
+		}
+		return
+	}
+	if at > c.poolAt+time.Second {
+		c.log.Warn("worker pool restarted", "lost", len(c.byID))
+		c.poolAt = at
+		for _, r := range c.byID {
+			if r.state == running || r.state == blocked || r.state == calling {
+				c.finished(PoolFinished{Handle: r.Handle, End: control.Errored})
+			}
+		}
+		return
+	}
+	// All notices that were missed follow. Only after them is it known which commands were lost with the
+	// old link: the answer to this question marks that point.
+	c.polls++
+	c.resync = "r" + strconv.FormatUint(c.polls, 10)
+	c.runner.Poll(c.resync)
+}
+
+// resume sends again what the worker pool has not shown to have received.
+func (c *Core) resume() {
+	c.resync = ""
+	for _, r := range c.byID {
+		if r.state == running && r.resend != nil {
+			r.resend()
+		}
+	}
+}
+
+// finished is the end of a run.
+func (c *Core) finished(e PoolFinished) {
+	r := c.byHandle[e.Handle]
+	if r == nil || !r.ran {
+		return
+	}
+	r.resend = nil
+	if r.state == calling {
+		c.abandon(r)
+	}
+	switch e.End {
+	case control.OK:
+		c.answer(r, Answer{Kind: Served, Body: e.Body})
+	case control.Stopped:
+		if !r.answered { // it was stopped by the controller and is held again
+			r.state = held
+			c.ctl.Done(c.now, r.id, e.Took, control.Stopped)
+			return
+		}
+	default:
+		c.answer(r, Answer{Kind: Failed, Why: "the run failed"})
+	}
+	if r.entry != nil {
+		c.conclude(r.entry, e.End == control.OK, e.Body)
+	}
+	c.finish(r, e.End, e.Took)
+}
+
+func gaugesOf(names []string, figures []float64) control.Gauges {
+	for i, x := range figures {
+		if math.IsInf(x, 0) {
+			figures[i] = math.NaN()
+		}
+	}
+	return settings.Gauges(names, figures)
+}
--- /dev/null
+++ b/internal/jsonrpc/parse.go
@@ -0,0 +1,172 @@
+// Package jsonrpc is the platform's front: JSON-RPC 2.0, a message to a line.
+package jsonrpc
+
+import (
+	"encoding/base64"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"larchscale/internal/core"
+)
+
+// The codes of errors that a client makes, as JSON-RPC 2.0 has them.
+const (
+	badJSON    = -32700
+	badRequest = -32600
+	badMethod  = -32601
+	badParams  = -32602
+)
+
+const (
+	maxLine = 16 << 10
+	maxBody = 2 << 10
+	maxName = 128     // of a handle or a token
+	maxHeld = 2000    // kilobytes that a request may take
+	maxWait = 1 << 32 // milliseconds
+)
+
+// fault is a complaint about a message.
+type fault struct {
+	code int
+	text string
+}
+
+func (f *fault) Error() string { return fmt.Sprintf("%d: %s", f.code, f.text) }
+
+// message is one line as values.
+type message struct {
+	id     string // as it was written; empty = none
+	method string
+	req    core.Incoming
+	ref    string // withdraw: the id of the request, as it was written
+}
+
+// parse reads one line. The message's id is good whenever it is not empty.
+func parse(line []byte, site *core.Site) (message, *fault) {
+	var m message
+	if !gjson.ValidBytes(line) {
+		return m, &fault{badJSON, "not JSON"}
+	}
+	top := gjson.ParseBytes(line)
+	if !top.IsObject() {
+		return m, &fault{badRequest, "not an object"}
+	}
+	var version, method, params gjson.Result
+	top.ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "jsonrpc":
+			version = v
+		case "id":
+			if v.Type == gjson.Number || v.Type == gjson.String && len(v.Raw) <= maxName {
+				m.id = v.Raw
+			}
+		case "method":
+			method = v
+		case "params":
+			params = v
+		}
+		return true
+	})
+	if version.Str != "2.0" || method.Type != gjson.String {
+		return m, &fault{badRequest, "no JSON-RPC 2.0 request"}
+	}
+	m.method = method.Str
+	switch m.method {
+	case "status":
+		return m, nil
+	case "withdraw":
+		m.req.Handle, m.ref = params.Get("rid").Str, params.Get("id").Raw
+		if m.req.Handle == "" && m.ref == "" {
+			m.ref = m.id
+		}
+		return m, nil
+	}
+	if m.req.Class = site.Class(m.method); m.req.Class < 0 {
+		return m, &fault{badMethod, "unknown class"}
+	}
+	if m.id == "" {
+		return m, &fault{badRequest, "a request without an id"}
+	}
+	return m, request(&m.req, params, site)
+}
+
+// request reads the params of a request.
+func request(q *core.Incoming, params gjson.Result, site *core.Site) *fault {
+	var stamp, budget, mem, prio, bytes gjson.Result
+	q.Tenant = -1
+	params.ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "rid":
+			q.Handle = v.Str
+		case "t0":
+			stamp = v
+		case "peer":
+			q.Caller = uint32(v.Uint())
+		case "acct":
+			q.Tenant = site.Tenant(v.Str)
+		case "budget":
+			budget = v
+		case "mem":
+			mem = v
+		case "prio":
+			prio = v
+		case "token":
+			q.Token = v.Str
+		case "obj":
+			q.Subject = hash(v.Str)
+		case "bytes":
+			bytes = v
+		}
+		return true
+	})
+	bad := func(what string) *fault { return &fault{badParams, what} }
+	switch {
+	case q.Handle == "" || len(q.Handle) > maxName || !plain(q.Handle):
+		return bad("rid")
+	case stamp.Type != gjson.Number || !(stamp.Num > 0 && stamp.Num < 1e15):
+		return bad("t0")
+	case budget.Exists() && (budget.Type != gjson.Number || !(math.Abs(budget.Num) < maxWait)):
+		return bad("budget")
+	case mem.Type != gjson.Number || !(mem.Num > 0 && mem.Num < maxHeld):
+		return bad("mem")
+	case prio.Type != gjson.Number || !(prio.Num >= 0 && prio.Num <= 1):
+		return bad("prio")
+	case bytes.Type != gjson.String:
+		return bad("bytes")
+	case len(q.Token) > maxName || site.Keyed(q.Class) && q.Token == "":
+		return bad("token")
+	}
+	body, err := base64.StdEncoding.DecodeString(bytes.Str)
+	if err != nil || len(body) > maxBody {
+		return bad("bytes")
+	}
+	q.Body = body
+	q.Arrived = time.UnixMilli(int64(stamp.Num))
+	if budget.Exists() {
+		q.Budget = max(time.Duration(budget.Num*float64(time.Millisecond)), time.Millisecond)
+	}
+	q.Memory, q.Rank = mem.Num, prio.Num
+	return nil
+}
+
+// plain tells whether a handle is one word of visible ASCII, as it stands in lines of other protocols.
+func plain(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
+// hash is FNV-1a: what a read is about, as a number.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,202 @@
+// Package pool is the link to the worker pool.
+package pool
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/sock"
+)
+
+const (
+	maxLine     = 64 << 10
+	dialTimeout = time.Second
+)
+
+// Link keeps one connection to the worker pool open. Commands given while there is none are lost: the core
+// sends again what matters once the link is back.
+type Link struct {
+	addr string
+	sink func(core.Event)
+	log  *slog.Logger
+	mu   sync.Mutex
+	box  *sock.Box // nil = no link
+	read uint64    // number of the last notice that was read; of Keep's goroutine
+}
+
+// New makes a link that tells sink what comes.
+func New(addr string, sink func(core.Event), log *slog.Logger) *Link {
+	return &Link{addr: addr, sink: sink, log: log}
+}
+
+// Keep keeps the link up until ctx ends.
+func (l *Link) Keep(ctx context.Context) {
+	var wait sock.Backoff
+	for ctx.Err() == nil {
+		up := time.Now()
+		err := l.once(ctx)
+		if time.Since(up) > time.Second {
+			wait.Reset()
+		}
+		if ctx.Err() == nil {
+			l.log.Warn("link down", "to", "pool", "err", err)
+			sleep(ctx, wait.Next())
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// once is the life of one connection.
+func (l *Link) once(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	box := sock.NewBox(conn)
+	defer box.Kill()
+	defer context.AfterFunc(ctx, box.Kill)()
+	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read, 10) + "}\n"))
+	l.set(box)
+	defer l.set(nil)
+	in := bufio.NewReaderSize(conn, maxLine)
+	for {
+		line, err := sock.Line(in)
+		if err != nil {
+			return err
+		}
+		if err := l.notice(line); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Link) set(b *sock.Box) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.box = b
+}
+
+func (l *Link) send(parts ...[]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.box != nil {
+		l.box.Send(parts...)
+	}
+}
+
+var errNotice = errors.New("malformed notice")
+
+// notice reads one line of the worker pool.
+func (l *Link) notice(line []byte) error {
+	if !gjson.ValidBytes(line) {
+		return fmt.Errorf("%w: not JSON", errNotice)
+	}
+	var event, handle, fate, arg, ticket string
+	var cursor uint64
+	var lasted time.Duration
+	var figures []float64
+	gjson.ParseBytes(line).ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "event":
+			event = v.Str
+		case "handle":
+			handle = v.Str
+		case "fate":
+			fate = v.Str
+		case "arg":
+			arg = v.Str
+		case "ticket":
+			ticket = v.Str
+		case "cursor":
+			cursor = v.Uint()
+		case "lasted":
+			lasted = time.Duration(v.Num * float64(time.Millisecond))
+		case "figures":
+			for _, x := range v.Array() {
+				figures = append(figures, x.Num)
+			}
+		}
+		return true
+	})
+	if cursor > 0 {
+		if cursor <= l.read { // it came on an earlier link already
+			return nil
+		}
+		l.read = cursor
+	}
+	switch event {
+	case "bound":
+		l.sink(core.PoolBound{Cold: fate == "chilly", Age: lasted})
+	case "polled":
+		l.sink(core.PoolPolled{Ticket: ticket, Figures: figures})
+	case "finished", "blocked":
+		body, err := base64.StdEncoding.DecodeString(arg)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotice, err)
+		}
+		if event == "blocked" {
+			l.sink(core.PoolBlocked{Handle: handle, Body: body})
+		} else {
+			l.sink(core.PoolFinished{Handle: handle, End: end(fate), Took: lasted, Body: body})
+		}
+	case "unknown":
+		l.log.Warn("command not carried out", "command", fate, "handle", handle)
+	}
+	return nil
+}
+
+func end(fate string) control.Outcome {
+	switch fate {
+	case "complete":
+		return control.OK
+	case "cancelled":
+		return control.Stopped
+	case "unknown":
+		return control.Moot
+	}
+	return control.Errored
+}
+
+func command(event, handle string) []byte {
+	return []byte(`{"event":"` + event + `","handle":"` + handle + `"`)
+}
+
+func arg(body []byte) []byte {
+	out := append(make([]byte, 0, base64.StdEncoding.EncodedLen(len(body))+16), `,"arg":"`...)
+	return append(base64.StdEncoding.AppendEncode(out, body), '"', '}', '\n')
+}
+
+// Run starts a request.
+func (l *Link) Run(handle, class string, body []byte) {
+	l.send(command("spawn", handle), []byte(`,"entry":`+strconv.Quote(class)), arg(body))
+}
+
+// Stop stops a run.
+func (l *Link) Stop(handle string) { l.send(command("suspend", handle), []byte("}\n")) }
+
+// Supply gives a run the reply that it waits for.
+func (l *Link) Supply(handle string, body []byte) { l.send(command("supply", handle), arg(body)) }
+
+// Poll asks for the gauges.
+func (l *Link) Poll(ticket string) {
+	l.send([]byte(`{"event":"poll","ticket":"` + ticket + "\"}\n"))
+}
