Bound calls to a tier by the crowd, not by a share of one call

Checked: the settings say Below = tier and CallsOut = 0; Config.CallShare = 0 was read as 1, so the bound was 0.6 calls in hand for a server of six cores, and serve() then expected every call to wait in line. At fault: New's default of CallShare. CallsTier tells the two cases apart.

--- a/control/api.go
+++ b/control/api.go
@@ -85,7 +85,8 @@
 	KeyMemory   float64       // kilobytes of one kept key
 	Crowd       float64       // running requests on the cores, per core, that a warm worker survives; 0 = 2
 	CrowdFor    time.Duration // the mean is taken over this
-	CallShare   float64       // mean calls in hand this worker may have; 0 = 1
+	CallShare   float64       // mean calls in hand this worker may have; 0 = 1, but see CallsTier
+	CallsTier   bool          // calls go to a tier that refuses for itself: without a CallShare none is meant
 	CallWindow  time.Duration // the mean is taken over this
 	CallLingers time.Duration // an abandoned call counts for so long
 	DrainGrace  time.Duration // what arrives later than this after the notice is not run
--- a/control/control.go
+++ b/control/control.go
@@ -189,7 +189,11 @@
 	if cfg.Crowd <= 0 {
 		c.cfg.Crowd = 2
 	}
-	if cfg.CallShare <= 0 {
+	switch {
+	case cfg.CallShare > 0:
+	case cfg.CallsTier: // no shared dependency to kill: only the crowd bounds the calls
+		c.cfg.CallShare = c.cfg.Crowd * float64(c.cfg.Cores) / callPart
+	default:
 		c.cfg.CallShare = 1
 	}
 	if len(cfg.Classes) == 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -649,6 +649,27 @@
 
 // A share of under one call is kept over every window of the dependency, whatever the calls take: all workers of a
 // fleet may do the same at once.
+// Calls to a tier that refuses for itself are no shared dependency's: with no share stated, one call in hand
+// must not keep the others waiting.
+func TestCallsToATierAreBoundedByTheCrowdAlone(t *testing.T) {
+	for _, tier := range []bool{false, true} {
+		cfg := plain()
+		cfg.CallShare, cfg.CallsTier, cfg.Cores = 0, tier, 6
+		c, w := begin(t, cfg)
+		for id := uint32(1); id <= 6; id++ {
+			c.Request(0, ask(id, 2))
+		}
+		c.Decide(0)
+		for _, id := range w.ran {
+			c.AtCall(10*ms, id)
+		}
+		c.Decide(10 * ms)
+		if want := map[bool]int{false: 1, true: 6}[tier]; len(w.called) != want {
+			t.Errorf("tier %v: %d calls of %d runs, want %d", tier, len(w.called), len(w.ran), want)
+		}
+	}
+}
+
 func TestAShareUnderOneCallIsKeptInEveryWindow(t *testing.T) {
 	for _, share := range []float64{0.3, 0.9} {
 		for _, slow := range []time.Duration{100 * ms, time.Second, 20 * time.Second} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,7 +20,7 @@
 		Cold: f.JustStarted, ColdFrom: q.ColdFrom, ColdFor: usf(q.ColdUs),
 		Memory: f.MemoryKb, RunFactor: f.RunFactor, KeyMemory: f.KeyKb,
 		Crowd: q.FallMultiple, CrowdFor: usf(q.FallUs),
-		CallWindow: usf(f.DepWindowUs), CallLingers: usf(f.LingersUs), CallShare: f.CallsOut,
+		CallWindow: usf(f.DepWindowUs), CallLingers: usf(f.LingersUs), CallShare: f.CallsOut, CallsTier: f.Below == "tier",
 		DrainGrace: usf(q.DrainGraceUs), Slack: usf(q.AnswerSlackUs),
 		HeardFor: usf(f.HeardForUs), IdleMax: usf(f.KeepaliveMaxUs), Quantum: usf(s.QuantumUs),
 		HearsGone: f.HangupSeen, DearChecks: f.FullChecks, OverWorth: s.OverShareWorth,
