Add the uwsgi front, calls below by uwsgi, and the shared store, all off by default

The front reads packets with a parser of its own, maps answers to HTTP and a hang-up to a withdraw. Keys can be shared by Redis: an atomic claim before a keyed run, then the result.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -20,13 +20,16 @@
 	"larchscale/internal/directory"
 	"larchscale/internal/index"
 	"larchscale/internal/jsonrpc"
+	"larchscale/internal/logs"
 	"larchscale/internal/pool"
 	"larchscale/internal/sock"
+	"larchscale/internal/store"
+	"larchscale/internal/uwsgi"
 )
 
 const (
 	memoryLimit = 128 << 20 // the platform kills at 192 MB
-	maxConns    = 640       // balancers open at most half of 1,024 descriptors
+	maxConns    = 600       // balancers open at most half of 1,024 descriptors; desks and calls take 350 more
 	lastWrites  = 60 * time.Millisecond
 )
 
@@ -37,6 +40,7 @@
 	flags := flag.NewFlagSet("larchscale", flag.ContinueOnError)
 	flags.SetOutput(out)
 	path := flags.String("config", env("BALANCER_CONFIG"), "the platform's config.json")
+	operator := flags.String("operator", env("LARCHSCALE_OPERATOR"), "the operator's TOML, as deploy/uwsgi.toml; none = no uwsgi front")
 	if err := flags.Parse(args); err != nil {
 		return 2
 	}
@@ -49,9 +53,14 @@
 		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
+	own, err := config.LoadOperator(*operator, cfg)
+	if err != nil {
+		fmt.Fprintln(out, "larchscale:", err)
+		return 2
+	}
 	debug.SetMemoryLimit(memoryLimit)
 	runtime.GOMAXPROCS(1)
-	if err := serve(cfg, slog.New(slog.NewTextHandler(out, nil)).With("server", cfg.Name)); err != nil {
+	if err := serve(cfg, own, slog.New(logs.New(out)).With("server", cfg.Name)); err != nil {
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
 	}
@@ -59,7 +68,7 @@
 }
 
 // serve wires the parts together and returns when the core has answered all after SIGTERM.
-func serve(cfg *config.Config, log *slog.Logger) error {
+func serve(cfg *config.Config, own *config.Operator, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	signals := make(chan os.Signal, 1)
@@ -70,20 +79,40 @@
 	}
 	c := core.New(cfg.Site, log)
 	workers := pool.New(cfg.Pool, c.Send, log)
-	below := index.New(cfg.Index, c.Send, log)
 	list := directory.New(cfg.Lookup, cfg.Name, log)
-	c.Attach(workers, below, list, nil)
-	front := sock.NewServer(listener, maxConns, jsonrpc.New(&cfg.Site, c, log).Handle)
+	var below core.Caller = index.New(cfg.Index, c.Send, log)
+	if len(own.UWSGI.Below) > 0 {
+		below = uwsgi.NewClient(own.UWSGI, c.Send)
+	}
+	var keys core.Store
+	if own.Store.Redis != "" {
+		db := store.New(own.Store, cfg.Owner(), cfg.Site.Classes, c.Send, log)
+		go db.Run(ctx)
+		keys = db
+	}
+	c.Attach(workers, below, list, keys)
+	fronts := []*sock.Server{sock.NewServer(listener, maxConns, jsonrpc.New(&cfg.Site, c, log).Handle)}
+	if own.UWSGI.Listen != "" {
+		desks, err := net.Listen("tcp", own.UWSGI.Listen)
+		if err != nil {
+			return err
+		}
+		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
+	}
+	for _, f := range fronts {
+		go f.Serve()
+	}
 	go workers.Keep(ctx)
 	go list.Run(ctx)
-	go front.Serve()
 	go func() {
 		<-signals
 		c.Send(core.Drain{})
 	}()
-	log.Info("started", "listen", cfg.Listen)
+	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis)
 	c.Run(ctx)
-	front.Stop(lastWrites)
+	for _, f := range fronts {
+		f.Stop(lastWrites)
+	}
 	log.Info("stopped")
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,9 @@
 	Site   core.Site
 }
 
+// Owner names this start of this server in the shared store: its seed is new with each start.
+func (c *Config) Owner() string { return fmt.Sprintf("%s-%016x", c.Name, c.Site.Control.Seed) }
+
 // Load reads config.json.
 func Load(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"larchscale/internal/store"
+	"larchscale/internal/uwsgi"
+)
+
+// Operator is the operator's own file, deploy/uwsgi.toml or one like it.
+type Operator struct {
+	UWSGI uwsgi.Options `toml:"uwsgi"`
+	Store store.Options `toml:"store"`
+}
+
+// LoadOperator reads the operator's file; without a path nothing is turned on.
+func LoadOperator(path string, platform *Config) (*Operator, error) {
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults()}
+	if path == "" {
+		return o, nil
+	}
+	meta, err := toml.DecodeFile(path, o)
+	if err == nil {
+		if odd := meta.Undecoded(); len(odd) > 0 {
+			err = fmt.Errorf("unknown key %s", odd[0])
+		} else {
+			err = o.check(platform)
+		}
+	}
+	if err != nil { // a TOML error may run over several lines: the first says it
+		line, _, _ := strings.Cut(err.Error(), "\n")
+		return nil, fmt.Errorf("config: %s: %s", path, line)
+	}
+	return o, nil
+}
+
+func (o *Operator) check(platform *Config) error {
+	u := &o.UWSGI
+	if strings.HasPrefix(u.Listen, ":") {
+		host, _, err := net.SplitHostPort(platform.Listen)
+		if err != nil {
+			return err
+		}
+		u.Listen = net.JoinHostPort(host, u.Listen[1:])
+	}
+	for _, a := range append([]string{u.Listen, o.Store.Redis}, u.Below...) {
+		if a == "" {
+			continue
+		}
+		if err := checkAddr(a); err != nil {
+			return err
+		}
+	}
+	switch {
+	case !strings.HasPrefix(u.Prefix, "/"):
+		return errors.New("uwsgi.prefix does not begin with a slash")
+	case u.MaxBody < 1 || u.MaxBody > 1<<20:
+		return fmt.Errorf("uwsgi.max_body is %d", u.MaxBody)
+	case u.MaxConns < 1 || u.MaxConns > 200:
+		return fmt.Errorf("uwsgi.max_conns is %d, 1 to 200", u.MaxConns)
+	case u.MaxCalls < 1 || u.MaxCalls > 150:
+		return fmt.Errorf("uwsgi.max_calls is %d, 1 to 150", u.MaxCalls)
+	case u.ReadMs < 1 || u.ReadMs > 60000:
+		return fmt.Errorf("uwsgi.read_ms is %d", u.ReadMs)
+	case !(u.HeldKB > 0 && u.HeldKB < 2000):
+		return fmt.Errorf("uwsgi.held_kb is %v", u.HeldKB)
+	case o.Store.TimeoutMs < 1 || o.Store.TimeoutMs > 5000:
+		return fmt.Errorf("store.timeout_ms is %d", o.Store.TimeoutMs)
+	case len(u.Below) > 0 && (u.Vars.Budget == "" || u.Vars.Token == ""):
+		return errors.New("uwsgi.below needs the names of vars.deadline and vars.token")
+	}
+	return nil
+}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -80,10 +80,10 @@
 	ClaimDown                // the store does not tell
 )
 
-// Store is the table of keys that several servers share. Its methods must not block; each Claim ends with
-// one Claimed event.
+// Store is the table of keys that several servers share. Its methods must not block; each Claim that is
+// taken (true) ends with one Claimed event.
 type Store interface {
-	Claim(k Key, sum [32]byte, life time.Duration)
+	Claim(k Key, sum [32]byte, life time.Duration) bool
 	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration)
 	Release(k Key)
 }
@@ -136,8 +136,11 @@
 
 // The events of fronts.
 type (
-	// Opened tells of a new connection.
-	Opened struct{ Session Session }
+	// Opened tells of a new connection. A single one carries one request and is never closed as idle.
+	Opened struct {
+		Session Session
+		Single  bool
+	}
 	// Closed tells that a connection is gone.
 	Closed struct{ Session Session }
 	// Arrive brings a request.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,7 @@
 type session struct {
 	Session
 	open  int
+	once  bool          // it carries one request
 	since time.Duration // nothing has been open on it
 	idle  deadline
 	told  bool // it was told to drain
@@ -183,7 +184,7 @@
 func (c *Core) feed(e Event) {
 	switch e := e.(type) {
 	case Opened:
-		c.opened(e.Session)
+		c.opened(e)
 	case Closed:
 		c.closed(e.Session)
 	case Arrive:
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -4,10 +4,10 @@
 
 // The stage "take in": connections, and what comes on them.
 
-func (c *Core) opened(s Session) {
-	x := &session{Session: s}
+func (c *Core) opened(e Opened) {
+	x := &session{Session: e.Session, once: e.Single}
 	x.idle.do = func() { c.hangUp(x) }
-	c.sessions[s] = x
+	c.sessions[e.Session] = x
 	c.rest(x)
 }
 
@@ -26,7 +26,7 @@
 
 // watch sets when an idle connection is closed.
 func (c *Core) watch(x *session) {
-	if x.open == 0 && c.idleAfter > 0 && c.sessions[x.Session] == x {
+	if x.open == 0 && !x.once && c.idleAfter > 0 && c.sessions[x.Session] == x {
 		c.late.set(&x.idle, x.since+c.idleAfter)
 	}
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -15,6 +15,7 @@
 	entryBytes   = 512                    // of an entry beyond its token and result
 	resultBytes  = 4 << 10                // room that a result may need
 	windowMargin = 2 * time.Second        // an entry outlives its window: a repeat may be read late
+	dueEarly     = 20 * time.Millisecond  // before its due time a request that still waits is answered
 	askEach      = 100 * time.Millisecond // between two questions to the store for a key that another has
 )
 
@@ -71,6 +72,7 @@
 			return
 		}
 		e.phase = asking
+		c.holdForStore(r)
 		c.ask(e)
 	case e.sum != sum:
 		c.forgetHandle(r)
@@ -190,13 +192,15 @@
 func (c *Core) ask(e *entry) {
 	k := &c.site.Control.Classes[e.key.Class]
 	c.holdForStore(e.owner)
-	c.store.Claim(e.key, e.sum, k.Window+k.Deadline+windowMargin)
+	if !c.store.Claim(e.key, e.sum, k.Window+k.Deadline+windowMargin) {
+		c.claimed(Claimed{Key: e.key, State: ClaimDown})
+	}
 }
 
 // holdForStore keeps a request until the store answers, until its due time at the most.
 func (c *Core) holdForStore(r *request) {
 	r.state = claiming
-	c.late.set(&r.patience, r.due)
+	c.late.set(&r.patience, r.due-dueEarly)
 }
 
 // claimed is the store's answer. Without one a new keyed request is refused, never run on a guess.
@@ -220,7 +224,7 @@
 	case ClaimOther:
 		again := &deadline{do: func() {
 			if c.table.entries[a.Key] == e && e.phase == asking {
-				c.store.Claim(e.key, e.sum, c.site.Control.Classes[e.key.Class].Window+windowMargin)
+				c.ask(e)
 			}
 		}}
 		c.late.set(again, c.now+askEach)
@@ -234,6 +238,8 @@
 		k, why := Refused, "the shared store does not answer"
 		if a.State == ClaimOff {
 			k, why = Conflict, "the token belongs to another body"
+		} else { // the claim may have come through all the same
+			c.store.Release(a.Key)
 		}
 		all := append([]*request{e.owner}, e.waiters...)
 		e.waiters, e.owner = nil, nil
