Scenario tests of the core and both fronts; a restarted worker pool gets a new controller

Seen while writing them: a call given up stayed in state calling, so that its run's end gave it up twice (core/relay.go, abandon); a worker pool that starts anew kept the old, warm controller (core/send.go, bound), which would have let a cold pool be crowded. Both are fixed and have their scenario. Checked with -race -count=30: the verdict is the same each time; time is a bubble's own, nothing sleeps. Shown: one key over both fronts runs once; equal service per class at overload; a packet cut mid-header.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,286 @@
+package core_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/scenario"
+)
+
+const ms = time.Millisecond
+
+// play runs a scenario on a small server, in time of its own.
+func play(t *testing.T, shared bool, f func(w *scenario.World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := scenario.NewWorld(t, scenario.Site(), shared)
+		w.Expect(ms)
+		f(w)
+	})
+}
+
+func finished(handle string, how control.Outcome, result string) core.PoolFinished {
+	e := core.PoolFinished{Handle: handle, End: how, Took: 10 * ms}
+	if result != "" {
+		e.Body = []byte(result)
+	}
+	return e
+}
+
+func blocked(handle, body string) core.PoolBlocked {
+	return core.PoolBlocked{Handle: handle, Body: []byte(body)}
+}
+
+// The life of a request: run, call below, reply, result, one answer.
+func TestARequestRunsCallsAndIsServed(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms, "run a quote body")
+		w.Send(blocked("a", "first"))
+		w.Expect(ms, "call a quote 3s first")
+		w.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("reply")})
+		w.Expect(ms, "supply a reply")
+		w.Send(finished("a", control.OK, "result"), finished("a", control.OK, "result"))
+		w.Expect(ms, "served a result")
+	})
+}
+
+// What a call's end proves: a keyed request's call is repeated only if it never ran.
+func TestCallOutcomes(t *testing.T) {
+	for how, want := range map[control.Outcome][]string{
+		control.Rejected:    {"call a book 4s x"},
+		control.Unreachable: {"call a book 4s x"},
+		control.Broken:      {"failed a"},
+		control.Errored:     {"failed a"},
+		control.TimedOut:    {"failed a"},
+		control.Moot:        nil,
+	} {
+		play(t, false, func(w *scenario.World) {
+			w.Send(w.Ask("a", "book", "k"))
+			w.Expect(ms, "run a book body")
+			w.Send(blocked("a", "x"))
+			w.Expect(ms, "call a book 4s x")
+			w.Send(core.CallEnded{Handle: "a", Outcome: how})
+			w.Expect(ms, want...)
+		})
+	}
+}
+
+// A call that nobody answers is given up by its own deadline, and the request is answered by its due time.
+func TestASilentCallIsGivenUp(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"))
+		w.Expect(ms, "run a book body")
+		w.Send(blocked("a", "x"))
+		w.Expect(ms, "call a book 4s x")
+		w.Expect(4*time.Second, "out of time a", "abandon a")
+		w.Send(finished("a", control.Stopped, ""), w.Ask("b", "book", "k"))
+		w.Expect(ms, "failed b")
+	})
+}
+
+// Every try of one key gets the end of the one try that ran: while it runs, after it, and if it failed.
+func TestRepeatsShareOneRun(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "book", "k"))
+		w.Expect(ms, "run a book body")
+		w.Send(w.Ask("c", "book", "k"))
+		w.Expect(ms)
+		w.Send(finished("a", control.OK, "ride 7"))
+		w.Expect(ms, "served a ride 7", "served b ride 7", "served c ride 7")
+		w.Send(w.Ask("d", "book", "k"))
+		w.Expect(ms, "served d ride 7")
+		w.Send(w.Ask("e", "book", "other"))
+		w.Expect(ms, "run e book body")
+		w.Send(finished("e", control.Errored, ""), w.Ask("f", "book", "other"))
+		w.Expect(ms, "failed e", "failed f")
+	})
+}
+
+// The window counts from t0 of the try that ran, and the entry outlives it; then the key is free again.
+func TestAKeyIsForgottenAfterItsWindow(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"))
+		w.Expect(ms, "run a book body")
+		w.Send(finished("a", control.OK, "x"))
+		w.Expect(20*time.Second, "served a x")
+		w.Send(w.Ask("b", "book", "k"))
+		w.Expect(3*time.Second, "served b x")
+		w.Send(w.Ask("c", "book", "k"))
+		w.Expect(ms, "run c book body")
+	})
+}
+
+// A try that never ran leaves its key to those that wait for it: none of them ran, so one of them may.
+func TestAWithdrawnTryThatNeverRanHandsItsKeyOn(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		for _, h := range []string{"1", "2"} { // both cores are taken
+			w.Send(w.Ask(h, "book", "k"+h))
+		}
+		w.Expect(ms, "run 1 book body", "run 2 book body")
+		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "book", "k"), w.Ask("c", "book", "k"))
+		w.Expect(ms)
+		w.Send(core.Withdraw{Handle: "a"})
+		w.Expect(ms)
+		w.Send(finished("1", control.OK, "x"))
+		w.Expect(ms, "served 1 x", "run b book body")
+		w.Send(finished("b", control.OK, "y"))
+		w.Expect(ms, "served b y", "served c y")
+	})
+}
+
+// A token belongs to one body, a handle to one request.
+func TestAnotherBodyOrAHandleInUseNeverRuns(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		odd := w.Ask("b", "book", "k")
+		odd.Req.Body = []byte("other")
+		w.Send(w.Ask("a", "book", "k"), odd, w.Ask("a", "quote", ""))
+		w.Expect(ms, "conflict b", "invalid a", "run a book body")
+	})
+}
+
+// A caller that has gone gets no answer, and its safe run is stopped.
+func TestAWithdrawnRunIsStopped(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms, "run a quote body")
+		w.Send(core.Withdraw{Handle: "a"}, core.Withdraw{Handle: "a"})
+		w.Expect(ms, "stop a")
+		w.Send(finished("a", control.Stopped, ""))
+		w.Expect(10 * time.Second)
+	})
+}
+
+// All is answered before the stop; what arrives after the grace is refused; the loop ends.
+func TestDrain(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "quote", ""))
+		w.Expect(ms, "run a book body", "run b quote body")
+		w.Send(core.Drain{})
+		w.Expect(ms, "draining to c", "closed", "closed")
+		w.Send(finished("b", control.OK, "x"), core.Opened{Session: w.Session("late")}, w.AskOn("late", "c", "quote", ""))
+		w.Expect(ms, "served b x", "draining to late", "run c quote body")
+		w.Expect(2*time.Second, "closed", "closed")
+		w.Send(w.Ask("d", "book", "d"))
+		w.Expect(ms, "refused d")
+		w.Expect(1750*ms, "closed", "failed a", "failed c", "stop c")
+		<-w.Done
+	})
+}
+
+// With nothing left and nobody connected, a server that leaves does not wait for its end.
+func TestDrainEndsEarlyWhenAllHaveGone(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(core.Drain{}, core.Closed{Session: w.Session("c")})
+		start := time.Now()
+		<-w.Done
+		if d := time.Since(start); d > 2600*ms {
+			t.Errorf("ended after %v", d)
+		}
+	})
+}
+
+// Before its worker pool is up a server runs nothing and says so.
+func TestNothingRunsWithoutAWorkerPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := scenario.NewWorld(t, scenario.Site(), false)
+		w.Send(core.Check{Session: w.Session("c"), Reply: w.Ask("h", "quote", "").Reply})
+		w.Expect(ms, "checked h true")
+	})
+}
+
+// A new link repeats what the worker pool has not shown to have received, after the notices that were
+// missed; a pool that started anew has lost its runs, and a keyed one is never run again.
+func TestANewLinkToTheWorkerPool(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "quote", ""))
+		w.Expect(ms, "run a book body", "run b quote body")
+		w.Send(core.PoolBound{Age: time.Hour}, finished("b", control.OK, "x"))
+		w.Expect(ms, "served b x", "run a book body")
+		for _, h := range []string{"c", "d", "e"} { // one more runs, two wait
+			w.Send(w.Ask(h, "book", h))
+		}
+		w.Send(w.Ask("d2", "book", "d"))
+		w.Expect(ms, "run c book body")
+		w.Send(core.PoolBound{Age: 0, Cold: true}, w.Ask("a2", "book", "k"))
+		w.Expect(ms, "failed a", "failed c", "failed a2", "run d book body", "run e book body")
+		w.Send(finished("d", control.OK, "x"))
+		w.Expect(ms, "served d x", "served d2 x")
+	})
+}
+
+// Idle connections are closed; what crosses the close is not run.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Expect(31*time.Second, "close c")
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms)
+	})
+}
+
+// The shared store: a keyed request runs only with the claim in hand; without an answer it is refused, and
+// safe classes go on.
+func TestTheSharedStore(t *testing.T) {
+	claimed := func(s core.Claim, result string) core.Claimed {
+		return core.Claimed{Key: core.Key{Class: 1, Token: "k"}, State: s, Result: []byte(result)}
+	}
+	for name, steps := range map[string]func(w *scenario.World){
+		"won": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimWon, ""))
+			w.Expect(ms, "run a book body")
+			w.Send(finished("a", control.OK, "x"))
+			w.Expect(ms, "served a x", "finish k true x", "served b x")
+		},
+		"done elsewhere": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimDone, "x"))
+			w.Expect(ms, "served a x", "served b x")
+		},
+		"failed elsewhere": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimFailed, ""))
+			w.Expect(ms, "failed a", "failed b")
+		},
+		"in hand elsewhere": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimOther, ""))
+			w.Expect(150*ms, "claim k")
+			w.Send(claimed(core.ClaimDone, "x"))
+			w.Expect(ms, "served a x", "served b x")
+		},
+		"another body": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimOff, ""))
+			w.Expect(ms, "conflict a", "conflict b")
+		},
+		"down": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimDown, ""))
+			w.Expect(ms, "release k", "refused a", "refused b")
+		},
+		"down at once": func(w *scenario.World) {
+			w.Send(claimed(core.ClaimDown, ""))
+			w.FullStore()
+			w.Expect(ms, "release k", "refused a", "refused b")
+			w.Send(w.Ask("d", "book", "k"))
+			w.Expect(ms, "claim k", "release k", "refused d")
+		},
+		"too late": func(w *scenario.World) {
+			w.Expect(4*time.Second, "out of time b", "out of time a", "out of time s", "stop s")
+			w.Send(claimed(core.ClaimWon, ""))
+			w.Expect(ms, "release k")
+		},
+		"asked for by nobody": func(w *scenario.World) {
+			w.Send(core.Withdraw{Handle: "a"}, core.Withdraw{Handle: "b"})
+			w.Expect(ms)
+			w.Send(claimed(core.ClaimWon, ""))
+			w.Expect(ms, "release k")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, true, func(w *scenario.World) {
+				w.Send(w.Ask("a", "book", "k"), w.Ask("b", "book", "k"), w.Ask("s", "quote", ""))
+				w.Expect(ms, "claim k", "run s quote body")
+				steps(w)
+			})
+		})
+	}
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -33,6 +33,7 @@
 // abandon gives up the call in hand.
 func (c *Core) abandon(r *request) {
 	c.late.drop(&r.patience)
+	r.state = blocked
 	c.caller.Abandon(r.Handle)
 }
 
@@ -56,8 +57,7 @@
 func (c *Core) outOfPatience(r *request) {
 	switch r.state {
 	case calling:
-		c.caller.Abandon(r.Handle)
-		r.state = blocked
+		c.abandon(r)
 		c.ctl.CallDone(c.now, r.id, c.now-r.began, control.TimedOut)
 	case claiming: // another server may have run it: no assurance
 		c.answer(r, Answer{Kind: TimedOut, Why: "the shared store did not tell in time"})
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -127,34 +129,15 @@
 	f()
 }
 
-// bound is a new link to the worker pool. The first one makes the controller; a pool that has started
-// anew has lost its runs, which then count as run and failed.
+// bound is a new link to the worker pool; the first one makes the controller.
 func (c *Core) bound(e PoolBound) {
 	at := c.now - e.Age
 	if c.ctl == nil {
-		cfg := c.site.Control
-		cfg.Cold = e.Cold
-		ctl, err := control.New(cfg, max(at, 0), hand{c})
-		if err != nil { // checked at the start of the program
-			c.log.Error("controller", "err", err)
-			c.over = true
-			return
-		}
-		c.ctl, c.poolAt = ctl, at
-		c.log.Info("worker pool up", "cold", e.Cold, "age_ms", e.Age.Milliseconds())
-		if c.leaving {
-			c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
-		}
+		c.begin(e.Cold, at)
 		return
 	}
 	if at > c.poolAt+time.Second {
-		c.log.Warn("worker pool restarted", "lost", len(c.byID))
-		c.poolAt = at
-		for _, r := range c.byID {
-			if r.state == running || r.state == blocked || r.state == calling {
-				c.finished(PoolFinished{Handle: r.Handle, End: control.Errored})
-			}
-		}
+		c.restarted(e.Cold, at)
 		return
 	}
 	// All notices that were missed follow. Only after them is it known which commands were lost with the
@@ -164,6 +147,49 @@
 	c.runner.Poll(c.resync)
 }
 
+// begin makes the controller of a worker pool that started at a time.
+func (c *Core) begin(cold bool, at time.Duration) {
+	cfg := c.site.Control
+	cfg.Cold = cold
+	ctl, err := control.New(cfg, max(at, 0), hand{c})
+	if err != nil { // checked at the start of the program
+		c.log.Error("controller", "err", err)
+		c.over = true
+		return
+	}
+	c.ctl, c.poolAt = ctl, at
+	c.log.Info("worker pool up", "cold", cold, "age_ms", (c.now - at).Milliseconds())
+	if c.leaving {
+		c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
+	}
+}
+
+// restarted is a worker pool that started anew without this server: its runs are lost, which counts as run
+// and failed. Guards against a cold pool that a controller takes for warm: a new one gets what is held.
+func (c *Core) restarted(cold bool, at time.Duration) {
+	c.log.Warn("worker pool restarted", "open", len(c.byID))
+	ids := slices.Sorted(maps.Keys(c.byID)) // the owner of a key comes before its repeats
+	for _, id := range ids {
+		if r := c.byID[id]; r != nil && r.ran && (r.state != held || r.entry != nil) {
+			c.finished(PoolFinished{Handle: r.Handle, End: control.Errored})
+		}
+	}
+	c.begin(cold, at)
+	for _, id := range ids {
+		r := c.byID[id]
+		if r == nil {
+			continue
+		}
+		delete(c.byID, id)
+		repeats := uint32(0)
+		if r.entry != nil && r.entry.owner != r {
+			repeats = 1
+			r.entry.waiters = slices.DeleteFunc(r.entry.waiters, func(w *request) bool { return w == r })
+		}
+		c.enter(r, repeats)
+	}
+}
+
 // resume sends again what the worker pool has not shown to have received.
 func (c *Core) resume() {
 	c.resync = ""
--- /dev/null
+++ b/internal/scenario/peer.go
@@ -0,0 +1,116 @@
+// Package scenario is the one test helper: send, expect, close, wait. A Peer plays the other side of a
+// socket by them, a World plays all other sides of a core without any socket.
+package scenario
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait: it is reached only by a test that fails.
+const patience = 10 * time.Second
+
+// Peer is one end of a connection.
+type Peer struct {
+	t    testing.TB
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// Dial connects to a server under test.
+func Dial(t testing.TB, addr string) *Peer {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return peer(t, conn)
+}
+
+func peer(t testing.TB, conn net.Conn) *Peer {
+	t.Cleanup(func() { conn.Close() })
+	return &Peer{t, conn, bufio.NewReader(conn)}
+}
+
+// Stand is a server that the program under test connects to.
+type Stand struct {
+	t    testing.TB
+	l    net.Listener
+	Addr string
+}
+
+// Listen opens a stand-in server on loopback.
+func Listen(t testing.TB) *Stand {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &Stand{t, l, l.Addr().String()}
+}
+
+// Listener gives the stand's listener to a server that accepts by itself.
+func (s *Stand) Listener() net.Listener { return s.l }
+
+// Accept takes the next connection.
+func (s *Stand) Accept() *Peer {
+	s.t.Helper()
+	conn, err := s.l.Accept()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return peer(s.t, conn)
+}
+
+// Close refuses connections from now on.
+func (s *Stand) Close() { s.l.Close() }
+
+// Send writes lines or any bytes. The other side may hang up meanwhile: what it said shows at Expect or Rest.
+func (p *Peer) Send(parts ...string) { io.WriteString(p.conn, strings.Join(parts, "")) }
+
+// Expect reads up to a line that matches and gives its groups; lines before it are passed over.
+func (p *Peer) Expect(pattern string) []string {
+	p.t.Helper()
+	want := regexp.MustCompile(pattern)
+	var passed []string
+	p.conn.SetReadDeadline(time.Now().Add(patience))
+	for {
+		line, err := p.in.ReadString('\n')
+		if m := want.FindStringSubmatch(strings.TrimRight(line, "\r\n")); m != nil {
+			return m
+		}
+		if passed = append(passed, line); err != nil {
+			p.t.Fatalf("expected %q: %v after %q", pattern, err, passed)
+		}
+	}
+}
+
+// Rest reads all up to the end of the connection.
+func (p *Peer) Rest() string {
+	p.t.Helper()
+	p.conn.SetReadDeadline(time.Now().Add(patience))
+	all, err := io.ReadAll(p.in)
+	if err != nil {
+		p.t.Fatalf("expected an end: %v after %q", err, all)
+	}
+	return string(all)
+}
+
+// Close hangs up.
+func (p *Peer) Close() { p.conn.Close() }
+
+// Wait waits until done.
+func Wait(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/world.go
@@ -0,0 +1,251 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/sock"
+)
+
+// Site is a small server: quote may be repeated, book is keyed, and both may call below.
+func Site() core.Site {
+	return core.Site{Classes: []string{"quote", "book"}, Tenants: []string{"north", "south"}, Gauges: []string{"core_use", "on_cores"},
+		Stop: 4 * time.Second,
+		Control: control.Config{Seed: 1, Cores: 2, Servers: 1, Callers: 1, Advert: control.AdvertLevel,
+			Stopping: control.StopDrops, CallsTier: true, Memory: 100000, RunFactor: 8, KeyMemory: 1, Crowd: 8,
+			CrowdFor: time.Second, DrainGrace: 2 * time.Second, Slack: 80 * time.Millisecond, HeardFor: time.Second,
+			MaxAdvice: time.Second, IdleMax: 30 * time.Second, Quantum: 5 * time.Millisecond, HearsGone: true,
+			Classes: []control.Class{{Aim: 3 * time.Second, Deadline: 8 * time.Second, Worth: 1, Calls: true},
+				{Aim: 3 * time.Second, Deadline: 8 * time.Second, Worth: 3, Effect: control.Keyed, Window: 20 * time.Second, Calls: true}}}}
+}
+
+// World is everything round a core, as a record of what the core did. Its tests run in a synctest bubble:
+// time passes only by Wait.
+type World struct {
+	t     *testing.T
+	Core  *core.Core
+	mu    sync.Mutex
+	lines []string
+	quiet map[string]bool
+	full  bool
+	Done  chan struct{}
+	serve time.Duration // a run takes so long; 0 = it ends by the test's own event
+	runs  map[string]int
+	count map[string]int
+	hands []string
+}
+
+// NewWorld starts a core with a warm worker pool. With shared, a store is attached, played by Claimed
+// events. The core ends with the test.
+func NewWorld(t *testing.T, site core.Site, shared bool) *World {
+	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{}}
+	var s core.Store
+	if shared {
+		s = keys{w}
+	}
+	w.Core.Attach(runner{w}, caller{w}, lister{w}, s)
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(func() { // a bubble has to be empty when its test returns
+		end()
+		<-w.Done
+	})
+	go func() {
+		defer close(w.Done)
+		w.Core.Run(ctx)
+	}()
+	w.Core.Send(core.Opened{Session: w.Session("c")})
+	w.Core.Send(core.PoolBound{Age: time.Hour})
+	return w
+}
+
+// Serve makes every run from now on end well after d; runs, calls and their commands are not recorded.
+func (w *World) Serve(d time.Duration) { w.serve = d }
+
+// Runs tells how often each body has run.
+func (w *World) Runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.runs)
+}
+
+// Count adds one to a test's own count; Counts gives them all.
+func (w *World) Count(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count[name]++
+}
+
+// Counts: see Count.
+func (w *World) Counts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.count)
+}
+
+// Handles gives the handles of all runs so far, in order.
+func (w *World) Handles() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.hands)
+}
+
+// Front serves connections by handle, as a server does its listener's, and gives what dials it.
+func (w *World) Front(handle func(net.Conn, *sock.Box)) (dial func() *Peer) {
+	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+	s := sock.NewServer(l, 64, handle)
+	go s.Serve()
+	w.t.Cleanup(func() { s.Stop(time.Second) })
+	return func() *Peer {
+		mine, theirs := net.Pipe()
+		l.conns <- theirs
+		return peer(w.t, mine)
+	}
+}
+
+// pipes is a listener without sockets, for a bubble.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
+func (p *pipes) Addr() net.Addr { return nil }
+
+func (w *World) note(f string, a ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines = append(w.lines, fmt.Sprintf(f, a...))
+}
+
+// Send hands an event to the core.
+func (w *World) Send(events ...core.Event) {
+	for _, e := range events {
+		w.Core.Send(e)
+	}
+}
+
+// Ask is a request by session c. Its answer is recorded under its handle.
+func (w *World) Ask(handle, class, token string) core.Arrive {
+	return w.AskOn("c", handle, class, token)
+}
+
+// AskOn is a request by a session of that name.
+func (w *World) AskOn(on, handle, class, token string) core.Arrive {
+	s := Site()
+	return core.Arrive{Session: w.Session(on), Reply: reply{w, handle}, Req: core.Incoming{Handle: handle, Class: s.Class(class),
+		Tenant: 0, Arrived: time.Now(), Budget: 4 * time.Second, Rank: 0.9, Memory: 10, Token: token, Body: []byte("body")}}
+}
+
+// Session is the connection of that name.
+func (w *World) Session(name string) core.Session { return session{w, name} }
+
+// Expect waits for d, in the bubble's time, and compares what the core did since the last Expect.
+func (w *World) Expect(d time.Duration, want ...string) {
+	w.t.Helper()
+	time.Sleep(d)
+	w.mu.Lock()
+	got := w.lines
+	w.lines = nil
+	w.mu.Unlock()
+	if diff := cmp.Diff(want, got); diff != "" {
+		w.t.Errorf("expected (-), got (+):\n%s", diff)
+	}
+}
+
+// FullStore makes the store take no claims.
+func (w *World) FullStore() { w.full = true }
+
+type (
+	runner  struct{ w *World }
+	caller  struct{ w *World }
+	lister  struct{ w *World }
+	keys    struct{ w *World }
+	session struct {
+		w    *World
+		name string
+	}
+	reply struct {
+		w      *World
+		handle string
+	}
+)
+
+func (r runner) Run(h, class string, body []byte) {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	r.w.hands = append(r.w.hands, h)
+	if r.w.serve == 0 {
+		r.w.lines = append(r.w.lines, fmt.Sprintf("run %s %s %s", h, class, body))
+		return
+	}
+	r.w.runs[string(body)]++
+	time.AfterFunc(r.w.serve, func() {
+		r.w.Core.Send(core.PoolFinished{Handle: h, End: control.OK, Took: r.w.serve, Body: []byte("ok")})
+	})
+}
+func (r runner) Stop(h string)                { r.w.note("stop %s", h) }
+func (r runner) Supply(h string, body []byte) { r.w.note("supply %s %s", h, body) }
+
+// Poll is answered with idle gauges, after what the test has sent already, and not recorded.
+func (r runner) Poll(ticket string) {
+	time.AfterFunc(100*time.Microsecond, func() {
+		r.w.Core.Send(core.PoolPolled{Ticket: ticket, Figures: []float64{0.1, 0}})
+	})
+}
+
+func (c caller) Call(h, class string, patience time.Duration, body []byte) {
+	c.w.note("call %s %s %v %s", h, class, patience.Round(100*time.Millisecond), body)
+}
+func (c caller) Abandon(h string) { c.w.note("abandon %s", h) }
+
+func (l lister) Report(open bool) {
+	if !open {
+		l.w.note("closed")
+	}
+}
+
+func (k keys) Claim(key core.Key, _ [32]byte, _ time.Duration) bool {
+	k.w.note("claim %s", key.Token)
+	return !k.w.full
+}
+func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, _ time.Duration) {
+	k.w.note("finish %s %v %s", key.Token, ok, result)
+}
+func (k keys) Release(key core.Key) { k.w.note("release %s", key.Token) }
+
+func (s session) Drain() { s.w.note("draining to %s", s.name) }
+func (s session) Close() { s.w.note("close %s", s.name) }
+
+var kinds = map[core.Kind]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed", core.TimedOut: "out of time",
+	core.Conflict: "conflict", core.Invalid: "invalid", core.Checked: "checked"}
+
+func (r reply) Answer(a core.Answer) {
+	line := kinds[a.Kind] + " " + r.handle
+	if a.Body != nil {
+		line += " " + string(a.Body)
+	}
+	if a.Kind == core.Checked {
+		line += fmt.Sprint(" ", a.Up)
+	}
+	r.w.note("%s", line)
+}
--- /dev/null
+++ b/internal/uwsgi/front_test.go
@@ -0,0 +1,253 @@
+package uwsgi_test
+
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/jsonrpc"
+	"larchscale/internal/scenario"
+	"larchscale/internal/uwsgi"
+)
+
+const ms = time.Millisecond
+
+// play runs a scenario; dial opens a desk's connection.
+func play(t *testing.T, f func(w *scenario.World, dial func() *scenario.Peer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		site := scenario.Site()
+		w := scenario.NewWorld(t, site, false)
+		f(w, w.Front(uwsgi.New(uwsgi.Defaults(), &site, w.Core, slog.New(slog.DiscardHandler)).Handle))
+	})
+}
+
+// packet is a whole request with the body "body"; more holds further variables and values.
+func packet(path string, more ...string) string {
+	return string(uwsgi.Packet(append([]string{"PATH_INFO", path, "CONTENT_LENGTH", "4", "REMOTE_USER", "desk 3"}, more...)...)) + "body"
+}
+
+const token = "HTTP_IDEMPOTENCY_KEY"
+
+// Every end of a request has its status; the hint goes out with it; one answer to a connection.
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		end  func(w *scenario.World, p *scenario.Peer, handle string)
+		want string
+	}{
+		"served": {"/book", func(w *scenario.World, _ *scenario.Peer, h string) {
+			w.Send(core.PoolFinished{Handle: h, End: control.OK, Body: []byte("ride")})
+		}, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\nX-Hint: 0\r\n\r\nride"},
+		"failed": {"/book", func(w *scenario.World, _ *scenario.Peer, h string) {
+			w.Send(core.PoolFinished{Handle: h, End: control.Errored})
+		}, "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 14\r\nX-Hint: 0\r\n\r\nthe run failed"},
+		"out of time": {"/quote", func(*scenario.World, *scenario.Peer, string) { time.Sleep(time.Second) },
+			"HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nContent-Length: 17\r\nX-Hint: 0\r\n\r\nno result in time"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *scenario.World, dial func() *scenario.Peer) {
+				p := dial()
+				p.Send(packet(c.path, token, "k", "HTTP_X_BUDGET_MS", "900"))
+				time.Sleep(ms)
+				h := w.Handles()[0]
+				c.end(w, p, h)
+				if diff := cmp.Diff(c.want, p.Rest()); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// What is no request is told so and never runs.
+func TestBadPackets(t *testing.T) {
+	long := strconv.Itoa(3 << 10)
+	for name, c := range map[string]struct {
+		sent   string
+		status int
+	}{
+		"modifier1":        {"\x05\x00\x00\x00", 400},
+		"size past end":    {"\x00\x04\x00\x00\x09\x00ab", 400},
+		"key without more": {"\x00\x03\x00\x00\x01\x00a", 400},
+		"odd length":       {string(uwsgi.Packet("CONTENT_LENGTH", "-1")), 400},
+		"no token":         {packet("/book"), 400},
+		"long token":       {packet("/book", token, strings.Repeat("k", 129)), 400},
+		"odd deadline":     {packet("/quote", "HTTP_X_BUDGET_MS", "soon"), 400},
+		"odd memory":       {packet("/quote", "HTTP_X_HELD_KB", "-1"), 400},
+		"odd rank":         {packet("/quote", "HTTP_X_RANK", "NaN"), 400},
+		"unknown class":    {packet("/walk"), 404},
+		"no path":          {"\x00\x00\x00\x00", 404},
+		"too large":        {string(uwsgi.Packet("PATH_INFO", "/quote", "CONTENT_LENGTH", long)), 413},
+		"slow head":        {"\x00\x09", 408},
+		"slow body":        {string(uwsgi.Packet("CONTENT_LENGTH", "4")) + "bo", 408},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *scenario.World, dial func() *scenario.Peer) {
+				p := dial()
+				p.Send(c.sent)
+				if got := p.Rest(); !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", c.status)) {
+					t.Errorf("answered %q", got)
+				}
+				w.Expect(ms)
+			})
+		})
+	}
+}
+
+// One key has one body and one run, by whichever front its tries come: a burst of them, mixed.
+func TestOneKeyRunsOnceOverBothFronts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := scenario.Site()
+		w := scenario.NewWorld(t, site, false)
+		w.Serve(50 * ms)
+		log := slog.New(slog.DiscardHandler)
+		desk := w.Front(uwsgi.New(uwsgi.Defaults(), &site, w.Core, log).Handle)
+		balancer := w.Front(jsonrpc.New(&site, w.Core, log).Handle)()
+		line := `{"jsonrpc":"2.0","id":%d,"method":"book","params":{"rid":"r%d","t0":%d,"mem":20,"prio":0.9,"token":"k","bytes":"Ym9keQ=="}}` + "\n"
+		var desks []*scenario.Peer
+		for i := range 20 {
+			p := desk()
+			go p.Send(packet("/book", token, "k"))
+			desks = append(desks, p)
+			balancer.Send(fmt.Sprintf(line, i+1, i+1, time.Now().UnixMilli()))
+			time.Sleep(5 * ms) // some come while it runs, some later
+		}
+		for _, p := range desks {
+			if got := p.Rest(); !strings.HasPrefix(got, "HTTP/1.1 200 ") || !strings.HasSuffix(got, "\r\n\r\nok") {
+				t.Errorf("a desk read %q", got)
+			}
+		}
+		for range desks {
+			balancer.Expect(`"result":{"bytes":"b2s="`)
+		}
+		if diff := cmp.Diff(map[string]int{"body": 1}, w.Runs()); diff != "" {
+			t.Error(diff)
+		}
+		odd := desk()
+		odd.Send(string(uwsgi.Packet("PATH_INFO", "/book", "CONTENT_LENGTH", "4", token, "k")) + "ydob")
+		if got := odd.Rest(); !strings.HasPrefix(got, "HTTP/1.1 409 ") {
+			t.Errorf("another body read %q", got)
+		}
+	})
+}
+
+// Twice as much as the cores can do, half by each front: every class is served as well by one as by the
+// other, and what is refused is marked as not run and told when to come back.
+func TestEqualServiceOfBothFronts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := scenario.Site()
+		w := scenario.NewWorld(t, site, false)
+		w.Serve(time.Second) // the worker pool takes all, and each takes long
+		log := slog.New(slog.DiscardHandler)
+		desk := w.Front(uwsgi.New(uwsgi.Defaults(), &site, w.Core, log).Handle)
+		balancer := w.Front(jsonrpc.New(&site, w.Core, log).Handle)()
+		const pairs = 200
+		go func() { // a balancer that did not read would lose its connection
+			for range pairs {
+				m := balancer.Expect(`"id":(\d+),"(result|error)"`)
+				if n, _ := strconv.Atoi(m[1]); m[2] == "result" {
+					w.Count("balancer " + []string{"quote", "quote", "book"}[(n-1)%3])
+				}
+			}
+		}()
+		for i := range pairs {
+			class := []string{"quote", "quote", "book"}[i%3]
+			id := i + 1
+			byDesk := func() {
+				p := desk()
+				p.Send(packet("/"+class, token, fmt.Sprint("d", id), "HTTP_X_RANK", "0.5", "HTTP_X_BUDGET_MS", "4000", "HTTP_X_STAND", "north"))
+				go func() {
+					got := p.Rest()
+					switch {
+					case strings.HasPrefix(got, "HTTP/1.1 200 "):
+						w.Count("desk " + class)
+					case !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "X-Not-Run: 1\r\n") ||
+						!strings.Contains(got, "Retry-After: 1\r\n"):
+						t.Errorf("a desk read %q", got)
+					}
+				}()
+			}
+			byBalancer := func() {
+				balancer.Send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"r%d","t0":%d,"acct":"north","budget":4000,`+
+					`"mem":64,"prio":0.5,"token":"b%d","bytes":"Ym9keQ=="}}`+"\n", id, class, id, time.Now().UnixMilli(), id))
+			}
+			turns := []func(){byDesk, byBalancer}
+			turns[i/3%2]() // neither front is always the first
+			time.Sleep(50 * ms)
+			turns[1-i/3%2]()
+			time.Sleep(50 * ms)
+		}
+		time.Sleep(5 * time.Second)
+		served := w.Counts()
+		t.Log(served)
+		for _, class := range []string{"quote", "book"} {
+			a, b := served["desk "+class], served["balancer "+class]
+			if a+b == 0 || max(a, b)-min(a, b) > (a+b)/20+1 {
+				t.Errorf("%s: %d served by desks, %d by the balancer", class, a, b)
+			}
+		}
+		if total := served["desk quote"] + served["balancer quote"]; total >= 2*pairs*2/3 {
+			t.Errorf("no overload: %d quotes served", total)
+		}
+	})
+}
+
+// A packet cut in its head while the server leaves: nothing runs, the desk is told so once the grace is
+// over, and the server ends in time.
+func TestAPacketCutMidHeaderDuringDrain(t *testing.T) {
+	for _, hangsUp := range []bool{false, true} {
+		play(t, func(w *scenario.World, dial func() *scenario.Peer) {
+			start := time.Now()
+			whole := packet("/book", token, "k")
+			cut, late := dial(), dial()
+			time.Sleep(500 * ms)
+			cut.Send(whole[:3])
+			w.Send(core.Drain{}, core.Closed{Session: w.Session("c")})
+			if hangsUp {
+				cut.Close()
+			} else if got := cut.Rest(); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "X-Not-Run: 1") {
+				t.Errorf("the cut packet read %q", got)
+			}
+			late.Close()
+			<-w.Done
+			if d := time.Since(start); d > 4*time.Second {
+				t.Errorf("ended after %v", d)
+			}
+			w.Expect(0, "draining to c", "closed", "closed", "closed", "closed")
+		})
+	}
+}
+
+// A desk that hangs up withdraws its request, before its run or in it.
+func TestAHangUpIsAWithdraw(t *testing.T) {
+	play(t, func(w *scenario.World, dial func() *scenario.Peer) {
+		p := dial()
+		p.Send(packet("/quote"))
+		time.Sleep(ms)
+		h := w.Handles()[0]
+		w.Expect(0, "run "+h+" quote body")
+		p.Close()
+		w.Expect(ms, "stop "+h)
+		w.Send(core.PoolFinished{Handle: h, End: control.Stopped})
+	})
+}
+
+// A check is answered from the core's state.
+func TestHealth(t *testing.T) {
+	play(t, func(w *scenario.World, dial func() *scenario.Peer) {
+		p := dial()
+		p.Send(string(uwsgi.Packet("PATH_INFO", "/status")))
+		if got := p.Rest(); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+			t.Errorf("read %q", got)
+		}
+	})
+}
