--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"larchscale/internal/store"
+	"larchscale/internal/uwsgi"
+)
+
+const platform = `{"name":"n3","listen":"127.0.0.4:6565","pool":"127.1.0.1:6100","lookup":"127.2.0.1:2379","index":"127.1.0.2:7700",
+ "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0},"settings":{"Tenants":[{"Name":"north"}],
+ "RequestClasses":[{"Name":"book","Effect":"by_key","AimUs":1,"GiveUpUs":2,"MemorySpanUs":3}],"FamilyInfo":{"Cpus":6,"Below":"tier"}}}`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []any{c.Name, c.Listen, c.Pool, c.Lookup, c.Index, c.Site.Stop.Milliseconds(), c.Site.Classes, c.Site.Tenants, c.Site.Keyed(0),
+		c.Site.Control.Seed, c.Site.Control.Cores, c.Site.Control.CallsTier, c.Owner()}
+	want := []any{"n3", "127.0.0.4:6565", "127.1.0.1:6100", "127.2.0.1:2379", "127.1.0.2:7700", int64(3200), []string{"book"}, []string{"north"}, true,
+		uint64(0x8c1f30d27a5be964), 6, true, "n3-8c1f30d27a5be964"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The operator's file: what it leaves out keeps its default, what it cannot be is one line, and the one in
+// deploy/ is good and says what the defaults are.
+func TestOperator(t *testing.T) {
+	c, err := Parse([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"", "../../deploy/uwsgi.toml"} {
+		o, err := LoadOperator(path, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := &Operator{uwsgi.Defaults(), store.Defaults()}
+		if path != "" {
+			want.UWSGI.Listen, want.UWSGI.Below = "127.0.0.4:6566", []string{}
+		}
+		if diff := cmp.Diff(want, o); diff != "" {
+			t.Errorf("%q: %s", path, diff)
+		}
+	}
+	for name, text := range map[string]string{
+		"no TOML":      "[uwsgi",
+		"unknown key":  "[uwsgi]\nlisten_on = ':1'",
+		"wrong type":   "[uwsgi]\nmax_body = 'x'",
+		"bad address":  "[uwsgi]\nlisten = 'here'",
+		"bad prefix":   "[uwsgi]\nprefix = 'x'",
+		"body":         "[uwsgi]\nmax_body = 0",
+		"connections":  "[uwsgi]\nmax_conns = 9999",
+		"calls":        "[uwsgi]\nmax_calls = 0",
+		"time to read": "[uwsgi]\nread_ms = 0",
+		"memory":       "[uwsgi]\nheld_kb = -1",
+		"timeout":      "[store]\ntimeout_ms = 0",
+		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
+	} {
+		path := filepath.Join(t.TempDir(), "o.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadOperator(path, c); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,29 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A flood of one message leaves room for others, and the next second tells what was left out.
+func TestAFloodIsCut(t *testing.T) {
+	var out bytes.Buffer
+	h := New(&out).WithAttrs([]slog.Attr{slog.String("server", "n3")})
+	at := time.Unix(1000, 0)
+	for range 100 {
+		h.Handle(context.Background(), slog.NewRecord(at, slog.LevelWarn, "bad message", 0))
+	}
+	h.Handle(context.Background(), slog.NewRecord(at, slog.LevelWarn, "link down", 0))
+	h.Handle(context.Background(), slog.NewRecord(at.Add(time.Second), slog.LevelWarn, "bad message", 0))
+	got := out.String()
+	if n := strings.Count(got, "bad message"); n != perSecond+1 {
+		t.Errorf("%d lines", n)
+	}
+	if !strings.Contains(got, "link down") || !strings.Contains(got, "left_out=95") {
+		t.Error(got)
+	}
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,63 @@
+package pool_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/pool"
+	"larchscale/internal/scenario"
+)
+
+// A link binds from the last notice it read, passes commands and notices on unchanged, and comes back after
+// a break; a notice that came twice counts once.
+func TestALinkBindsAndResumes(t *testing.T) {
+	stand := scenario.Listen(t)
+	events := make(chan core.Event, 16)
+	l := pool.New(stand.Addr, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler))
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { l.Keep(ctx); close(done) }()
+	expect := func(want ...core.Event) {
+		t.Helper()
+		for _, w := range want {
+			if diff := cmp.Diff(w, <-events); diff != "" {
+				t.Error(diff)
+			}
+		}
+	}
+	p := stand.Accept()
+	p.Expect(`^{"event":"bind","cursor":0}$`)
+	p.Send(`{"event":"bound","fate":"chilly","lasted":250}`, "\n")
+	expect(core.PoolBound{Cold: true, Age: 250e6})
+	l.Run("a", "book", []byte{0, 255, '"'})
+	p.Expect(`^{"event":"spawn","handle":"a","entry":"book","arg":"AP8i"}$`)
+	l.Supply("a", nil)
+	p.Expect(`^{"event":"supply","handle":"a","arg":""}$`)
+	l.Stop("a")
+	p.Expect(`^{"event":"suspend","handle":"a"}$`)
+	l.Poll("7")
+	p.Expect(`^{"event":"poll","ticket":"7"}$`)
+	p.Send(`{"event":"blocked","cursor":1,"handle":"a","arg":"AP8i"}`, "\n", `{"event":"chatter","cursor":2,"fate":"hm"}`, "\n",
+		`{"event":"polled","ticket":"7","figures":[0.5,3]}`, "\n", `{"event":"unknown","fate":"spawn","handle":"x"}`, "\n")
+	expect(core.PoolBlocked{Handle: "a", Body: []byte{0, 255, '"'}}, core.PoolPolled{Ticket: "7", Figures: []float64{0.5, 3}})
+	p.Close()
+	p = stand.Accept()
+	p.Expect(`^{"event":"bind","cursor":2}$`)
+	p.Send(`{"event":"bound","fate":"hot","lasted":1}`, "\n", `{"event":"blocked","cursor":2,"handle":"a","arg":""}`, "\n")
+	expect(core.PoolBound{Age: 1e6})
+	for i, fate := range []string{"complete", "error", "cancelled", "unknown"} {
+		p.Send(`{"event":"finished","cursor":`, string(rune('3'+i)), `,"handle":"a","fate":"`, fate, `","lasted":2,"arg":""}`, "\n")
+	}
+	for _, how := range []control.Outcome{control.OK, control.Errored, control.Stopped, control.Moot} {
+		expect(core.PoolFinished{Handle: "a", End: how, Took: 2e6, Body: []byte{}})
+	}
+	p.Send("no notice\n") // what cannot be read ends the link
+	stand.Accept().Expect(`^{"event":"bind","cursor":6}$`)
+	end()
+	<-done
+}
--- a/internal/scenario/peer.go
+++ b/internal/scenario/peer.go
@@ -1,4 +1,4 @@
-// Package scenario is the one test helper: send, expect, close, wait. A Peer plays the other side of a
+// Package scenario is the one test helper: send, expect, close, wait (an Expect waits). A Peer plays the other side of a
 // socket by them, a World plays all other sides of a core without any socket.
 package scenario
 
@@ -61,6 +61,7 @@
 // Accept takes the next connection.
 func (s *Stand) Accept() *Peer {
 	s.t.Helper()
+	s.l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
 	conn, err := s.l.Accept()
 	if err != nil {
 		s.t.Fatal(err)
@@ -91,6 +92,16 @@
 	}
 }
 
+// Bytes reads just want.
+func (p *Peer) Bytes(want string) {
+	p.t.Helper()
+	p.conn.SetReadDeadline(time.Now().Add(patience))
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(p.in, got); err != nil || string(got) != want {
+		p.t.Fatalf("expected %q: %q, %v", want, got, err)
+	}
+}
+
 // Rest reads all up to the end of the connection.
 func (p *Peer) Rest() string {
 	p.t.Helper()
@@ -104,13 +115,3 @@
 
 // Close hangs up.
 func (p *Peer) Close() { p.conn.Close() }
-
-// Wait waits until done.
-func Wait(t testing.TB, what string, done func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
--- /dev/null
+++ b/internal/sock/sock_test.go
@@ -0,0 +1,67 @@
+package sock
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A peer that does not read loses its connection, by time or by what waits for it; the sender never waits.
+func TestASlowPeerIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		size  int
+		after time.Duration
+	}{"by time": {1, writeTimeout}, "by size": {maxWaiting + 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mine, _ := net.Pipe()
+				b := NewBox(mine)
+				start := time.Now()
+				b.Send(make([]byte, c.size))
+				<-b.Done()
+				if d := time.Since(start); d != c.after || b.Send(nil) {
+					t.Errorf("cut off after %v", d)
+				}
+			})
+		})
+	}
+}
+
+// Close lets what was queued out first.
+func TestCloseWritesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, theirs := net.Pipe()
+		b := NewBox(mine)
+		b.Send([]byte("a "), []byte("line\r\n"))
+		b.Close()
+		if line, err := Line(bufio.NewReader(theirs)); err != nil || string(line) != "a line" {
+			t.Errorf("%q, %v", line, err)
+		}
+		<-b.Done()
+	})
+}
+
+func TestALongLineIsAnError(t *testing.T) {
+	if _, err := Line(bufio.NewReaderSize(strings.NewReader(strings.Repeat("x", 99)), 16)); !errors.Is(err, ErrLong) {
+		t.Error(err)
+	}
+}
+
+// Waits double up to a second and start over after a link that worked.
+func TestBackoff(t *testing.T) {
+	var b Backoff
+	sum := time.Duration(0)
+	for range 8 {
+		sum += b.Next()
+	}
+	if want := (20 + 40 + 80 + 160 + 320 + 640 + 1000 + 1000) * time.Millisecond; sum != want {
+		t.Errorf("%v, want %v", sum, want)
+	}
+	if b.Reset(); b.Next() != 20*time.Millisecond {
+		t.Error("no new start")
+	}
+}
