--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,11 @@
 # CONFIG names a config.json as the platform writes it.
 run: build
 	BALANCER_CONFIG=$(CONFIG) bin/larchscale
+
+# Ten seconds for each parser.
+fuzz:
+	go test -run '^$$' -fuzz FuzzRead -fuzztime 10s ./internal/wire
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./internal/jsonrpc
+	go test -run '^$$' -fuzz FuzzReadPacket -fuzztime 10s ./internal/uwsgi
+	go test -run '^$$' -fuzz FuzzReadResponse -fuzztime 10s ./internal/uwsgi
+	go test -run '^$$' -fuzz FuzzReadReply -fuzztime 10s ./internal/index
