Let refusals go elsewhere in a trouble that is a server's own

At fault: refuse's dear, which took any cursor for an overload of all, and a slow or cold server's own. Now: the wish needs an eighth of the ranks refused, and a server neither slower than it was nor cold.

--- a/control/control.go
+++ b/control/control.go
@@ -42,14 +42,16 @@
 	dueQuanta  = 2                      // batches before the due time in which the answer is given
 	stopMargin = 60 * time.Millisecond  // before the stop at which all is answered
 
-	grow       = 1.25 // growth of the running limit in a tick in which cores idle and work waits
-	idleUse    = 0.92 // share of the cores in use under which they idle
-	crowdPart  = 0.75 // of the crowd that the worker survives: most requests in progress
-	memoryPart = 0.90 // of the memory: what running work may fill; the rest is for arrivals
-	learn      = 0.10 // weight of the newest completion in a mean
-	servePart  = 0.60 // of the aim: the longest that a run is expected to take
-	wide       = 1.4  // times its class's mean: what a run without a hint may take, as half take longer
-	enough     = 5    // completions before a mean is believed
+	grow       = 1.25  // growth of the running limit in a tick in which cores idle and work waits
+	idleUse    = 0.92  // share of the cores in use under which they idle
+	crowdPart  = 0.75  // of the crowd that the worker survives: most requests in progress
+	memoryPart = 0.90  // of the memory: what running work may fill; the rest is for arrivals
+	learn      = 0.10  // weight of the newest completion in a mean
+	servePart  = 0.60  // of the aim: the longest that a run is expected to take
+	wide       = 1.4   // times its class's mean: what a run without a hint may take, as half take longer
+	enough     = 5     // completions before a mean is believed
+	usualLearn = 0.005 // least weight of the newest completion in what is usual
+	ailAt      = 1.8   // times the usual: runs that take longer tell of a slow machine, not of many callers
 )
 
 // Calls below.
@@ -67,6 +69,7 @@
 
 // Advice and connections.
 const (
+	fullAt    = 0.12 // of the ranks refused: with fewer, others may have room
 	dearRead  = 0.1  // of the cores: reading that takes more is dear, and so is a try elsewhere
 	creditOf  = 2.0  // requests a core that all callers together may have outstanding, where credits are said
 	adviseAt  = 2.0  // thresholds of queuing from which a refusal says to stay away, for that queuing time
@@ -112,6 +115,7 @@
 	Class
 	work  mean // core seconds of a run
 	calls mean // calls of a run
+	usual mean // core seconds of a run, over a long time
 }
 
 // mean is a running mean that starts as a plain one, and stays one with a least weight of 0.
@@ -153,6 +157,7 @@
 	said         float64
 	healthy      bool
 
+	slowed                    mean    // core seconds of runs of late, in their class's usual ones
 	pace                      mean    // core seconds used for each second of the hint
 	limit                     float64 // running on the cores
 	onCores                   int
@@ -412,8 +417,8 @@
 // refuse turns away a held request that never ran.
 func (c *Controller) refuse(r *request) {
 	// A try elsewhere is a reading elsewhere: not for a request that is lost, nor while all are busy.
-	dear := c.cursor > 0 && c.readUse > dearRead
-	away, last := time.Duration(0), c.now >= r.aim || (c.over > 1 || dear) && !c.stalled()
+	dear := float64(c.cursor) > fullAt*bins && c.readUse > dearRead
+	away, last := time.Duration(0), c.now >= r.aim || dear && !c.stalled() && !c.ailing()
 	switch {
 	case c.leaving, c.drowned:
 		away = c.cfg.MaxAdvice
@@ -514,6 +519,10 @@
 		c.to(r, held)
 		used := min(r.used, r.class.Aim.Seconds())
 		r.class.work.add(used, learn)
+		if u := &r.class.usual; u.n >= enough {
+			c.slowed.add(used/max(u.v, 1e-6), learn)
+		}
+		r.class.usual.add(used, usualLearn)
 		if r.Work > 0 {
 			c.pace.add(used/r.Work.Seconds(), learn)
 		}
@@ -893,6 +902,13 @@
 	return c.drowned || c.onCores >= c.cfg.Cores && c.now-c.moved > c.shortest
 }
 
+// ailing tells that this worker is slower than it was, or cold: the others, which it cannot see, are likely
+// better off, so that a try elsewhere pays, while in an overload of all it would be one more reading. Guards
+// against lost requests that others had room for. Harm: tries elsewhere where all are slow at once.
+func (c *Controller) ailing() bool {
+	return c.slowed.n >= enough && c.slowed.v > ailAt || c.cfg.Cold && c.now-c.born < c.cfg.ColdFor
+}
+
 // wake asks for the next Tick: for the gauges, or sooner for what comes due.
 func (c *Controller) wake() {
 	at := c.now + tick
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -449,6 +449,48 @@
 }
 
 // Whatever one reading costs: when refusals alone take a part of the cores, tries elsewhere are dear.
+// A refusal asks for no try elsewhere only in an overload that is likely to be everyone's: not with a few ranks
+// refused, not from a worker that is slower than it was, and not from a cold one.
+func TestALocalTroubleLetsRefusalsGoElsewhere(t *testing.T) {
+	for name, k := range map[string]struct {
+		cursor int
+		slow   time.Duration // what runs take, after many of 50 ms
+		cold   bool
+		last   bool
+	}{
+		"all are full":       {bins - 1, 50 * ms, false, true},
+		"few ranks refused":  {bins / 10, 50 * ms, false, false},
+		"slower than before": {bins - 1, 400 * ms, false, false},
+		"cold":               {bins - 1, 50 * ms, true, false},
+	} {
+		cfg := plain()
+		cfg.Cores = 1
+		c, w := begin(t, cfg)
+		now, id := time.Duration(0), uint32(0)
+		run := func(n int, took time.Duration) {
+			for range n {
+				id++
+				c.Request(now, ask(id, 0))
+				c.Decide(now)
+				now += took
+				c.Done(now, id, took, OK)
+			}
+		}
+		run(40, 50*ms)
+		run(10, k.slow)
+		c.cursor, c.readUse = k.cursor, 1
+		c.cfg.Cold, c.cfg.ColdFor = k.cold, time.Minute
+		top, low := ask(id+1, 0), ask(id+2, 0)
+		top.Rank, low.Rank = 0.999, 0.01 // one takes the core, one is refused
+		c.Request(now, top)
+		c.Request(now, low)
+		c.Decide(now)
+		if last, refused := w.last[low.ID]; !refused || last != k.last {
+			t.Errorf("%s: refused %v, last %v, want %v", name, refused, last, k.last)
+		}
+	}
+}
+
 func TestManyReadingsAreDearToo(t *testing.T) {
 	for _, k := range []struct {
 		gap  time.Duration
