--- a/internal/jsonrpc/parse.go
+++ b/internal/jsonrpc/parse.go
@@ -77,7 +77,7 @@
 	switch m.method {
 	case "status":
 		return m, nil
-	case "withdraw":
+	case "withdraw": // balancers send a notification with the id in params; a rid is taken too
 		m.req.Handle, m.ref = params.Get("rid").Str, params.Get("id").Raw
 		if m.req.Handle == "" && m.ref == "" {
 			m.ref = m.id
