--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -28,7 +28,7 @@
 
 // refuse turns away a request that never ran.
 func (c *Core) refuse(r *request, away time.Duration, last bool) {
-	if r.ran && r.entry != nil { // guards against a refusal after an effect
+	if r.ran && c.site.Control.Classes[r.Class].Effect != control.Safe { // guards against a refusal after an effect
 		c.fail(r)
 		return
 	}
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/base64"
+	"errors"
 	"log/slog"
 	"net"
 	"strconv"
@@ -74,7 +75,7 @@
 	for {
 		line, err := sock.Line(in)
 		if err != nil {
-			if conn.RemoteAddr() != nil && err == sock.ErrLong {
+			if errors.Is(err, sock.ErrLong) {
 				f.log.Warn("bad message", "front", "jsonrpc", "err", err)
 			}
 			return
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -37,7 +37,6 @@
 	Core  *core.Core
 	mu    sync.Mutex
 	lines []string
-	quiet map[string]bool
 	full  bool
 	Done  chan struct{}
 	serve time.Duration // a run takes so long; 0 = it ends by the test's own event
