Move the links on SIGHUP, and give each call below a connection of its own

Read and checked by scenarios: a command given while the link to the worker pool is down was lost unless a later one repeated it (pool.send drops it), a repeat of every last command could pass for the reply to a run's next call (core.resume), a spawn answered 'unknown' was only logged, so the request hung; all calls below shared one connection, which one bad reply took down (index.read); a report without an answer held up the next for a second and was repeated (directory.Run).

Now SIGHUP reads config.json again, whole; a bad one is a log line. Commands are held while there is no link and only what was sent within 100 ms before a break is sent again. A spawn that was not carried out frees its request and its key. Calls take a connection each, one that must not be made twice a new one, so that a reset of a forgotten idle connection never leaves open whether it ran.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -30,6 +30,7 @@
 const (
 	memoryLimit = 128 << 20 // the platform kills at 192 MB
 	maxConns    = 600       // balancers open at most half of 1,024 descriptors; desks and calls take 350 more
+	maxCalls    = 64
 	lastWrites  = 60 * time.Millisecond
 )
 
@@ -60,19 +61,21 @@
 	}
 	debug.SetMemoryLimit(memoryLimit)
 	runtime.GOMAXPROCS(1)
-	if err := serve(cfg, own, slog.New(logs.New(out)).With("server", cfg.Name)); err != nil {
+	if err := serve(*path, cfg, own, slog.New(logs.New(out)).With("server", cfg.Name)); err != nil {
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
 	}
 	return 0
 }
 
-// serve wires the parts together and returns when the core has answered all after SIGTERM.
-func serve(cfg *config.Config, own *config.Operator, log *slog.Logger) error {
+// serve wires the parts together and returns when the core has answered all after SIGTERM. SIGHUP moves the
+// links to the addresses in the file as it is then; all else lives on.
+func serve(path string, cfg *config.Config, own *config.Operator, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return err
@@ -80,7 +83,8 @@
 	c := core.New(cfg.Site, log)
 	workers := pool.New(cfg.Pool, c.Send, log)
 	list := directory.New(cfg.Lookup, cfg.Name, log)
-	var below core.Caller = index.New(cfg.Index, c.Send, log)
+	calls := index.New(cfg.Index, maxCalls, c.Send, log)
+	var below core.Caller = calls
 	if len(own.UWSGI.Below) > 0 {
 		below = uwsgi.NewClient(own.UWSGI, c.Send)
 	}
@@ -105,8 +109,21 @@
 	go workers.Keep(ctx)
 	go list.Run(ctx)
 	go func() {
-		<-signals
-		c.Send(core.Drain{})
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				c.Send(core.Drain{})
+				continue
+			}
+			next, err := cfg.Reload(path)
+			if err != nil {
+				log.Error("reload", "err", err)
+				continue
+			}
+			workers.Move(next.Pool)
+			calls.Move(next.Index)
+			list.Move(next.Lookup)
+			log.Info("reloaded", "pool", next.Pool, "index", next.Index, "lookup", next.Lookup)
+		}
 	}()
 	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis)
 	c.Run(ctx)
--- a/cmd/larchscale/main_test.go
+++ b/cmd/larchscale/main_test.go
@@ -1,11 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+
+	"larchscale/internal/scenario"
 )
 
 // A configuration that cannot be is one clear line and exit code 2, before anything is opened.
@@ -35,3 +41,50 @@
 		t.Errorf("no path: exit %d", code)
 	}
 }
+
+// SIGHUP moves the links to the addresses that the file has now; one that cannot be is one log line, and the
+// old one goes on. SIGTERM ends the program well.
+func TestReload(t *testing.T) {
+	front, dir, old, next := scenario.Listen(t), scenario.Listen(t), scenario.Listen(t), scenario.Listen(t)
+	front.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(listen, pool string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"name":"n","listen":%q,"pool":%q,"lookup":%q,"seed":"1","stop_ms":400,"settings":`+
+			`{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1,"Advert":"level"}}}`, listen, pool, dir.Addr)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hup := func() { syscall.Kill(os.Getpid(), syscall.SIGHUP) }
+	write(front.Addr, old.Addr)
+	code := make(chan int)
+	log, out := io.Pipe()
+	lines := bufio.NewScanner(log)
+	go func() { code <- run([]string{"-config", path}, func(string) string { return "" }, out) }()
+	expect := func(want string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), want) {
+				return
+			}
+		}
+		t.Fatalf("no %q", want)
+	}
+	expect("msg=started")
+	go func() { // the rest of the log is read here, as a pipe holds nothing
+		old.Accept().Expect(`"bind"`)
+		write("127.0.0.1:1", next.Addr)
+		hup()
+	}()
+	expect("msg=reload ")
+	write(front.Addr, next.Addr)
+	hup()
+	expect("msg=reloaded")
+	go io.Copy(io.Discard, log)
+	next.Accept().Expect(`"bind","cursor":0`)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if c := <-code; c != 0 {
+		t.Errorf("exit %d", c)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -515,6 +515,9 @@
 		c.hold.add(r)
 		return
 	}
+	if how == Moot {
+		r.ran = false // nothing began: its key is free
+	}
 	if how == OK && r.state == running {
 		c.to(r, held)
 		used := min(r.used, r.class.Aim.Seconds())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,19 @@
 	return c, nil
 }
 
+// Reload reads config.json again, whole. What a running server cannot change must be as it was: of the rest
+// only the addresses of its links may differ.
+func (c *Config) Reload(path string) (*Config, error) {
+	next, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if next.Name != c.Name || next.Listen != c.Listen {
+		return nil, fmt.Errorf("config: %s: it is for %s at %s; start anew for that", path, next.Name, next.Listen)
+	}
+	return next, nil
+}
+
 // Parse reads the text of config.json and checks it.
 func Parse(text []byte) (*Config, error) {
 	if !gjson.ValidBytes(text) {
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -52,9 +52,10 @@
 }
 
 // Caller makes calls below. Its methods must not block; each Call ends with one CallEnded, unless it was
-// given up by Abandon or by a further Call for the same handle.
+// given up by Abandon or by a further Call for the same handle. One that must be made once is not repeated
+// whatever becomes of its connection.
 type Caller interface {
-	Call(handle, class string, patience time.Duration, body []byte)
+	Call(handle, class string, patience time.Duration, once bool, body []byte)
 	Abandon(handle string)
 }
 
@@ -165,6 +166,10 @@
 		Cold bool
 		Age  time.Duration
 	}
+	// PoolLost tells that the link ended: commands of its last moments may not have come.
+	PoolLost struct{}
+	// PoolUnknown tells that a command was not carried out.
+	PoolUnknown struct{ Command, Handle string }
 	// PoolFinished tells that a run is over.
 	PoolFinished struct {
 		Handle string
@@ -207,6 +212,8 @@
 func (Withdraw) event()     {}
 func (Check) event()        {}
 func (PoolBound) event()    {}
+func (PoolLost) event()     {}
+func (PoolUnknown) event()  {}
 func (PoolFinished) event() {}
 func (PoolBlocked) event()  {}
 func (PoolPolled) event()   {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,12 +14,13 @@
 	maxEvents  = 4096                   // events on their way to the loop: readers wait beyond
 	maxTurn    = 256                    // events of one turn
 	maxOpen    = 4096                   // requests in hand: guards the process's own memory
-	reportEach = time.Second            // the directory forgets after 3 s
+	reportEach = 600 * time.Millisecond // the directory forgets after 3 s, and a report may be missing
 	pollEach   = 50 * time.Millisecond  // between two questions for the gauges
 	stopEarly  = 200 * time.Millisecond // before the kill by which the controller answers all
 	quitEarly  = 100 * time.Millisecond // before the kill at which the program ends
 	quitAfter  = 500 * time.Millisecond // beyond the grace: with nothing left, the program ends sooner
 	callMargin = 100 * time.Millisecond // the layer below is given its patience and this
+	lostBefore = 100 * time.Millisecond // a link that ends may take commands of its last 50 ms with it
 )
 
 // Core owns the controller and the state of all requests. All fields belong to the goroutine of Run.
@@ -44,6 +45,7 @@
 	report   deadline
 	polled   time.Duration
 	polls    uint64
+	linked   bool   // commands reach the worker pool
 	resync   string // ticket of the question that follows a new link
 	lastID   uint32
 	byID     map[uint32]*request
@@ -95,7 +97,11 @@
 	patience deadline
 	began    time.Duration // of the call in hand
 	callBody []byte
-	resend   func() // repeats its last command on a new link to the worker pool
+	resend   func()        // repeats its last command on a new link to the worker pool
+	sent     time.Duration // when that was given
+	spawns   int           // commands to run it that were sent
+	doubtful bool          // that may not have come
+	stopping bool          // it was told to stop, and no end has come
 }
 
 // New makes a core; its loop starts with Run.
@@ -195,6 +201,10 @@
 		c.check(e)
 	case PoolBound:
 		c.bound(e)
+	case PoolLost:
+		c.unlinked()
+	case PoolUnknown:
+		c.unknown(e)
 	case PoolFinished:
 		c.finished(e)
 	case PoolBlocked:
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -27,7 +27,8 @@
 	}
 	r.state, r.began = calling, c.now
 	c.late.set(&r.patience, c.now+patience+callMargin)
-	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, r.callBody)
+	once := c.site.Control.Classes[r.Class].Effect != control.Safe
+	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, once, r.callBody)
 }
 
 // abandon gives up the call in hand.
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -99,7 +99,7 @@
 	case doRun:
 		c.run(r)
 	case doStop:
-		c.runner.Stop(r.Handle)
+		c.stop(r)
 	case doRefuse:
 		c.refuse(r, a.span, a.flag)
 	case doFail:
@@ -120,26 +120,59 @@
 	if r.entry != nil {
 		c.remember(r)
 	}
-	c.command(r, func() { c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body) })
+	r.spawns, r.stopping = 0, false
+	c.command(r, func() {
+		r.spawns++
+		c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body)
+	})
 }
 
-// command sends a command for r and keeps it until the worker pool has shown that it came.
+// command sends a command for r and keeps it until the worker pool has shown that it came. Without a link it
+// is only kept.
 func (c *Core) command(r *request, f func()) {
-	r.resend = f
-	f()
+	r.resend, r.sent, r.doubtful = f, c.now, !c.linked
+	if c.linked {
+		f()
+	}
+}
+
+// stop has a run stopped.
+func (c *Core) stop(r *request) {
+	r.stopping = true
+	if c.linked {
+		c.runner.Stop(r.Handle)
+	}
+}
+
+// unlinked is the end of a link. Guards against runs that hang on a command that was lost with it, and
+// against a command given twice: a run that had its reply would take the copy for the reply to its next
+// call. So only what was sent shortly before the end is sent again, and nothing until it is known what came.
+func (c *Core) unlinked() {
+	if !c.linked {
+		return // what was given since is doubtful already
+	}
+	c.linked = false
+	for _, r := range c.byID {
+		if r.resend != nil && r.sent >= c.now-lostBefore {
+			r.doubtful = true
+		}
+	}
 }
 
 // bound is a new link to the worker pool; the first one makes the controller.
 func (c *Core) bound(e PoolBound) {
 	at := c.now - e.Age
 	if c.ctl == nil {
+		c.linked = true
 		c.begin(e.Cold, at)
 		return
 	}
 	if at > c.poolAt+time.Second {
+		c.linked = true
 		c.restarted(e.Cold, at)
 		return
 	}
+	c.unlinked()
 	// All notices that were missed follow. Only after them is it known which commands were lost with the
 	// old link: the answer to this question marks that point.
 	c.polls++
@@ -192,11 +225,41 @@
 
 // resume sends again what the worker pool has not shown to have received.
 func (c *Core) resume() {
-	c.resync = ""
-	for _, r := range c.byID {
-		if r.state == running && r.resend != nil {
+	c.resync, c.linked = "", true
+	for _, id := range slices.Sorted(maps.Keys(c.byID)) {
+		r := c.byID[id]
+		if r.state != running {
+			continue
+		}
+		if r.doubtful && r.resend != nil {
+			r.sent, r.doubtful = c.now, false
 			r.resend()
 		}
+		if r.stopping {
+			c.runner.Stop(r.Handle)
+		}
+	}
+}
+
+// unknown is a command that was not carried out. A run that was asked for once and refused by the worker
+// pool never began: guards against a request, and its key, that wait for a run which nobody has.
+func (c *Core) unknown(e PoolUnknown) {
+	r := c.byHandle[e.Handle]
+	if r == nil || e.Command != "spawn" || r.state != running || r.spawns != 1 {
+		return
+	}
+	r.resend = nil
+	c.answer(r, Answer{Kind: Invalid, Why: "the worker pool does not know this request"})
+	c.neverRan(r)
+	c.finish(r, control.Moot, 0)
+}
+
+// neverRan takes back that a run of r had begun, and gives its key to the next try.
+func (c *Core) neverRan(r *request) {
+	r.ran = false
+	if e := r.entry; e != nil && e.owner == r {
+		e.ran = false
+		c.again = append(c.again, func() { c.release(e) })
 	}
 }
 
@@ -206,7 +269,7 @@
 	if r == nil || !r.ran {
 		return
 	}
-	r.resend = nil
+	r.resend, r.stopping = nil, false
 	if r.state == calling {
 		c.abandon(r)
 	}
@@ -222,7 +285,11 @@
 	default:
 		c.answer(r, Answer{Kind: Failed, Why: "the run failed"})
 	}
-	if r.entry != nil {
+	switch {
+	case r.entry == nil:
+	case e.End == control.Moot && r.spawns == 1:
+		c.neverRan(r)
+	default:
 		c.conclude(r.entry, e.End == control.OK, e.Body)
 	}
 	c.finish(r, e.End, e.Took)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -18,22 +19,35 @@
 )
 
 const (
-	timeout  = time.Second
-	maxReply = 1 << 20
+	dialTimeout  = 300 * time.Millisecond
+	replyTimeout = 250 * time.Millisecond
+	maxReply     = 4 << 10
+	tellAfter    = 3 // reports without an answer in a row: one may be missing
 )
 
 // Client sends reports, the newest first if it falls behind.
 type Client struct {
-	addr, name string
-	log        *slog.Logger
-	next       chan bool // the newest report that is not sent
-	conn       net.Conn
-	in         *bufio.Reader
+	name  string
+	log   *slog.Logger
+	next  chan bool   // the newest report that is not sent
+	moved chan string // the newest address
+	addr  string
+	conn  net.Conn
+	in    *bufio.Reader
 }
 
 // New makes a client; an empty addr is a server that is listed nowhere.
 func New(addr, name string, log *slog.Logger) *Client {
-	return &Client{addr: addr, name: name, log: log, next: make(chan bool, 1)}
+	return &Client{addr: addr, name: name, log: log, next: make(chan bool, 1), moved: make(chan string, 1)}
+}
+
+// Move has all further reports sent to another address. It is called from one goroutine and never waits.
+func (c *Client) Move(addr string) {
+	select {
+	case <-c.moved:
+	default:
+	}
+	c.moved <- addr
 }
 
 // Report takes a report. It is called from one goroutine and never waits.
@@ -48,24 +62,32 @@
 // Run sends reports until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	defer c.hangUp()
-	wrong := false
+	wrong, known, open := 0, false, false // known = there is a report to send again to a new directory
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case open := <-c.next:
-			if c.addr == "" {
+		case addr := <-c.moved:
+			c.hangUp()
+			if c.addr = addr; !known {
 				continue
 			}
-			fresh := c.conn == nil
-			err := c.put(open)
-			if err != nil && !fresh { // a connection kept open may have been closed meanwhile
-				err = c.put(open)
-			}
-			if err != nil && !wrong {
-				c.log.Warn("link down", "to", "directory", "err", err)
-			}
-			wrong = err != nil
+		case open = <-c.next:
+			known = true
+		}
+		if c.addr == "" {
+			continue
+		}
+		fresh := c.conn == nil
+		err := c.put(open)
+		if err != nil && !fresh && !errors.Is(err, os.ErrDeadlineExceeded) {
+			err = c.put(open) // a connection kept open may have been closed meanwhile
+		}
+		if wrong++; err == nil {
+			wrong = 0
+		}
+		if wrong == tellAfter {
+			c.log.Warn("link down", "to", "directory", "err", err)
 		}
 	}
 }
@@ -77,7 +99,8 @@
 	}
 }
 
-// put makes one report; it counts once it is answered 204.
+// put makes one report. One that came whole may count without an answer, and the next follows soon: guards
+// against waiting for an answer that never comes while the entry lapses or a change stands behind it.
 func (c *Client) put(open bool) (err error) {
 	defer func() {
 		if err != nil {
@@ -85,13 +108,13 @@
 		}
 	}()
 	if c.conn == nil {
-		if c.conn, err = net.DialTimeout("tcp", c.addr, timeout); err != nil {
+		if c.conn, err = net.DialTimeout("tcp", c.addr, dialTimeout); err != nil {
 			c.conn = nil
 			return err
 		}
 		c.in = bufio.NewReader(c.conn)
 	}
-	if err := c.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+	if err := c.conn.SetDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return err
 	}
 	body := `{"mode":"closed"}`
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -37,6 +37,14 @@
 	c.Report(true)
 	p = stand.Accept() // none is kept after an error
 	put(p, "open")
+	c.Report(true) // one that is not answered holds up no other, and is not repeated
+	p.Expect(`open`)
+	c.Report(false)
+	p = stand.Accept()
+	put(p, "closed")
+	next := scenario.Listen(t)
+	c.Move(next.Addr) // the new directory is told at once
+	put(next.Accept(), "closed")
 	end()
 	<-done
 }
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,129 +21,231 @@
 
 const (
 	dialTimeout = time.Second
-	maxReply    = 64 << 10
-	stale       = 8 * time.Second // the index closes what stands idle for 10 s: a call must not cross that
+	maxReply    = 16 << 10
+	maxHead     = 512
+	stale       = 4 * time.Second // what stands idle is closed by the index, sooner or later: it is not used then
+	idleBreak   = 30 * time.Millisecond
+	maxCarried  = 64 // calls that one connection carries
 )
 
-// Client holds one connection, made when a call needs it and shared by all calls.
+// Client makes each call on a connection that carries no other: one reply that is spoilt, or never comes,
+// takes no other call with it. Connections are used again after a good reply.
 type Client struct {
-	addr string
-	sink func(core.Event)
-	log  *slog.Logger
-
-	mu      sync.Mutex
-	box     *sock.Box // nil = none
-	dialing bool
-	calls   map[string][]byte // those in hand; what is still to be sent while there is no connection
+	sink  func(core.Event)
+	log   *slog.Logger
+	limit int // connections
+
+	mu    sync.Mutex
+	addr  string
+	open  int     // connections, also those being made
+	idle  []*link // the last used is the last
+	queue []*call // those that wait for a connection
+	calls map[string]*call
+}
+
+// call is one call in hand.
+type call struct {
+	handle string
+	line   []byte
+	once   bool // it must not be made twice
+	fresh  bool // it needs a new connection
+	link   *link
+	sent   time.Time
+}
+
+// link is one connection.
+type link struct {
+	box     *sock.Box
+	call    *call
+	again   bool            // it stood idle before its call
+	heard   bool            // something came since its call was made
+	carried map[string]bool // handles of its calls: a second copy of a reply must not pass for a later one's
 	used    time.Time
 }
 
-// New makes a client that tells sink how calls end.
-func New(addr string, sink func(core.Event), log *slog.Logger) *Client {
-	return &Client{addr: addr, sink: sink, log: log, calls: map[string][]byte{}}
+// New makes a client of up to limit connections that tells sink how calls end.
+func New(addr string, limit int, sink func(core.Event), log *slog.Logger) *Client {
+	return &Client{addr: addr, limit: limit, sink: sink, log: log, calls: map[string]*call{}}
+}
+
+// Move makes all further calls at another address. Those in hand may still end where they are.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.addr == addr {
+		return
+	}
+	c.addr = addr
+	for _, l := range c.idle {
+		l.box.Kill()
+	}
+	c.idle = nil
 }
 
 // Call makes a call. The class is not told here: the body says it all.
-func (c *Client) Call(handle, _ string, patience time.Duration, body []byte) {
+func (c *Client) Call(handle, _ string, patience time.Duration, once bool, body []byte) {
 	ms := max(1, patience.Milliseconds())
 	line := fmt.Appendf(make([]byte, 0, len(body)+64), "GET %s %d %d\r\n", handle, ms, len(body))
-	line = append(append(line, body...), '\r', '\n')
+	x := &call{handle: handle, line: append(append(line, body...), '\r', '\n'), once: once, fresh: once}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.box != nil && len(c.calls) == 0 && time.Since(c.used) > stale {
-		c.box.Kill()
-		c.box = nil
-	}
-	c.used = time.Now()
-	if c.box != nil {
-		c.calls[handle] = nil
-		c.box.Send(line)
+	c.giveUp(handle)
+	c.calls[handle] = x
+	c.place(x)
+}
+
+// place finds a connection for a call: one that stands idle, a new one, or the next that is free. A call
+// that must not be made twice gets a new one: a reset of an idle connection would leave open whether it ran.
+func (c *Client) place(x *call) {
+	for i := len(c.idle) - 1; i >= 0 && !x.fresh; i-- {
+		l := c.idle[i]
+		if time.Since(l.used) > stale || len(l.carried) >= maxCarried {
+			c.unlist(l)
+			l.box.Kill()
+		} else if !l.carried[x.handle] {
+			c.unlist(l)
+			c.send(l, x, true)
+			return
+		}
+	}
+	if c.open < c.limit {
+		c.open++
+		go c.connect(x)
 		return
 	}
-	c.calls[handle] = line
-	if !c.dialing {
-		c.dialing = true
-		go c.connect()
+	c.queue = append(c.queue, x)
+	if len(c.idle) > 0 { // its end makes room for a new one
+		c.idle[0].box.Kill()
+		c.idle = c.idle[1:]
+	}
+}
+
+func (c *Client) unlist(l *link) {
+	if i := slices.Index(c.idle, l); i >= 0 {
+		c.idle = slices.Delete(c.idle, i, i+1)
 	}
 }
 
-// Abandon gives a call up.
+func (c *Client) send(l *link, x *call, again bool) {
+	x.link, x.sent = l, time.Now()
+	l.call, l.again, l.heard = x, again, false
+	l.carried[x.handle] = true
+	l.box.Send(x.line)
+}
+
+// Abandon gives a call up. Its connection goes with it: a reply that never came may still come.
 func (c *Client) Abandon(handle string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waiting, ok := c.calls[handle]
-	if !ok {
+	c.giveUp(handle)
+}
+
+func (c *Client) giveUp(handle string) {
+	x := c.calls[handle]
+	if x == nil {
 		return
 	}
 	delete(c.calls, handle)
-	if c.box != nil && waiting == nil {
-		c.box.Send([]byte("STOP " + handle + "\r\n"))
+	if i := slices.Index(c.queue, x); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
+	}
+	if l := x.link; l != nil {
+		l.call = nil
+		l.box.Send([]byte("STOP " + handle + "\r\n"))
+		l.box.Close()
 	}
 }
 
-// connect is the life of one connection.
-func (c *Client) connect() {
-	conn, err := net.DialTimeout("tcp", c.addr, dialTimeout)
+// connect is the life of one connection, made for one call.
+func (c *Client) connect(x *call) {
 	c.mu.Lock()
-	c.dialing = false
-	if err != nil { // nothing was sent: no call ran
-		lost := c.lose(nil)
-		c.mu.Unlock()
-		c.log.Warn("link down", "to", "index", "calls", len(lost), "err", err)
-		c.tell(lost, control.Unreachable)
+	addr := c.addr
+	c.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil { // nothing was sent: the call never ran
+		c.log.Warn("link down", "to", "index", "err", err)
+		c.done(nil, x, control.Unreachable)
 		return
 	}
-	box := sock.NewBox(conn)
-	c.box = box
-	for handle, line := range c.calls {
-		box.Send(line)
-		c.calls[handle] = nil
+	l := &link{box: sock.NewBox(conn), carried: map[string]bool{}}
+	defer l.box.Kill()
+	c.mu.Lock()
+	if c.calls[x.handle] == x {
+		c.send(l, x, false)
+	} else {
+		c.rest(l, addr)
 	}
 	c.mu.Unlock()
-	err = c.read(bufio.NewReader(conn))
-	box.Kill()
+	err = c.read(l, bufio.NewReaderSize(conn, maxHead), addr)
 	c.mu.Lock()
-	lost := c.lose(box)
+	x = l.call
 	c.mu.Unlock()
-	if len(lost) > 0 || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		c.log.Warn("link down", "to", "index", "calls", len(lost), "err", err)
+	if x != nil || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.log.Warn("link down", "to", "index", "err", err)
 	}
-	c.tell(lost, control.Broken)
+	c.done(l, x, control.Broken)
 }
 
-// lose takes the calls off a connection that is gone; one that was replaced has none.
-func (c *Client) lose(box *sock.Box) []string {
-	if c.box != box {
-		return nil
+// done is the end of a connection, or of the try to make one, with the call that was on it.
+func (c *Client) done(l *link, x *call, how control.Outcome) {
+	c.mu.Lock()
+	c.open--
+	if l != nil {
+		c.unlist(l)
+	}
+	var lost *call
+	if x != nil && c.calls[x.handle] == x && x.link == l {
+		if l != nil && l.again && !l.heard && !x.once && time.Since(x.sent) < idleBreak {
+			x.link, x.fresh = nil, true // it had been forgotten: the call is made again
+			c.place(x)
+		} else {
+			delete(c.calls, x.handle)
+			lost = x
+		}
 	}
-	c.box = nil
-	lost := make([]string, 0, len(c.calls))
-	for handle := range c.calls {
-		lost = append(lost, handle)
+	if len(c.queue) > 0 && c.open < c.limit {
+		next := c.queue[0]
+		c.queue = slices.Delete(c.queue, 0, 1)
+		c.place(next)
+	}
+	c.mu.Unlock()
+	if lost != nil {
+		c.sink(core.CallEnded{Handle: lost.handle, Outcome: how})
 	}
-	clear(c.calls)
-	return lost
 }
 
-func (c *Client) tell(handles []string, how control.Outcome) {
-	for _, h := range handles {
-		c.sink(core.CallEnded{Handle: h, Outcome: how})
+// rest has a connection wait for its next call, which may stand in the queue.
+func (c *Client) rest(l *link, addr string) {
+	l.call, l.used = nil, time.Now()
+	if addr != c.addr || len(c.queue) > 0 && c.queue[0].fresh {
+		l.box.Kill()
+		return
+	}
+	c.idle = append(c.idle, l)
+	if len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = slices.Delete(c.queue, 0, 1)
+		c.place(next)
 	}
 }
 
 var errReply = errors.New("malformed reply")
 
-// read takes replies until the connection ends.
-func (c *Client) read(in *bufio.Reader) error {
+// read takes replies until the connection ends. One that belongs to no call in hand is passed over.
+func (c *Client) read(l *link, in *bufio.Reader, addr string) error {
 	for {
 		e, err := readReply(in)
 		if err != nil {
 			return err
 		}
 		c.mu.Lock()
-		_, mine := c.calls[e.Handle]
-		delete(c.calls, e.Handle)
-		c.used = time.Now()
+		l.heard = true
+		x := l.call
+		mine := x != nil && x.handle == e.Handle
+		if mine {
+			delete(c.calls, e.Handle)
+			c.rest(l, addr)
+		}
 		c.mu.Unlock()
 		if mine {
 			c.sink(e)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,76 +23,116 @@
 const (
 	maxLine     = 64 << 10
 	dialTimeout = time.Second
+	steady      = 100 * time.Millisecond // a link that lasted so long worked
 )
 
 // Link keeps one connection to the worker pool open. Commands given while there is none are lost: the core
 // sends again what matters once the link is back.
 type Link struct {
-	addr string
-	sink func(core.Event)
-	log  *slog.Logger
-	mu   sync.Mutex
-	box  *sock.Box // nil = no link
-	read uint64    // number of the last notice that was read; of Keep's goroutine
+	sink  func(core.Event)
+	log   *slog.Logger
+	moved chan struct{}
+	read  uint64 // number of the last notice that was read; of Keep's goroutine
+	mu    sync.Mutex
+	addr  string
+	box   *sock.Box // nil = no link
 }
 
 // New makes a link that tells sink what comes.
 func New(addr string, sink func(core.Event), log *slog.Logger) *Link {
-	return &Link{addr: addr, sink: sink, log: log}
+	return &Link{addr: addr, sink: sink, log: log, moved: make(chan struct{}, 1)}
 }
 
-// Keep keeps the link up until ctx ends.
+// Move ends the link and makes the next one to another address, at once.
+func (l *Link) Move(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addr == addr {
+		return
+	}
+	l.addr = addr
+	select {
+	case l.moved <- struct{}{}:
+	default:
+	}
+	if l.box != nil {
+		l.box.Kill()
+	}
+}
+
+// Keep keeps the link up until ctx ends. The first try after a link that worked is made at once: while
+// there is none, runs go on that nobody hears of.
 func (l *Link) Keep(ctx context.Context) {
 	var wait sock.Backoff
 	for ctx.Err() == nil {
 		up := time.Now()
-		err := l.once(ctx)
-		if time.Since(up) > time.Second {
+		bound, err := l.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		select {
+		case <-l.moved:
 			wait.Reset()
+			continue
+		default:
 		}
-		if ctx.Err() == nil {
-			l.log.Warn("link down", "to", "pool", "err", err)
-			sleep(ctx, wait.Next())
+		l.log.Warn("link down", "to", "pool", "err", err)
+		if bound && time.Since(up) > steady && !errors.Is(err, errNotice) {
+			wait.Reset()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.moved:
+			wait.Reset()
+		case <-time.After(wait.Next()):
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
-// once is the life of one connection.
-func (l *Link) once(ctx context.Context) error {
+// once is the life of one connection; bound = the worker pool spoke on it.
+func (l *Link) once(ctx context.Context) (bound bool, err error) {
+	l.mu.Lock()
+	addr := l.addr
+	l.mu.Unlock()
 	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return err
+		return false, err
 	}
 	box := sock.NewBox(conn)
 	defer box.Kill()
 	defer context.AfterFunc(ctx, box.Kill)()
 	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read, 10) + "}\n"))
-	l.set(box)
-	defer l.set(nil)
+	if !l.set(box, addr) {
+		return false, errMoved
+	}
+	defer func() {
+		l.set(nil, "")
+		l.sink(core.PoolLost{})
+	}()
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
 		line, err := sock.Line(in)
 		if err != nil {
-			return err
+			return bound, err
 		}
 		if err := l.notice(line); err != nil {
-			return err
+			return bound, err
 		}
+		bound = true
 	}
 }
 
-func (l *Link) set(b *sock.Box) {
+// set makes b the link; false = it goes to an address that was left meanwhile.
+func (l *Link) set(b *sock.Box, addr string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if b != nil && addr != l.addr {
+		return false
+	}
 	l.box = b
+	return true
 }
 
 func (l *Link) send(parts ...[]byte) {
@@ -103,10 +143,13 @@
 	}
 }
 
-var errNotice = errors.New("malformed notice")
+var (
+	errNotice = errors.New("malformed notice")
+	errMoved  = errors.New("the address was left")
+)
 
 // notice reads one line of the worker pool.
-func (l *Link) notice(line []byte) error {
+func (l *Link) notice(line []byte) (err error) {
 	if !gjson.ValidBytes(line) {
 		return fmt.Errorf("%w: not JSON", errNotice)
 	}
@@ -137,12 +180,14 @@
 		}
 		return true
 	})
-	if cursor > 0 {
-		if cursor <= l.read { // it came on an earlier link already
-			return nil
-		}
-		l.read = cursor
+	if cursor > 0 && cursor <= l.read { // it came already, on this link or an earlier one
+		return nil
 	}
+	defer func() {
+		if err == nil { // one that cannot be read is asked for again
+			l.read = max(l.read, cursor)
+		}
+	}()
 	switch event {
 	case "bound":
 		l.sink(core.PoolBound{Cold: fate == "chilly", Age: lasted})
@@ -160,6 +205,7 @@
 		}
 	case "unknown":
 		l.log.Warn("command not carried out", "command", fate, "handle", handle)
+		l.sink(core.PoolUnknown{Command: fate, Handle: handle})
 	}
 	return nil
 }
