Bounds from the limits; idle connections make room; bad input ends its connection

The log showed 2,560 connections that asked once and stayed and 1,892 that never sent a whole request. At fault: maxConns = 600 whatever the limits say (cmd/larchscale/main.go), no deadline for a first or half line and no end after a fault (jsonrpc/front.go Handle, message), no eviction (core/intake.go opened).

Now every bound follows from config.json's limits, with descriptors kept for the links. The core closes the connection idle for longest, silent ones first, when an eighth of the room is left. A first message has 1.5 s, a half line too. Whoever breaks the protocol gets an error and loses the connection with what is open on it; a closed connection withdraws its requests. Parsing takes only what the protocol names (rid of 16 hex digits, known tenant, peer, prio under 1, budget over 0, t0 near now, ids that count up). A handle of late is not run again.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -28,10 +28,7 @@
 )
 
 const (
-	memoryLimit = 128 << 20 // the platform kills at 192 MB
-	maxConns    = 600       // balancers open at most half of 1,024 descriptors; desks and calls take 350 more
-	maxCalls    = 64
-	lastWrites  = 60 * time.Millisecond
+	lastWrites = 60 * time.Millisecond
 )
 
 func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stderr)) }
@@ -59,7 +56,7 @@
 		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
 	if err := serve(*path, cfg, own, slog.New(logs.New(out)).With("server", cfg.Name)); err != nil {
 		fmt.Fprintln(out, "larchscale:", err)
@@ -80,10 +77,19 @@
 	if err != nil {
 		return err
 	}
+	others := 0
+	if own.UWSGI.Listen != "" {
+		others += own.UWSGI.MaxConns
+	}
+	if len(own.UWSGI.Below) > 0 {
+		others += own.UWSGI.MaxCalls
+	}
+	conns := cfg.Limits.Conns(others)
+	cfg.SetConns(conns)
 	c := core.New(cfg.Site, log)
 	workers := pool.New(cfg.Pool, c.Send, log)
 	list := directory.New(cfg.Lookup, cfg.Name, log)
-	calls := index.New(cfg.Index, maxCalls, c.Send, log)
+	calls := index.New(cfg.Index, cfg.Limits.Calls, c.Send, log)
 	var below core.Caller = calls
 	if len(own.UWSGI.Below) > 0 {
 		below = uwsgi.NewClient(own.UWSGI, c.Send)
@@ -95,13 +101,13 @@
 		keys = db
 	}
 	c.Attach(workers, below, list, keys)
-	fronts := []*sock.Server{sock.NewServer(listener, maxConns, jsonrpc.New(&cfg.Site, c, log).Handle)}
+	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
 		desks, err := net.Listen("tcp", own.UWSGI.Listen)
 		if err != nil {
 			return err
 		}
-		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
+		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, cfg.Limits.Budget(), uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
 	}
 	for _, f := range fronts {
 		go f.Serve()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"larchscale/control"
 	"larchscale/internal/core"
 	"larchscale/internal/settings"
+	"larchscale/internal/sock"
 	"larchscale/internal/wire"
 )
 
@@ -25,6 +26,33 @@
 	Lookup string // the directory; empty = not listed anywhere
 	Index  string // calls below; empty = the last tier
 	Site   core.Site
+	Limits Limits
+}
+
+// Limits are the platform's, and what they leave for each part.
+type Limits struct {
+	MemoryMB, Sockets int
+	Calls             int // connections to the index
+}
+
+const (
+	spareSockets = 32 // for the links, the store, the listeners and the runtime's own
+	defaultMB    = 192
+	defaultSocks = 1024
+)
+
+// GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
+func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
+
+// Budget bounds what waits to be written to the clients of one front. A balancer has 32 answers open at
+// most, each under 6 KB.
+func (l *Limits) Budget() *sock.Budget {
+	return &sock.Budget{Peer: 32 * 6 << 10, All: l.MemoryMB << 20 / 8}
+}
+
+// Conns is how many clients of the platform's front are served at a time, beside others descriptors.
+func (l *Limits) Conns(others int) int {
+	return max(16, l.Sockets-spareSockets-l.Calls-others)
 }
 
 // Owner names this start of this server in the shared store: its seed is new with each start.
@@ -98,9 +126,36 @@
 	if len(c.Site.Classes) == 0 {
 		return nil, errors.New("settings: no RequestClasses")
 	}
+	if err := c.limit(j.Get("limits")); err != nil {
+		return nil, err
+	}
 	return c, checkControl(c.Site.Control)
 }
 
+// limit reads the limits and derives every bound from them.
+func (c *Config) limit(j gjson.Result) error {
+	mb, socks := float64(defaultMB), float64(defaultSocks)
+	if v := j.Get("memory_mb"); v.Exists() {
+		mb = v.Float()
+	}
+	if v := j.Get("sockets"); v.Exists() {
+		socks = v.Float()
+	}
+	if !(mb >= 16 && mb <= 1<<20) || !(socks >= 96 && socks <= 1<<20) {
+		return fmt.Errorf("limits: %v MB and %v sockets", mb, socks)
+	}
+	l := &c.Limits
+	l.MemoryMB, l.Sockets = int(mb), int(socks)
+	k := &c.Site.Control
+	l.Calls = min(max(16, int(k.Crowd*float64(max(1, k.Cores)))), l.Sockets/5)
+	c.Site.Bounds = core.Bounds{Open: min(4096, l.MemoryMB*32), Table: l.MemoryMB << 20 / 4}
+	c.SetConns(l.Conns(0))
+	return nil
+}
+
+// SetConns has the core keep an eighth of a front's connections free for newcomers.
+func (c *Config) SetConns(n int) { c.Site.Bounds.Sessions = n - n/8 }
+
 // checkControl finds what the controller would not take, before anything is opened.
 func checkControl(cfg control.Config) error {
 	if err := cfg.Check(); err != nil {
@@ -113,6 +168,7 @@
 	out := core.Site{Control: settings.Config(s, seed), Gauges: s.FamilyInfo.OwnStats}
 	for i, k := range s.RequestClasses {
 		out.Classes = append(out.Classes, k.Name)
+		out.Control.KeyMemory = 0            // on sockets keys lie in this process's memory, not in the site's
 		out.Control.Classes[i].SkipWorth = 0 // the worker pool has no command that leaves out a call
 	}
 	for _, t := range s.Tenants {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"larchscale/internal/core"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
 )
@@ -73,3 +74,31 @@
 		}
 	}
 }
+
+// Every bound follows from the platform's limits: all descriptors together stay under theirs.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		limits       string
+		conns, calls int
+		open, table  int
+		memory       int64
+	}{
+		{`{"memory_mb":32,"sockets":384}`, 336, 16, 1024, 8 << 20, 24 << 20},
+		{`{"memory_mb":192,"sockets":1024}`, 976, 16, 4096, 48 << 20, 144 << 20},
+		{`{}`, 976, 16, 4096, 48 << 20, 144 << 20},
+	} {
+		text := `{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:2","seed":"1","stop_ms":100,"limits":` + c.limits +
+			`,"settings":{"RequestClasses":[{"Name":"a"}],"FamilyInfo":{"Cpus":1}}}`
+		p, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, b := p.Limits, p.Site.Bounds
+		if l.Conns(0) != c.conns || l.Calls != c.calls || l.GoMemory() != c.memory || b != (core.Bounds{Sessions: c.conns - c.conns/8, Open: c.open, Table: c.table}) {
+			t.Errorf("%s: %d connections, %+v, %+v", c.limits, l.Conns(0), l, b)
+		}
+	}
+	if _, err := Parse([]byte(`{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:2","seed":"1","stop_ms":100,"limits":{"sockets":-1},"settings":{"RequestClasses":[{"Name":"a"}]}}`)); err == nil {
+		t.Error("negative sockets were taken")
+	}
+}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -96,6 +96,14 @@
 	Tenants []string
 	Gauges  []string
 	Stop    time.Duration // from the notice to leave until the process is killed
+	Bounds  Bounds
+}
+
+// Bounds are what the platform's limits leave for the core's tables.
+type Bounds struct {
+	Sessions int // connections kept open; beyond, those that stand idle are closed
+	Open     int // requests in hand
+	Table    int // bytes of keys and results
 }
 
 // Class gives the place of a class by its name; -1 = none.
@@ -151,7 +159,10 @@
 		Req     Incoming
 	}
 	// Withdraw tells that nobody waits for a request any longer.
-	Withdraw struct{ Handle string }
+	Withdraw struct {
+		Session Session
+		Handle  string
+	}
 	// Check asks for the health.
 	Check struct {
 		Session Session
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -15,6 +15,9 @@
 		return
 	}
 	r.answered = true
+	if r.session.idled++; a.Kind == Served {
+		r.session.idled = 0
+	}
 	a.Hint = c.level
 	r.reply.Answer(a)
 	c.left(r)
@@ -24,6 +27,10 @@
 func (c *Core) left(r *request) {
 	r.session.open--
 	c.rest(r.session)
+	if c.strange(r.session) && r.session.open == 0 && c.sessions[r.session.Session] == r.session {
+		c.late.drop(&r.session.idle)
+		c.hangUp(r.session)
+	}
 }
 
 // refuse turns away a request that never ran.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,9 +11,10 @@
 
 // Limits and times of the mechanism; what is decided by load is in the controller.
 const (
-	maxEvents  = 4096                   // events on their way to the loop: readers wait beyond
+	maxEvents  = 1024                   // events on their way to the loop: readers wait beyond
 	maxTurn    = 256                    // events of one turn
-	maxOpen    = 4096                   // requests in hand: guards the process's own memory
+	maxIdle    = 64                     // refusals and withdraws in a row on one connection: see strange
+	newcomer   = 300 * time.Millisecond // a connection that has said nothing for longer makes room for others
 	reportEach = 600 * time.Millisecond // the directory forgets after 3 s, and a report may be missing
 	pollEach   = 50 * time.Millisecond  // between two questions for the gauges
 	stopEarly  = 200 * time.Millisecond // before the kill by which the controller answers all
@@ -52,6 +53,7 @@
 	byHandle map[string]*request
 	sessions map[Session]*session
 	table    table
+	recent   recent // handles of late
 
 	level     float64
 	up        bool
@@ -65,6 +67,8 @@
 	Session
 	open  int
 	once  bool          // it carries one request
+	asked bool          // something came on it
+	idled int           // requests in a row that came to nothing
 	since time.Duration // nothing has been open on it
 	idle  deadline
 	told  bool // it was told to drain
@@ -196,7 +200,7 @@
 	case Arrive:
 		c.arrive(e)
 	case Withdraw:
-		c.withdraw(e.Handle)
+		c.withdraw(e.Session, e.Handle)
 	case Check:
 		c.check(e)
 	case PoolBound:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,8 @@
 package core_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,7 +125,7 @@
 		w.Expect(ms, "run 1 book body", "run 2 book body")
 		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "book", "k"), w.Ask("c", "book", "k"))
 		w.Expect(ms)
-		w.Send(core.Withdraw{Handle: "a"})
+		w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"})
 		w.Expect(ms)
 		w.Send(finished("1", control.OK, "x"))
 		w.Expect(ms, "served 1 x", "run b book body")
@@ -147,7 +149,7 @@
 	play(t, false, func(w *scenario.World) {
 		w.Send(w.Ask("a", "quote", ""))
 		w.Expect(ms, "run a quote body")
-		w.Send(core.Withdraw{Handle: "a"}, core.Withdraw{Handle: "a"})
+		w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"}, core.Withdraw{Session: w.Session("c"), Handle: "a"})
 		w.Expect(ms, "stop a")
 		w.Send(finished("a", control.Stopped, ""))
 		w.Expect(10 * time.Second)
@@ -220,7 +222,7 @@
 		w.Expect(200*ms, "run a book body", "run b quote body")
 		w.Send(core.PoolLost{}, core.PoolBlocked{Handle: "a", Body: []byte("ask")}) // the last notice that came
 		w.Expect(ms, "call a book 3.8s ask")
-		w.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")}, core.Withdraw{Handle: "b"})
+		w.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")}, core.Withdraw{Session: w.Session("c"), Handle: "b"})
 		w.Expect(200 * ms)
 		w.Send(core.PoolBound{Age: time.Hour})
 		w.Expect(ms, "supply a r", "stop b")
@@ -251,6 +253,62 @@
 	}
 }
 
+// With too many connections one that stands idle makes room: first one that never said anything, then the
+// one that has been idle for longest, and never one in use.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	play(t, false, func(w *scenario.World) { // c is the first of eight
+		open := func(name string) { w.Send(core.Opened{Session: w.Session(name)}) }
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms, "run a quote body")
+		for i := range 7 {
+			name := string(rune('d' + i))
+			open(name)
+			if name != "h" {
+				w.Send(w.AskOn(name, name, "quote", ""), core.Withdraw{Session: w.Session(name), Handle: name})
+			}
+			w.Expect(150 * ms)
+		}
+		open("x")
+		w.Expect(ms, "close h")
+		open("y")
+		w.Expect(ms, "close d")
+	})
+}
+
+// A handle of late is never run again; and who is turned away, or takes back what it asks, time after time,
+// no longer reaches the controller and loses its connection.
+func TestStrangeClients(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms, "run a quote body")
+		w.Send(finished("a", control.OK, "x"), w.Ask("a", "quote", ""))
+		w.Expect(ms, "served a x", "invalid a")
+		for i := range 64 {
+			h := fmt.Sprint("w", i)
+			w.Send(w.Ask(h, "quote", ""), core.Withdraw{Session: w.Session("d"), Handle: h}) // not its own
+			w.Send(core.Withdraw{Session: w.Session("c"), Handle: h})
+		}
+		w.Expect(ms, "close c")
+	})
+}
+
+// With no room for another key the oldest results go, and what is known to have run stays known.
+func TestTheTableOfKeysIsBounded(t *testing.T) {
+	site := scenario.Site()
+	site.Bounds.Table = 3 * 4700
+	synctest.Test(t, func(t *testing.T) {
+		w := scenario.NewWorld(t, site, false)
+		for _, h := range []string{"a", "b", "c", "d"} {
+			w.Send(w.Ask(h, "book", h))
+			w.Expect(ms, "run "+h+" book body")
+			w.Send(finished(h, control.OK, strings.Repeat("x", 4096)))
+			w.Expect(ms, "served "+h+" "+strings.Repeat("x", 4096))
+		}
+		w.Send(w.Ask("a2", "book", "a"), w.Ask("d2", "book", "d"))
+		w.Expect(ms, "failed a2", "served d2 "+strings.Repeat("x", 4096))
+	})
+}
+
 // Idle connections are closed; what crosses the close is not run.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	play(t, false, func(w *scenario.World) {
@@ -308,7 +366,7 @@
 			w.Expect(ms, "release k")
 		},
 		"asked for by nobody": func(w *scenario.World) {
-			w.Send(core.Withdraw{Handle: "a"}, core.Withdraw{Handle: "b"})
+			w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"}, core.Withdraw{Session: w.Session("c"), Handle: "b"})
 			w.Expect(ms)
 			w.Send(claimed(core.ClaimWon, ""))
 			w.Expect(ms, "release k")
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -9,13 +9,46 @@
 	x.idle.do = func() { c.hangUp(x) }
 	c.sessions[e.Session] = x
 	c.rest(x)
+	c.makeRoom()
 }
 
+// makeRoom closes a connection that stands idle when there are too many: one that has said nothing so far
+// rather than one in use of late. Guards against clients that connect and say nothing, or ask once and
+// stay, until no balancer finds room.
+func (c *Core) makeRoom() {
+	var out *session
+	n := 0 // that are kept open; those of one request are bounded by their front
+	silent := func(x *session) bool { return !x.asked && c.now-x.since > newcomer }
+	for _, x := range c.sessions {
+		if !x.once {
+			n++
+		}
+		if x.open == 0 && !x.once && (out == nil || silent(x) && !silent(out) ||
+			silent(x) == silent(out) && x.since < out.since) {
+			out = x
+		}
+	}
+	if out != nil && n > c.site.Bounds.Sessions {
+		c.late.drop(&out.idle)
+		c.hangUp(out)
+	}
+}
+
+// closed is the end of a connection: nobody waits for what was open on it.
 func (c *Core) closed(s Session) {
-	if x := c.sessions[s]; x != nil {
-		c.late.drop(&x.idle)
-		delete(c.sessions, s)
+	x := c.sessions[s]
+	if x == nil {
+		return
+	}
+	if x.open > 0 {
+		for _, r := range c.byHandle {
+			if r.session == x {
+				c.gone(r)
+			}
+		}
 	}
+	c.late.drop(&x.idle)
+	delete(c.sessions, s)
 }
 
 // rest starts a connection's idle time when nothing is open on it.
@@ -44,6 +77,7 @@
 		return nil, false
 	}
 	c.late.drop(&x.idle)
+	x.asked = true
 	if c.leaving && !x.told { // it was opened after the notice
 		x.told = true
 		x.Drain()
@@ -78,13 +112,20 @@
 	c.admit(r)
 }
 
-// withdraw is a caller that gave up: no answer is owed.
-func (c *Core) withdraw(handle string) {
-	r := c.byHandle[handle]
-	if r == nil || r.answered {
+// withdraw is a caller that gave up one of its own requests.
+func (c *Core) withdraw(s Session, handle string) {
+	if r := c.byHandle[handle]; r != nil && r.session.Session == s {
+		c.gone(r)
+	}
+}
+
+// gone is a request that nobody waits for any longer: no answer is owed.
+func (c *Core) gone(r *request) {
+	if r.answered {
 		return
 	}
 	r.answered = true
+	r.session.idled++
 	c.left(r)
 	if r.state == claiming {
 		c.drop(r)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -11,7 +11,6 @@
 // shared store first.
 
 const (
-	tableBytes   = 24 << 20               // of keys and results; with no room, refuse before running
 	entryBytes   = 512                    // of an entry beyond its token and result
 	resultBytes  = 4 << 10                // room that a result may need
 	windowMargin = 2 * time.Second        // an entry outlives its window: a repeat may be read late
@@ -46,6 +45,36 @@
 type table struct {
 	entries map[Key]*entry
 	bytes   int
+	kept    []*entry // those with a result, the oldest first
+}
+
+// resize books another size of an entry that is in the table.
+func (t *table) resize(e *entry, size int) {
+	if t.entries[e.key] == e {
+		t.bytes += size - e.size
+		e.size = size
+	}
+}
+
+func (t *table) drop(e *entry) {
+	if t.entries[e.key] == e {
+		delete(t.entries, e.key)
+		t.bytes -= e.size
+		e.result = nil
+	}
+}
+
+// shrink drops the oldest results until the rest fits: that a try has run is kept for its window, and a
+// repeat then fails, which costs less than turning new requests away.
+func (t *table) shrink(limit int) {
+	for t.bytes > limit && len(t.kept) > 0 {
+		e := t.kept[0]
+		t.kept = t.kept[1:]
+		if e.phase == done && e.result != nil {
+			t.resize(e, e.size-len(e.result))
+			e.phase, e.result = failed, nil
+		}
+	}
 }
 
 // routeKeyed links the tries of one request. Guards against effects that happen twice: a try whose key is
@@ -57,7 +86,7 @@
 	switch {
 	case e == nil:
 		size := entryBytes + len(r.Token) + resultBytes
-		if c.table.bytes+size > tableBytes {
+		if c.table.shrink(c.site.Bounds.Table - size); c.table.bytes+size > c.site.Bounds.Table {
 			c.forgetHandle(r)
 			c.turnAway(r, Refused, "no room for its key")
 			return
@@ -127,8 +156,10 @@
 func (c *Core) conclude(e *entry, ok bool, result []byte) {
 	e.phase, e.owner, e.result = failed, nil, nil
 	if ok {
-		e.phase, e.result = done, append([]byte(nil), result...)
+		e.phase, e.result = done, append([]byte{}, result...)
+		c.table.kept = append(c.table.kept, e)
 	}
+	c.table.resize(e, entryBytes+len(e.key.Token)+len(e.result))
 	if e.claimed {
 		c.store.Finish(e.key, e.sum, ok, result, e.until-c.now)
 	}
@@ -148,10 +179,7 @@
 // either: the next of them takes its place, as if it came only now.
 func (c *Core) release(e *entry) {
 	c.late.drop(&e.expiry)
-	if c.table.entries[e.key] == e {
-		delete(c.table.entries, e.key)
-		c.table.bytes -= e.size
-	}
+	c.table.drop(e)
 	if e.claimed {
 		c.store.Release(e.key)
 	}
@@ -182,9 +210,9 @@
 		c.late.set(&e.expiry, c.now+windowMargin)
 		return
 	}
-	if c.table.entries[e.key] == e {
-		delete(c.table.entries, e.key)
-		c.table.bytes -= e.size
+	c.table.drop(e)
+	for len(c.table.kept) > 0 && c.table.kept[0].result == nil {
+		c.table.kept = c.table.kept[1:]
 	}
 }
 
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/base64"
 	"errors"
 	"log/slog"
@@ -17,7 +18,9 @@
 const (
 	codeRefused = -32001
 	codeFailed  = -32000
-	maxOpen     = 64 // requests on one connection; balancers keep to 32
+	maxOpen     = 32                      // requests on one connection
+	firstWithin = 1500 * time.Millisecond // after connecting, the first message is whole
+	lineWithin  = 1500 * time.Millisecond // after its first byte, a further one is
 )
 
 // Front turns lines into the core's events and its answers into lines.
@@ -33,6 +36,7 @@
 // session is one connection. Its lock guards the ids that are open on it.
 type session struct {
 	box  *sock.Box
+	last uint64 // the highest id so far; of its reader
 	mu   sync.Mutex
 	open map[string]string // handle by id
 }
@@ -43,14 +47,15 @@
 // Close closes the connection once all is written.
 func (s *session) Close() { s.box.Close() }
 
-// take notes an open id; false = it is open already, or too many are.
-func (s *session) take(id, handle string) bool {
+// take notes an open id; false = it does not count up, or too many are open.
+func (s *session) take(m message) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, dup := s.open[id]; dup || len(s.open) >= maxOpen {
+	if m.num <= s.last || len(s.open) >= maxOpen {
 		return false
 	}
-	s.open[id] = handle
+	s.last = m.num
+	s.open[m.id] = m.req.Handle
 	return true
 }
 
@@ -60,10 +65,17 @@
 	delete(s.open, id)
 }
 
-func (s *session) handle(id string) string {
+// withdraw takes an open request off, named by its id or, with no id, by its handle; "" = none is open.
+func (s *session) withdraw(id, handle string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open[id]
+	for i, h := range s.open {
+		if i == id || id == "" && h == handle {
+			delete(s.open, i)
+			return h
+		}
+	}
+	return ""
 }
 
 // Handle reads one connection until it ends.
@@ -72,8 +84,10 @@
 	f.core.Send(core.Opened{Session: s})
 	defer f.core.Send(core.Closed{Session: s})
 	in := bufio.NewReaderSize(conn, maxLine)
+	within := firstWithin
 	for {
-		line, err := sock.Line(in)
+		line, err := readLine(conn, in, within)
+		within = 0
 		if err != nil {
 			if errors.Is(err, sock.ErrLong) {
 				f.log.Warn("bad message", "front", "jsonrpc", "err", err)
@@ -86,30 +100,45 @@
 	}
 }
 
-// message takes one line; false = the connection cannot go on.
+// readLine reads a line. The wait for its first byte is bounded by within, 0 = not at all: the core closes
+// what stands idle. A line that has begun has to come whole: guards against clients that send half of one.
+func readLine(conn net.Conn, in *bufio.Reader, within time.Duration) ([]byte, error) {
+	if p, _ := in.Peek(in.Buffered()); bytes.IndexByte(p, '\n') >= 0 {
+		return sock.Line(in)
+	}
+	if within == 0 {
+		if _, err := in.Peek(1); err != nil {
+			return nil, err
+		}
+		within = lineWithin
+	}
+	conn.SetReadDeadline(time.Now().Add(within))
+	defer conn.SetReadDeadline(time.Time{})
+	return sock.Line(in)
+}
+
+// message takes one line; false = the connection cannot go on. Whoever breaks the protocol gets an error
+// where an id can be read, and loses the connection with all that is open on it: guards against clients that
+// send what is no request at full speed, for as long as they are let.
 func (f *Front) message(s *session, line []byte) bool {
 	m, bad := parse(line, f.site)
+	if bad == nil && m.num > 0 && !s.take(m) {
+		bad = &fault{badRequest, "the id is not new, or too many are open"}
+	}
 	if bad != nil {
 		f.log.Warn("bad message", "front", "jsonrpc", "err", bad)
-		if m.id == "" {
-			return false
+		if m.id != "" {
+			s.box.Send(errorLine(m.id, bad.code, bad.text, nil))
 		}
-		s.box.Send(errorLine(m.id, bad.code, bad.text, nil))
-		return true
+		return false
 	}
 	switch m.method {
 	case "status":
 		f.core.Send(core.Check{Session: s, Reply: reply{s, m.id}})
 	case "withdraw":
-		if m.req.Handle == "" {
-			m.req.Handle = s.handle(m.ref)
-		}
-		f.core.Send(core.Withdraw{Handle: m.req.Handle})
+		m.req.Handle = s.withdraw(m.ref, m.req.Handle)
+		f.core.Send(core.Withdraw{Session: s, Handle: m.req.Handle})
 	default:
-		if !s.take(m.id, m.req.Handle) {
-			s.box.Send(errorLine(m.id, badRequest, "the id is open, or too many are", nil))
-			return true
-		}
 		f.core.Send(core.Arrive{Session: s, Reply: reply{s, m.id}, Req: m.req})
 	}
 	return true
@@ -153,6 +182,7 @@
 		}
 	case core.Conflict, core.Invalid:
 		code = badParams
+		defer r.s.box.Close() // no balancer asks for that
 	}
 	r.s.box.Send(errorLine(r.id, code, a.Why, data))
 }
--- a/internal/jsonrpc/front_test.go
+++ b/internal/jsonrpc/front_test.go
@@ -29,7 +29,7 @@
 
 // ask is a request line; more holds further params.
 func ask(id int, method, rid, more string) string {
-	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":"north","budget":4000,`+
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"%016s","t0":%d,"peer":1,"acct":"north","budget":4000,`+
 		`"mem":24.5,"prio":0.9,"bytes":"Ym9keQ=="%s}}`+"\n", id, method, rid, time.Now().UnixMilli(), more)
 }
 
@@ -49,7 +49,18 @@
 		"no method":      {`{"jsonrpc":"2.0","id":1}`, -32600},
 		"unknown class":  {strings.Replace(good, `"quote"`, `"walk"`, 1), -32601},
 		"no params":      {`{"jsonrpc":"2.0","id":1,"method":"quote"}`, -32602},
-		"rid with space": {strings.Replace(good, `"rid":"a"`, `"rid":"a b"`, 1), -32602},
+		"rid no hex":     {strings.Replace(good, `"rid":"0`, `"rid":"x`, 1), -32602},
+		"a short rid":    {strings.Replace(good, `"rid":"0`, `"rid":"`, 1), -32602},
+		"id a string":    {strings.Replace(good, `"id":1,`, `"id":"1",`, 1), -32600},
+		"id of 0":        {strings.Replace(good, `"id":1,`, `"id":0,`, 1), -32600},
+		"id a fraction":  {strings.Replace(good, `"id":1,`, `"id":1.5,`, 1), -32600},
+		"old t0":         {strings.Replace(good, `"t0":`, `"t0":1,"t9":`, 1), -32602},
+		"t0 to come":     {strings.Replace(good, `"t0":`, `"t0":9`, 1), -32602},
+		"no peer":        {strings.Replace(good, `"peer"`, `"pear"`, 1), -32602},
+		"peer below 0":   {strings.Replace(good, `"peer":1`, `"peer":-1`, 1), -32602},
+		"unknown tenant": {strings.Replace(good, `north`, `west`, 1), -32602},
+		"budget below 0": {strings.Replace(good, `4000`, `-4000`, 1), -32602},
+		"prio of 1":      {strings.Replace(good, `0.9`, `1`, 1), -32602},
 		"no t0":          {strings.Replace(good, `"t0"`, `"t9"`, 1), -32602},
 		"budget a word":  {strings.Replace(good, `4000`, `"x"`, 1), -32602},
 		"mem of 0":       {strings.Replace(good, `24.5`, `0`, 1), -32602},
@@ -66,7 +77,8 @@
 						t.Errorf("answered %q", rest)
 					}
 				} else {
-					p.Expect(fmt.Sprintf(`"id":1,"error":{"code":%d,`, c.code))
+					p.Expect(fmt.Sprintf(`"id":("1"|[01.5]+),"error":{"code":%d,`, c.code))
+					p.Rest() // and the connection ends
 				}
 				w.Expect(ms)
 			})
@@ -79,35 +91,104 @@
 	play(t, func(w *scenario.World, p *scenario.Peer) {
 		p.Send(`{"jsonrpc":"2.0","id":9,"method":"status"}`, "\n")
 		p.Expect(`^{"jsonrpc":"2.0","id":9,"result":{"up":true`)
-		p.Send(ask(1, "quote", "a", ""), ask(2, "book", "b", `,"token":"k"`), ask(2, "quote", "c", ""), "\n")
-		p.Expect(`"id":2,"error":{"code":-32600`)
-		w.Expect(ms, "run b book body", "run a quote body")
-		w.Send(core.PoolFinished{Handle: "b", End: control.OK, Body: []byte{0, 255, '"'}})
+		p.Send(ask(1, "quote", "a", ""), ask(2, "book", "b", `,"token":"k"`), "\n")
+		w.Expect(ms, "run 000000000000000b book body", "run 000000000000000a quote body")
+		w.Send(core.PoolFinished{Handle: "000000000000000b", End: control.OK, Body: []byte{0, 255, '"'}})
 		p.Expect(`^{"jsonrpc":"2.0","id":2,"result":{"bytes":"AP8i","hint":0}}$`)
-		w.Send(core.PoolFinished{Handle: "a", End: control.Errored})
+		w.Send(core.PoolFinished{Handle: "000000000000000a", End: control.Errored})
 		p.Expect(`^{"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"the run failed","data":{"hint":0}}}$`)
 	})
 }
 
 // A withdraw names the try or the id; then no answer is sent.
 func TestWithdraw(t *testing.T) {
-	for _, line := range []string{`"method":"withdraw","params":{"rid":"a"}`, `"method":"withdraw","params":{"id":1}`,
+	for _, line := range []string{`"method":"withdraw","params":{"rid":"000000000000000a"}`, `"method":"withdraw","params":{"id":1}`,
 		`"method":"withdraw","id":1`} {
 		play(t, func(w *scenario.World, p *scenario.Peer) {
 			p.Send(ask(1, "quote", "a", ""))
-			w.Expect(ms, "run a quote body")
+			w.Expect(ms, "run 000000000000000a quote body")
 			p.Send(`{"jsonrpc":"2.0",`, line, "}\n")
-			w.Expect(ms, "stop a")
-			w.Send(core.PoolFinished{Handle: "a", End: control.Stopped})
-			p.Send(`{"jsonrpc":"2.0","id":2,"method":"status"}`, "\n")
-			p.Expect(`^{"jsonrpc":"2.0","id":2`)
+			w.Expect(ms, "stop 000000000000000a")
+			w.Send(core.PoolFinished{Handle: "000000000000000a", End: control.Stopped})
+			for id := range 40 { // what is taken back is not open any longer
+				p.Send(ask(id+2, "quote", fmt.Sprint(id), ""), fmt.Sprintf(`{"jsonrpc":"2.0","method":"withdraw","params":{"id":%d}}`, id+2), "\n")
+			}
+			p.Send(`{"jsonrpc":"2.0","id":99,"method":"status"}`, "\n")
+			p.Expect(`^{"jsonrpc":"2.0","id":99`)
 		})
 	}
 }
 
+// What breaks the protocol ends the connection, and with it all that is open there: none of it is served.
+func TestWhoBreaksTheProtocolIsNotServed(t *testing.T) {
+	many := func(from, to int) (all string) {
+		for id := from; id <= to; id++ {
+			all += ask(id, "book", fmt.Sprint(id), fmt.Sprintf(`,"token":"%d"`, id))
+		}
+		return all
+	}
+	for name, last := range map[string]string{"an id twice": many(32, 32), "an id that counts down": many(31, 31), "too many": many(33, 33),
+		"a rid twice": strings.Replace(ask(33, "quote", "1", ""), `"id":1`, `"id":33`, 1), "an end": ""} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(w *scenario.World, p *scenario.Peer) {
+				first := many(1, 31)
+				if name != "a rid twice" && name != "an id that counts down" {
+					first += many(32, 32)
+				}
+				p.Send(first)
+				time.Sleep(ms)
+				ran := w.Handles()
+				if len(ran) == 0 || len(ran) == 32 {
+					t.Errorf("%d ran", len(ran))
+				}
+				if p.Send(last); last == "" {
+					p.Close()
+				} else if rest := p.Rest(); !strings.Contains(rest, `"error":{"code":-326`) || strings.Contains(rest, "result") {
+					t.Errorf("read %q", rest)
+				}
+				time.Sleep(ms)
+				for _, h := range ran { // the rest is run for nobody
+					w.Send(core.PoolFinished{Handle: h, End: control.OK})
+				}
+				time.Sleep(5 * time.Second)
+				if more := w.Handles(); len(more) != len(ran) {
+					t.Errorf("%d more ran", len(more)-len(ran))
+				}
+			})
+		})
+	}
+}
+
+// Who connects and says nothing, or half of something, is closed in time; one that is merely idle stays.
+func TestSilence(t *testing.T) {
+	play(t, func(w *scenario.World, p *scenario.Peer) {
+		start := time.Now()
+		for _, said := range []string{"", `{"jsonrpc":`} {
+			p.Send(said)
+			if p.Rest(); time.Since(start) > 2*time.Second {
+				t.Errorf("closed after %v", time.Since(start))
+			}
+		}
+	})
+	play(t, func(w *scenario.World, p *scenario.Peer) {
+		status := `{"jsonrpc":"2.0","id":1,"method":"status"}` + "\n"
+		p.Send(status)
+		p.Expect(`"up":true`)
+		time.Sleep(9 * time.Second)
+		p.Send(status, `{"json`)
+		p.Expect(`"up":true`)
+		start := time.Now()
+		if p.Rest(); time.Since(start) > 2*time.Second {
+			t.Errorf("half a line stood %v", time.Since(start))
+		}
+	})
+}
+
 // On the notice to leave every connection is told, and what comes too late is refused with advice.
 func TestDrain(t *testing.T) {
 	play(t, func(w *scenario.World, p *scenario.Peer) {
+		p.Send(`{"jsonrpc":"2.0","id":1,"method":"status"}`, "\n")
+		p.Expect(`"up":true`)
 		w.Expect(ms)
 		w.Send(core.Drain{})
 		p.Expect(`^{"jsonrpc":"2.0","method":"draining"}$`)
--- a/internal/jsonrpc/parse.go
+++ b/internal/jsonrpc/parse.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -21,11 +22,14 @@
 )
 
 const (
-	maxLine = 16 << 10
+	maxLine = 8 << 10
 	maxBody = 2 << 10
-	maxName = 128     // of a handle or a token
-	maxHeld = 2000    // kilobytes that a request may take
-	maxWait = 1 << 32 // milliseconds
+	maxName = 128              // of a token or an id
+	maxHeld = 2000             // kilobytes that a request may take
+	maxWait = 1 << 32          // milliseconds
+	maxID   = 1 << 53          // the largest whole number that any JSON reader keeps
+	stale   = 10 * time.Minute // older than any caller waits
+	ahead   = 2 * time.Second  // of this machine's clock
 )
 
 // fault is a complaint about a message.
@@ -39,6 +43,7 @@
 // message is one line as values.
 type message struct {
 	id     string // as it was written; empty = none
+	num    uint64 // of a request
 	method string
 	req    core.Incoming
 	ref    string // withdraw: the id of the request, as it was written
@@ -87,15 +92,24 @@
 	if m.req.Class = site.Class(m.method); m.req.Class < 0 {
 		return m, &fault{badMethod, "unknown class"}
 	}
-	if m.id == "" {
-		return m, &fault{badRequest, "a request without an id"}
+	if m.num = whole(m.id, maxID); m.num == 0 {
+		return m, &fault{badRequest, "a request whose id is no number from 1 up"}
 	}
 	return m, request(&m.req, params, site)
 }
 
+// whole reads digits alone; 0 = they are no number from 1 to limit.
+func whole(s string, limit uint64) uint64 {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || n > limit || s[0] == '+' {
+		return 0
+	}
+	return n
+}
+
 // request reads the params of a request.
 func request(q *core.Incoming, params gjson.Result, site *core.Site) *fault {
-	var stamp, budget, mem, prio, bytes gjson.Result
+	var peer, stamp, budget, mem, prio, acct, bytes gjson.Result
 	q.Tenant = -1
 	params.ForEach(func(k, v gjson.Result) bool {
 		switch k.Str {
@@ -104,8 +118,9 @@
 		case "t0":
 			stamp = v
 		case "peer":
-			q.Caller = uint32(v.Uint())
+			peer = v
 		case "acct":
+			acct = v
 			q.Tenant = site.Tenant(v.Str)
 		case "budget":
 			budget = v
@@ -124,15 +139,20 @@
 	})
 	bad := func(what string) *fault { return &fault{badParams, what} }
 	switch {
-	case q.Handle == "" || len(q.Handle) > maxName || !plain(q.Handle):
+	case !isRID(q.Handle):
 		return bad("rid")
-	case stamp.Type != gjson.Number || !(stamp.Num > 0 && stamp.Num < 1e15):
+	case stamp.Type != gjson.Number || !(stamp.Num > 0 && stamp.Num < 1e15) ||
+		time.Since(time.UnixMilli(int64(stamp.Num))) > stale || time.Until(time.UnixMilli(int64(stamp.Num))) > ahead:
 		return bad("t0")
-	case budget.Exists() && (budget.Type != gjson.Number || !(math.Abs(budget.Num) < maxWait)):
+	case peer.Type != gjson.Number || !(peer.Num >= 0 && peer.Num <= math.MaxUint32) || peer.Num != math.Trunc(peer.Num):
+		return bad("peer")
+	case len(site.Tenants) > 0 && q.Tenant < 0, acct.Exists() && acct.Type != gjson.String:
+		return bad("acct")
+	case budget.Exists() && (budget.Type != gjson.Number || !(budget.Num > 0 && budget.Num < maxWait)):
 		return bad("budget")
 	case mem.Type != gjson.Number || !(mem.Num > 0 && mem.Num < maxHeld):
 		return bad("mem")
-	case prio.Type != gjson.Number || !(prio.Num >= 0 && prio.Num <= 1):
+	case prio.Type != gjson.Number || !(prio.Num >= 0 && prio.Num < 1):
 		return bad("prio")
 	case bytes.Type != gjson.String:
 		return bad("bytes")
@@ -148,18 +168,18 @@
 	if budget.Exists() {
 		q.Budget = max(time.Duration(budget.Num*float64(time.Millisecond)), time.Millisecond)
 	}
-	q.Memory, q.Rank = mem.Num, prio.Num
+	q.Memory, q.Rank, q.Caller = mem.Num, prio.Num, uint32(peer.Num)
 	return nil
 }
 
-// plain tells whether a handle is one word of visible ASCII, as it stands in lines of other protocols.
-func plain(s string) bool {
+// isRID tells whether a handle is 16 hex digits. It stands in lines of other protocols.
+func isRID(s string) bool {
 	for i := 0; i < len(s); i++ {
-		if s[i] <= ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+		if c := s[i] | 0x20; !(s[i] >= '0' && s[i] <= '9' || c >= 'a' && c <= 'f') {
 			return false
 		}
 	}
-	return true
+	return len(s) == 16
 }
 
 // hash is FNV-1a: what a read is about, as a number.
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -22,7 +22,7 @@
 // Site is a small server: quote may be repeated, book is keyed, and both may call below.
 func Site() core.Site {
 	return core.Site{Classes: []string{"quote", "book"}, Tenants: []string{"north", "south"}, Gauges: []string{"core_use", "on_cores"},
-		Stop: 4 * time.Second,
+		Stop: 4 * time.Second, Bounds: core.Bounds{Sessions: 8, Open: 100, Table: 1 << 20},
 		Control: control.Config{Seed: 1, Cores: 2, Servers: 1, Callers: 1, Advert: control.AdvertLevel,
 			Stopping: control.StopDrops, CallsTier: true, Memory: 100000, RunFactor: 8, KeyMemory: 1, Crowd: 8,
 			CrowdFor: time.Second, DrainGrace: 2 * time.Second, Slack: 80 * time.Millisecond, HeardFor: time.Second,
@@ -105,7 +105,7 @@
 // Front serves connections by handle, as a server does its listener's, and gives what dials it.
 func (w *World) Front(handle func(net.Conn, *sock.Box)) (dial func() *Peer) {
 	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
-	s := sock.NewServer(l, 64, handle)
+	s := sock.NewServer(l, 64, &sock.Budget{Peer: 1 << 18, All: 1 << 20}, handle)
 	go s.Serve()
 	w.t.Cleanup(func() { s.Stop(time.Second) })
 	return func() *Peer {
--- a/internal/sock/box.go
+++ b/internal/sock/box.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,10 +14,16 @@
 var ErrFull = errors.New("too much is waiting to be written")
 
 const (
-	maxWaiting   = 1 << 20
+	maxWaiting   = 1 << 20 // for a link; a server sets its own
 	writeTimeout = 2 * time.Second
 )
 
+// Budget bounds what waits to be written to all peers of a server together.
+type Budget struct {
+	Peer, All int // bytes, for one and for all
+	used      atomic.Int64
+}
+
 // Box writes to one connection, in order, from a goroutine that exists only while there is something to
 // write. A peer that reads too slowly loses the connection: it must not slow anyone else.
 type Box struct {
@@ -24,6 +31,8 @@
 	mu      sync.Mutex
 	waiting net.Buffers
 	size    int
+	limit   int
+	budget  *Budget // nil = none
 	writing bool
 	closing bool // close once all is written
 	dead    bool
@@ -31,7 +40,9 @@
 }
 
 // NewBox makes the box of a connection, which is closed with it.
-func NewBox(conn net.Conn) *Box { return &Box{conn: conn, done: make(chan struct{})} }
+func NewBox(conn net.Conn) *Box {
+	return &Box{conn: conn, limit: maxWaiting, done: make(chan struct{})}
+}
 
 // Send queues parts to be written together; the box keeps them. False = the connection is gone.
 func (b *Box) Send(parts ...[]byte) bool {
@@ -40,13 +51,15 @@
 	if b.dead || b.closing {
 		return false
 	}
+	more := 0
 	for _, p := range parts {
-		b.size += len(p)
+		more += len(p)
 	}
-	if b.size > maxWaiting {
+	if b.size+more > b.limit || b.budget != nil && b.budget.used.Load()+int64(more) > int64(b.budget.All) {
 		b.kill()
 		return false
 	}
+	b.grow(more)
 	b.waiting = append(b.waiting, parts...)
 	if !b.writing {
 		b.writing = true
@@ -55,18 +68,26 @@
 	return true
 }
 
+func (b *Box) grow(by int) {
+	b.size += by
+	if b.budget != nil {
+		b.budget.used.Add(int64(by))
+	}
+}
+
 func (b *Box) write() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for len(b.waiting) > 0 && !b.dead {
-		out := b.waiting
-		b.waiting, b.size = nil, 0
+		out, size := b.waiting, b.size
+		b.waiting = nil
 		b.mu.Unlock()
 		err := b.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if err == nil {
 			_, err = out.WriteTo(b.conn)
 		}
 		b.mu.Lock()
+		b.grow(-size) // until it is written it counts
 		if err != nil {
 			b.kill()
 		}
@@ -97,6 +118,9 @@
 func (b *Box) kill() {
 	if !b.dead {
 		b.dead = true
+		for _, p := range b.waiting {
+			b.grow(-len(p))
+		}
 		b.waiting = nil
 		b.conn.Close()
 		close(b.done)
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -11,14 +11,16 @@
 type Server struct {
 	listener net.Listener
 	room     chan struct{}
+	budget   *Budget
 	handle   func(net.Conn, *Box)
 	mu       sync.Mutex
 	boxes    map[*Box]struct{}
 }
 
 // NewServer serves up to limit connections at a time by handle, which returns when its connection is over.
-func NewServer(l net.Listener, limit int, handle func(net.Conn, *Box)) *Server {
-	return &Server{listener: l, room: make(chan struct{}, limit), handle: handle, boxes: map[*Box]struct{}{}}
+// What waits to be written to them is bounded by budget.
+func NewServer(l net.Listener, limit int, budget *Budget, handle func(net.Conn, *Box)) *Server {
+	return &Server{listener: l, room: make(chan struct{}, limit), budget: budget, handle: handle, boxes: map[*Box]struct{}{}}
 }
 
 // Serve accepts until the listener is closed. A connection beyond the limit is closed unseen: that proves
@@ -44,6 +46,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	b := NewBox(conn)
+	b.limit, b.budget = s.budget.Peer, s.budget
 	s.mu.Lock()
 	s.boxes[b] = struct{}{}
 	s.mu.Unlock()
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -13,19 +13,24 @@
 // A peer that does not read loses its connection, by time or by what waits for it; the sender never waits.
 func TestASlowPeerIsCutOff(t *testing.T) {
 	for name, c := range map[string]struct {
-		size  int
-		after time.Duration
-	}{"by time": {1, writeTimeout}, "by size": {maxWaiting + 1, 0}} {
+		size, all int
+		after     time.Duration
+	}{"by time": {1, 1 << 30, writeTimeout}, "by size": {1<<20 + 1, 1 << 30, 0}, "by all": {10, 9, 0}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				mine, _ := net.Pipe()
 				b := NewBox(mine)
+				b.limit, b.budget = 1<<20, &Budget{All: c.all}
 				start := time.Now()
 				b.Send(make([]byte, c.size))
 				<-b.Done()
 				if d := time.Since(start); d != c.after || b.Send(nil) {
 					t.Errorf("cut off after %v", d)
 				}
+				synctest.Wait()
+				if n := b.budget.used.Load(); n != 0 {
+					t.Errorf("%d bytes still count", n)
+				}
 			})
 		})
 	}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -101,7 +101,7 @@
 	}
 	if path := v.get("PATH_INFO"); path == f.opt.Health && path != "" {
 		f.core.Send(core.Check{Session: s, Reply: reply{box}})
-		f.awaitEnd(in, "")
+		f.awaitEnd(s, in, "")
 		return
 	}
 	q, problem := f.opt.request(v, body, f.site, arrived)
@@ -117,12 +117,12 @@
 		return
 	}
 	f.core.Send(core.Arrive{Session: s, Reply: reply{box}, Req: q})
-	f.awaitEnd(in, q.Handle)
+	f.awaitEnd(s, in, q.Handle)
 }
 
 // awaitEnd drops what still comes until the connection ends: by the answer, or by a client that hangs up,
 // which withdraws its request.
-func (f *Front) awaitEnd(in *bufio.Reader, handle string) {
+func (f *Front) awaitEnd(s *session, in *bufio.Reader, handle string) {
 	for stray := 0; stray < maxStray; {
 		n, err := in.Discard(1)
 		stray += n
@@ -131,7 +131,7 @@
 		}
 	}
 	if handle != "" {
-		f.core.Send(core.Withdraw{Handle: handle})
+		f.core.Send(core.Withdraw{Session: s, Handle: handle})
 	}
 }
 
--- a/internal/uwsgi/front_test.go
+++ b/internal/uwsgi/front_test.go
@@ -112,7 +112,7 @@
 		log := slog.New(slog.DiscardHandler)
 		desk := w.Front(uwsgi.New(uwsgi.Defaults(), &site, w.Core, log).Handle)
 		balancer := w.Front(jsonrpc.New(&site, w.Core, log).Handle)()
-		line := `{"jsonrpc":"2.0","id":%d,"method":"book","params":{"rid":"r%d","t0":%d,"mem":20,"prio":0.9,"token":"k","bytes":"Ym9keQ=="}}` + "\n"
+		line := `{"jsonrpc":"2.0","id":%d,"method":"book","params":{"rid":"%016x","t0":%d,"peer":1,"acct":"north","mem":20,"prio":0.9,"token":"k","bytes":"Ym9keQ=="}}` + "\n"
 		var desks []*scenario.Peer
 		for i := range 20 {
 			p := desk()
@@ -177,7 +177,7 @@
 				}()
 			}
 			byBalancer := func() {
-				balancer.Send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"r%d","t0":%d,"acct":"north","budget":4000,`+
+				balancer.Send(fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":"%016x","t0":%d,"peer":1,"acct":"north","budget":4000,`+
 					`"mem":64,"prio":0.5,"token":"b%d","bytes":"Ym9keQ=="}}`+"\n", id, class, id, time.Now().UnixMilli(), id))
 			}
 			turns := []func(){byDesk, byBalancer}
