Let a copied id or key cost its connection nothing, and ask for a first message that asks

Up to 46 connections that said nothing of use stood open for seconds: a blank line or a withdraw counted as the first message.

--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -28,6 +28,9 @@
 			out = x
 		}
 	}
+	if out == nil && n > c.site.Bounds.Sessions {
+		c.log.Warn("crowded", "connections", n, "open", len(c.byHandle))
+	}
 	if out != nil && n > c.site.Bounds.Sessions {
 		c.late.drop(&out.idle)
 		c.hangUp(out)
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -35,10 +35,11 @@
 
 // session is one connection. Its lock guards the ids that are open on it.
 type session struct {
-	box  *sock.Box
-	last uint64 // the highest id so far; of its reader
-	mu   sync.Mutex
-	open map[string]string // handle by id
+	box   *sock.Box
+	asked bool   // a request or a check came; of its reader, as is last
+	last  uint64 // the highest id so far
+	mu    sync.Mutex
+	open  map[string]string // handle by id
 }
 
 // Drain says that nothing new should come on this connection.
@@ -59,6 +60,12 @@
 	return true
 }
 
+func (s *session) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 func (s *session) release(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,13 +91,19 @@
 	f.core.Send(core.Opened{Session: s})
 	defer f.core.Send(core.Closed{Session: s})
 	in := bufio.NewReaderSize(conn, maxLine)
-	within := firstWithin
+	first := time.Now().Add(firstWithin)
 	for {
+		within := time.Duration(0)
+		if !s.asked {
+			within = max(time.Until(first), time.Millisecond)
+		}
 		line, err := readLine(conn, in, within)
-		within = 0
 		if err != nil {
-			if errors.Is(err, sock.ErrLong) {
+			switch {
+			case errors.Is(err, sock.ErrLong):
 				f.log.Warn("bad message", "front", "jsonrpc", "err", err)
+			case box.Err() != nil:
+				f.log.Warn("connection cut", "front", "jsonrpc", "open", s.count(), "err", box.Err())
 			}
 			return
 		}
@@ -126,7 +139,7 @@
 		bad = &fault{badRequest, "the id is not new, or too many are open"}
 	}
 	if bad != nil {
-		f.log.Warn("bad message", "front", "jsonrpc", "err", bad)
+		f.log.Warn("bad message", "front", "jsonrpc", "open", s.count(), "err", bad)
 		if m.id != "" {
 			s.box.Send(errorLine(m.id, bad.code, bad.text, nil))
 		}
@@ -134,11 +147,13 @@
 	}
 	switch m.method {
 	case "status":
+		s.asked = true
 		f.core.Send(core.Check{Session: s, Reply: reply{s, m.id}})
 	case "withdraw":
 		m.req.Handle = s.withdraw(m.ref, m.req.Handle)
 		f.core.Send(core.Withdraw{Session: s, Handle: m.req.Handle})
 	default:
+		s.asked = true
 		f.core.Send(core.Arrive{Session: s, Reply: reply{s, m.id}, Req: m.req})
 	}
 	return true
@@ -181,8 +196,8 @@
 			data = append(sep(data), `"final":1`...)
 		}
 	case core.Conflict, core.Invalid:
+		// The connection stays: who copies the id or key of a request that is on its way may come before it.
 		code = badParams
-		defer r.s.box.Close() // no balancer asks for that
 	}
 	r.s.box.Send(errorLine(r.id, code, a.Why, data))
 }
--- a/internal/jsonrpc/front_test.go
+++ b/internal/jsonrpc/front_test.go
@@ -163,11 +163,19 @@
 func TestSilence(t *testing.T) {
 	play(t, func(w *scenario.World, p *scenario.Peer) {
 		start := time.Now()
-		for _, said := range []string{"", `{"jsonrpc":`} {
-			p.Send(said)
-			if p.Rest(); time.Since(start) > 2*time.Second {
-				t.Errorf("closed after %v", time.Since(start))
-			}
+		if p.Rest(); time.Since(start) > 2*time.Second {
+			t.Errorf("closed after %v", time.Since(start))
+		}
+	})
+	play(t, func(w *scenario.World, p *scenario.Peer) {
+		start := time.Now()
+		for range 3 { // what asks for nothing keeps no connection
+			p.Send("\n", `{"jsonrpc":"2.0","method":"withdraw","params":{"id":7}}`, "\n")
+			time.Sleep(400 * ms)
+		}
+		p.Send(`{"jsonrpc":`)
+		if p.Rest(); time.Since(start) > 2*time.Second {
+			t.Errorf("closed after %v", time.Since(start))
 		}
 	})
 	play(t, func(w *scenario.World, p *scenario.Peer) {
--- a/internal/sock/box.go
+++ b/internal/sock/box.go
@@ -36,6 +36,7 @@
 	writing bool
 	closing bool // close once all is written
 	dead    bool
+	why     error // it is dead for another reason than Close or Kill
 	done    chan struct{}
 }
 
@@ -56,6 +57,7 @@
 		more += len(p)
 	}
 	if b.size+more > b.limit || b.budget != nil && b.budget.used.Load()+int64(more) > int64(b.budget.All) {
+		b.why = ErrFull
 		b.kill()
 		return false
 	}
@@ -89,6 +91,9 @@
 		b.mu.Lock()
 		b.grow(-size) // until it is written it counts
 		if err != nil {
+			if !b.dead {
+				b.why = err
+			}
 			b.kill()
 		}
 	}
@@ -127,5 +132,12 @@
 	}
 }
 
+// Err tells why the box closed the connection by itself; nil = it did not.
+func (b *Box) Err() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.why
+}
+
 // Done is closed when the connection is.
 func (b *Box) Done() <-chan struct{} { return b.done }
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	listener net.Listener
 	room     chan struct{}
 	budget   *Budget
+	away     atomic.Int64
 	handle   func(net.Conn, *Box)
 	mu       sync.Mutex
 	boxes    map[*Box]struct{}
@@ -39,11 +41,15 @@
 		case s.room <- struct{}{}:
 			go s.serve(conn)
 		default:
+			s.away.Add(1)
 			conn.Close()
 		}
 	}
 }
 
+// Away is how many connections were closed for want of room.
+func (s *Server) Away() int64 { return s.away.Load() }
+
 func (s *Server) serve(conn net.Conn) {
 	b := NewBox(conn)
 	b.limit, b.budget = s.budget.Peer, s.budget
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -24,7 +24,7 @@
 				start := time.Now()
 				b.Send(make([]byte, c.size))
 				<-b.Done()
-				if d := time.Since(start); d != c.after || b.Send(nil) {
+				if d := time.Since(start); d != c.after || b.Send(nil) || b.Err() == nil {
 					t.Errorf("cut off after %v", d)
 				}
 				synctest.Wait()
