Wait before a call that was turned away is made again, twice as long each time

Now it waits half a mean call, then twice as long.

A call with an effect, turned away, is made again as before, after the wait; a test guards both.

--- a/control/control.go
+++ b/control/control.go
@@ -56,16 +56,18 @@
 
 // Calls below.
 const (
-	callPart    = 0.60            // of the share of calls that kills the dependency: most that are in hand
-	callMean    = 1.25            // times the bound: the mean of calls in hand where the bound is under one
-	callLeast   = 0.20            // of that share: least bound, so that calls go on and find out
-	callSlow    = 2.5             // times the quickest mean of late: above this the bound shrinks
-	callEase    = 0.30            // of the bound: what a slow call takes off, a good one adds
-	callCut     = 0.80            // the bound after a call that failed
-	callLearn   = 0.10            // least weight of the newest call in the mean; more after a pause
-	callRelearn = 0.001           // growth of the quickest mean a call, to follow a changed dependency
+	callPart    = 0.60  // of the share of calls that kills the dependency: most that are in hand
+	callMean    = 1.25  // times the bound: the mean of calls in hand where the bound is under one
+	callLeast   = 0.20  // of that share: least bound, so that calls go on and find out
+	callSlow    = 2.5   // times the quickest mean of late: above this the bound shrinks
+	callEase    = 0.30  // of the bound: what a slow call takes off, a good one adds
+	callCut     = 0.80  // the bound after a call that failed
+	callLearn   = 0.10  // least weight of the newest call in the mean; more after a pause
+	callRelearn = 0.001 // growth of the quickest mean a call, to follow a changed dependency
+	callPause   = 0.5   // of the mean of calls: a call that was turned away waits so long, then twice
+	minPause    = 5 * time.Millisecond
 	callGiveUp  = 5.0             // times the mean of calls, or
-	callSpread  = 10.0            // times their distance from it beyond it: a call that takes longer is given up
+	callSpread  = 10.0            // times their distance from it, beyond it: a longer call is given up
 	callForget  = 2 * time.Second // a slow reading of calls fades so fast: calls go on as probes
 )
 
@@ -106,6 +108,7 @@
 	aim      time.Duration // when its worth falls
 	calls    int           // calls of it that ended well
 	tries    int           // of the call that it waits for
+	pause    time.Duration // until then it is not made again
 	used     float64       // core seconds used up to mark
 	mark     float64       // of the core clock, at which it last came on the cores
 	unsure   bool          // its last call may have taken effect
@@ -172,7 +175,7 @@
 	callDebt                  float64 // seconds that calls were in hand beyond the bound
 	callCap, callRTT, callMin float64 // the bound, and the mean time of calls now and at its quickest
 	callAt                    time.Duration
-	callDev, callSeen         float64 // how far calls that end well are from their mean, and how many were seen
+	callDev, callSeen         float64 // distance of good calls from their mean, and how many were seen
 
 	seen     seen // when each caller came last
 	idleCost [idleSteps]mean
@@ -591,6 +594,10 @@
 	case TimedOut, Broken, Errored:
 		r.unsure = true
 		c.lapsed.set(id, now+c.cfg.CallLingers)
+	case Rejected, Unreachable:
+		// Guards against calls that keep a layer below busy turning them away.
+		wait := callPause * c.callRTT * float64(uint(1)<<min(r.tries-1, 4))
+		r.pause = now + max(minPause, time.Duration(wait*float64(time.Second)))
 	}
 	c.to(r, blocked)
 }
@@ -714,13 +721,16 @@
 			c.w.Fail(r.ID)
 			c.settle(r)
 			i++
+		case r.pause > c.now:
+			i++
 		case c.mayCall():
 			patience := r.due - dueQuanta*c.cfg.Quantum - c.now
 			if r.class.Effect == Safe && r.class.LateWorth <= 0 {
 				patience = min(patience, r.aim-c.now)
 				// Guards against a reply that never comes: given up in time, the call can be made again.
-				if again := c.giveUp(r); c.now+again+time.Duration(c.callRTT*float64(time.Second))+rest < r.aim {
-					patience = min(patience, again)
+				next := time.Duration(c.callRTT*float64(time.Second)) + rest
+				if most := c.giveUp(r); c.now+most+next < r.aim {
+					patience = min(patience, most)
 				}
 			}
 			if part := c.cfg.CallShare * callPart; part < 1 && c.cfg.CallWindow > 0 { // see mayCall
@@ -944,6 +954,11 @@
 	if c.dues.len() > 0 {
 		at = min(at, c.dues.first().at)
 	}
+	for _, r := range c.stood.list {
+		if r.pause > c.now {
+			at = min(at, r.pause)
+		}
+	}
 	if c.leaving { // the last moment for answers, whatever else happens
 		at = min(at, c.lastCall())
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -172,6 +172,13 @@
 		c.Decide(10 * ms)
 		c.CallDone(20*ms, 1, 10*ms, k.how)
 		c.Decide(20 * ms)
+		if len(w.called) == 2 {
+			t.Errorf("outcome %d: called again at once", k.how)
+		}
+		if k.again && w.wake > 5*ms {
+			t.Errorf("outcome %d: awake only after %v", k.how, w.wake)
+		}
+		c.Decide(25 * ms)
 		if got := len(w.called) == 2; got != k.again {
 			t.Errorf("outcome %d: called again %v, want %v", k.how, got, k.again)
 		}
