--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -283,6 +283,8 @@
 		w.Expect(ms, "run a quote body")
 		w.Send(finished("a", control.OK, "x"), w.Ask("a", "quote", ""))
 		w.Expect(ms, "served a x", "invalid a")
+		w.Send(core.Opened{Session: w.Session("d")}, w.AskOn("d", "b", "quote", ""), w.AskOn("d", "c", "quote", ""))
+		w.Expect(ms, "run b quote body", "run c quote body") // the cores are taken: the rest is held
 		for i := range 64 {
 			h := fmt.Sprint("w", i)
 			w.Send(w.Ask(h, "quote", ""), core.Withdraw{Session: w.Session("d"), Handle: h}) // not its own
