Let a server that leaves work on until its grace is nearly over

Checked in the logs: nothing was lost, health and level said 'away' from the notice on and every connection got 'draining' at once (control.signal, core.drain), though what comes within the grace of 2.5 s may run.

Now the directory alone hears of it at once, as it takes seconds; level, checks and 'draining' come 300 ms before the end of the grace.

--- a/control/control.go
+++ b/control/control.go
@@ -40,6 +40,7 @@
 const (
 	tick       = 100 * time.Millisecond // between two readings of the gauges
 	dueQuanta  = 2                      // batches before the due time in which the answer is given
+	leaveLead  = 300 * time.Millisecond // before the end of the grace callers are told to keep away
 	stopMargin = 60 * time.Millisecond  // before the stop at which all is answered
 
 	grow       = 1.25  // growth of the running limit in a tick in which cores idle and work waits
@@ -428,9 +429,9 @@
 func (c *Controller) refuse(r *request) {
 	// A try elsewhere is a reading elsewhere: not for a request that is lost, nor while all are busy.
 	dear := float64(c.cursor) > fullAt*bins && c.readUse > dearRead
-	away, last := time.Duration(0), c.now >= r.aim || dear && !c.stalled() && !c.ailing()
+	away, last := time.Duration(0), c.now >= r.aim || dear && !c.leaving && !c.stalled() && !c.ailing()
 	switch {
-	case c.leaving, c.drowned:
+	case c.shut(), c.drowned:
 		away = c.cfg.MaxAdvice
 	case c.over > adviseAt:
 		away = min(c.cfg.MaxAdvice, time.Duration(c.queue*float64(time.Second)))
@@ -908,7 +909,7 @@
 
 // signal says the level and the health, on change.
 func (c *Controller) signal() {
-	away := c.leaving || c.stalled()
+	away := c.shut() || c.stalled()
 	x := float64(c.cursor) / bins
 	if away {
 		x = 1
@@ -932,6 +933,13 @@
 	}
 }
 
+// shut tells that a worker that leaves takes nothing more, or will not once callers have heard. Guards
+// against a fleet that goes without it while its successor is cold, or not known to callers yet: until then
+// what comes may still run, and its answer is out before the stop.
+func (c *Controller) shut() bool {
+	return c.leaving && (c.now >= c.notice+c.cfg.DrainGrace-leaveLead || c.now >= c.stop-c.shortest)
+}
+
 // stalled tells that nothing the worker does reaches anyone in time: the cores are taken and nothing has
 // come off them for a whole aim, or all that it reads has waited unread for longer. Guards against work
 // that hangs, a lock that all runs wait for, a machine so slow that it only reads what is past: the worker
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -124,11 +124,15 @@
 	c, w := begin(t, plain())
 	c.Leave(0, 4*time.Second)
 	c.Decide(0)
-	if w.healthy || w.level != 1 {
+	if !w.healthy || w.level != 0 { // it works on: its successor may not be known yet
 		t.Fatalf("health %v level %v after the notice", w.healthy, w.level)
 	}
 	c.Request(500*ms, ask(1, 0))
 	c.Decide(500 * ms)
+	c.Decide(700 * ms)
+	if w.healthy || w.level != 1 {
+		t.Fatalf("health %v level %v near the end of the grace", w.healthy, w.level)
+	}
 	c.Request(1200*ms, ask(2, 0))
 	c.Decide(1200 * ms)
 	if !has(w.ran, 1) || has(w.ran, 2) || !has(w.refused, 2) {
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -39,8 +39,8 @@
 
 // Session is one connection of a front. Its methods must not block.
 type Session interface {
-	Drain() // tell the other side to send nothing new
-	Close() // no request is open on it
+	Drain(left time.Duration) // tell the other side to send nothing new; what has not come after left is not run
+	Close()                   // no request is open on it
 }
 
 // Runner passes commands to the worker pool. Its methods must not block.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	reportEach = 600 * time.Millisecond // the directory forgets after 3 s, and a report may be missing
 	pollEach   = 50 * time.Millisecond  // between two questions for the gauges
 	stopEarly  = 200 * time.Millisecond // before the kill by which the controller answers all
+	shutEarly  = 300 * time.Millisecond // before the end of the grace all are asked to send nothing more
 	quitEarly  = 100 * time.Millisecond // before the kill at which the program ends
 	quitAfter  = 500 * time.Millisecond // beyond the grace: with nothing left, the program ends sooner
 	callMargin = 100 * time.Millisecond // the layer below is given its patience and this
@@ -60,6 +61,7 @@
 	idleAfter time.Duration
 	leaving   bool
 	notice    time.Duration
+	shut      bool // it leaves, and its grace is nearly over
 	over      bool
 }
 
@@ -260,15 +262,27 @@
 	if c.ctl != nil {
 		c.ctl.Leave(c.now, max(0, c.site.Stop-stopEarly))
 	}
-	for _, s := range c.sessions {
-		s.told = true
-		s.Drain()
-	}
 	c.reported()
-	c.late.set(&deadline{do: func() {}}, c.now+c.site.Control.DrainGrace+quitAfter)
+	grace := c.site.Control.DrainGrace
+	c.late.set(&deadline{do: c.shutDown}, c.now+max(0, grace-shutEarly))
+	c.late.set(&deadline{do: func() {}}, c.now+grace+quitAfter)
 	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
 }
 
+// shutDown asks all for nothing more, shortly before what comes would not be run. Guards against a fleet that
+// goes without this server before its successor is known: until then it works on.
+func (c *Core) shutDown() {
+	c.shut = true
+	for _, s := range c.sessions {
+		c.tellDrain(s)
+	}
+}
+
+func (c *Core) tellDrain(x *session) {
+	x.told = true
+	x.Drain(max(0, c.notice+c.site.Control.DrainGrace-c.now))
+}
+
 // checkEnd ends the loop early when the grace is over, all is answered and nobody is connected.
 func (c *Core) checkEnd() {
 	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 {
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -81,9 +81,8 @@
 	}
 	c.late.drop(&x.idle)
 	x.asked = true
-	if c.leaving && !x.told { // it was opened after the notice
-		x.told = true
-		x.Drain()
+	if c.shut && !x.told { // it was opened since
+		c.tellDrain(x)
 	}
 	return x, true
 }
@@ -93,7 +92,7 @@
 	if !ok {
 		return
 	}
-	e.Reply.Answer(Answer{Kind: Checked, Up: c.up && !c.leaving, Hint: c.level})
+	e.Reply.Answer(Answer{Kind: Checked, Up: c.up && !c.shut, Hint: c.level})
 	c.rest(x)
 }
 
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -43,7 +43,9 @@
 }
 
 // Drain says that nothing new should come on this connection.
-func (s *session) Drain() { s.box.Send([]byte(`{"jsonrpc":"2.0","method":"draining"}` + "\n")) }
+func (s *session) Drain(time.Duration) {
+	s.box.Send([]byte(`{"jsonrpc":"2.0","method":"draining"}` + "\n"))
+}
 
 // Close closes the connection once all is written.
 func (s *session) Close() { s.box.Close() }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -235,8 +235,8 @@
 }
 func (k keys) Release(key core.Key) { k.w.note("release %s", key.Token) }
 
-func (s session) Drain() { s.w.note("draining to %s", s.name) }
-func (s session) Close() { s.w.note("close %s", s.name) }
+func (s session) Drain(time.Duration) { s.w.note("draining to %s", s.name) }
+func (s session) Close()              { s.w.note("close %s", s.name) }
 
 var kinds = map[core.Kind]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed", core.TimedOut: "out of time",
 	core.Conflict: "conflict", core.Invalid: "invalid", core.Checked: "checked"}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -43,9 +43,8 @@
 
 // session is one connection, which carries one request.
 type session struct {
-	conn  net.Conn
-	box   *sock.Box
-	grace time.Duration // what is not read so long after the notice never will be
+	conn net.Conn
+	box  *sock.Box
 
 	mu       sync.Mutex
 	reading  bool
@@ -55,11 +54,11 @@
 
 // Drain bounds the reading of a packet that is not whole yet. Guards against a packet cut short that would
 // hold the process up to its end and go without an answer.
-func (s *session) Drain() {
+func (s *session) Drain(left time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	if t := time.Now().Add(s.grace); s.reading && t.Before(s.until) {
+	if t := time.Now().Add(left); s.reading && t.Before(s.until) {
 		s.until = t
 		s.conn.SetReadDeadline(t) // an error shows at the next read
 	}
@@ -87,7 +86,7 @@
 // Handle reads the one request of a connection, and then whether its client hangs up.
 func (f *Front) Handle(conn net.Conn, box *sock.Box) {
 	arrived := time.Now()
-	s := &session{conn: conn, box: box, grace: f.site.Control.DrainGrace}
+	s := &session{conn: conn, box: box}
 	s.begin(time.Duration(f.opt.ReadMs) * time.Millisecond)
 	f.core.Send(core.Opened{Session: s, Single: true})
 	defer f.core.Send(core.Closed{Session: s})
