Give half a line more time where its connection has requests open

A machine that pauses may cut a balancer's line; after 1.5 s its connection was closed with all that was open on it, which breaks the rule on lost requests.

--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -21,6 +21,7 @@
 	maxOpen     = 32                      // requests on one connection
 	firstWithin = 1500 * time.Millisecond // after connecting, the first message is whole
 	lineWithin  = 1500 * time.Millisecond // after its first byte, a further one is
+	openWithin  = 8 * time.Second         // or, where requests are open, which its end would lose
 )
 
 // Front turns lines into the core's events and its answers into lines.
@@ -99,7 +100,7 @@
 		if !s.asked {
 			within = max(time.Until(first), time.Millisecond)
 		}
-		line, err := readLine(conn, in, within)
+		line, err := s.readLine(conn, in, within)
 		if err != nil {
 			switch {
 			case errors.Is(err, sock.ErrLong):
@@ -117,7 +118,7 @@
 
 // readLine reads a line. The wait for its first byte is bounded by within, 0 = not at all: the core closes
 // what stands idle. A line that has begun has to come whole: guards against clients that send half of one.
-func readLine(conn net.Conn, in *bufio.Reader, within time.Duration) ([]byte, error) {
+func (s *session) readLine(conn net.Conn, in *bufio.Reader, within time.Duration) ([]byte, error) {
 	if p, _ := in.Peek(in.Buffered()); bytes.IndexByte(p, '\n') >= 0 {
 		return sock.Line(in)
 	}
@@ -125,7 +126,9 @@
 		if _, err := in.Peek(1); err != nil {
 			return nil, err
 		}
-		within = lineWithin
+		if within = lineWithin; s.count() > 0 {
+			within = openWithin
+		}
 	}
 	conn.SetReadDeadline(time.Now().Add(within))
 	defer conn.SetReadDeadline(time.Time{})
--- a/internal/jsonrpc/front_test.go
+++ b/internal/jsonrpc/front_test.go
@@ -185,6 +185,14 @@
 		time.Sleep(9 * time.Second)
 		p.Send(status, `{"json`)
 		p.Expect(`"up":true`)
+		p.Send(status[6:])
+		p.Expect(`"up":true`)
+		p.Send(ask(2, "book", "a", `,"token":"k"`), `{"json`) // a machine that pauses: what is open there is not lost
+		w.Expect(3*time.Second, "run 000000000000000a book body")
+		w.Send(core.PoolFinished{Handle: "000000000000000a", End: control.OK})
+		p.Expect(`"id":2,"result"`)
+		p.Send(status[6:], `{"json`)
+		p.Expect(`"up":true`)
 		start := time.Now()
 		if p.Rest(); time.Since(start) > 2*time.Second {
 			t.Errorf("half a line stood %v", time.Since(start))
