--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -9,13 +9,13 @@
 	x.idle.do = func() { c.hangUp(x) }
 	c.sessions[e.Session] = x
 	c.rest(x)
-	c.makeRoom()
+	c.makeRoom(x)
 }
 
 // makeRoom closes a connection that stands idle when there are too many: one that has said nothing so far
 // rather than one in use of late. Guards against clients that connect and say nothing, or ask once and
 // stay, until no balancer finds room.
-func (c *Core) makeRoom() {
+func (c *Core) makeRoom(newest *session) {
 	var out *session
 	n := 0 // that are kept open; those of one request are bounded by their front
 	silent := func(x *session) bool { return !x.asked && c.now-x.since > newcomer }
@@ -28,10 +28,10 @@
 			out = x
 		}
 	}
-	if out == nil && n > c.site.Bounds.Sessions {
-		c.log.Warn("crowded", "connections", n, "open", len(c.byHandle))
-	}
 	if out != nil && n > c.site.Bounds.Sessions {
+		if out == newest {
+			c.log.Warn("crowded", "connections", n, "open", len(c.byHandle))
+		}
 		c.late.drop(&out.idle)
 		c.hangUp(out)
 	}
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -13,7 +12,6 @@
 	listener net.Listener
 	room     chan struct{}
 	budget   *Budget
-	away     atomic.Int64
 	handle   func(net.Conn, *Box)
 	mu       sync.Mutex
 	boxes    map[*Box]struct{}
@@ -41,14 +39,11 @@
 		case s.room <- struct{}{}:
 			go s.serve(conn)
 		default:
-			s.away.Add(1)
 			conn.Close()
 		}
 	}
 }
 
-// Away is how many connections were closed for want of room.
-func (s *Server) Away() int64 { return s.away.Load() }
 
 func (s *Server) serve(conn net.Conn) {
 	b := NewBox(conn)
