--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -44,7 +44,6 @@
 	}
 }
 
-
 func (s *Server) serve(conn net.Conn) {
 	b := NewBox(conn)
 	b.limit, b.budget = s.budget.Peer, s.budget
