--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	unreadCut  = 0.50            // share cut as unread time nears the shortest aim, by its square
 	beta       = 0.01            // share added in a window that is not overloaded, with busy cores
 	betaIdle   = 0.25            // more share added, for each core's work that the busy part leaves idle
+	betaCalm   = 0.10            // more share added where nothing waits, less where some does
 	wantUse    = 0.85            // share of the cores in use up to which the cursor loosens faster than beta
 	betaMax    = 0.50            // largest share added in one window
 	memory     = 5 * time.Second // the histogram averages over this: 1 s at 15 a second is too few
@@ -422,6 +423,15 @@
 	return time.Duration(work / float64(c.cfg.Cores) * float64(time.Second))
 }
 
+// backlog is how long all that is held would keep the cores.
+func (c *Controller) backlog() float64 {
+	work := 0.0
+	for _, r := range c.hold.list {
+		work += c.work(r)
+	}
+	return work / float64(c.cfg.Cores)
+}
+
 func (c *Controller) wasQueued(r *request) {
 	c.queued += (c.now - r.arrived).Seconds()
 	c.left++
@@ -878,7 +888,9 @@
 	} else {
 		// What a window may add and no bin was small enough for is kept: else a hot user's bin, which
 		// holds more than beta of all, would stop the cursor for good.
-		c.credit += min(betaMax, beta+betaIdle*max(0, wantUse/max(use, 0.1)-1))
+		// Guards against refusals that outlast a jump of traffic: what is added too much can wait.
+		calm := max(0, 1-2*max(over, c.backlog()/(queuePart*aim.Seconds())))
+		c.credit += min(betaMax, beta+betaCalm*calm+betaIdle*max(0, wantUse/max(use, 0.1)-1))
 		want *= 1 + c.credit
 	}
 	k, sum := bins, 0.0
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -270,6 +270,18 @@
 	}
 }
 
+// Cores that are well used with nothing held can take more: refusals end soon after a jump of traffic.
+func TestTheCursorReturnsSoonWhereNothingWaits(t *testing.T) {
+	c, w := begin(t, plain())
+	now := flood(c, 0, 0, 1)
+	now = flood(c, now, 800*ms, 1)
+	high := w.level
+	flood(c, now, 0, 0.88)
+	if high < 0.2 || w.level > high/2 {
+		t.Fatalf("level %v, two seconds after %v with nothing held", w.level, high)
+	}
+}
+
 // While the cursor comes down in steps, an idle core does not turn away what has been read already.
 func TestAnIdleCoreTakesWhatRanksUnderTheCursor(t *testing.T) {
 	c, w := begin(t, plain())
