--- a/control/control_test.go
+++ b/control/control_test.go
@@ -274,7 +274,7 @@
 func TestTheCursorReturnsSoonWhereNothingWaits(t *testing.T) {
 	c, w := begin(t, plain())
 	now := flood(c, 0, 0, 1)
-	now = flood(c, now, 800*ms, 1)
+	now = flood(c, now, 400*ms, 1)
 	high := w.level
 	flood(c, now, 0, 0.88)
 	if high < 0.2 || w.level > high/2 {
