--- a/control/control.go
+++ b/control/control.go
@@ -79,7 +79,8 @@
 	fullAt    = 0.12 // of the ranks refused: with fewer, others may have room
 	dearRead  = 0.1  // of the cores: reading that takes more is dear, and so is a try elsewhere
 	creditOf  = 2.0  // requests a core that all callers together may have outstanding, where credits are said
-	adviseAt  = 2.0  // thresholds of queuing from which a refusal says to stay away, for that queuing time
+	adviseAt  = 1.0  // thresholds of queuing from which a refusal says to stay away
+	adviseFor = 0.5  // of the time that all that is held takes the cores: so long
 	idleSteps = 8    // idle times weighed: the callers' own, and each the half of the one before
 	idlePart  = 0.15 // of the callers' own: idle for so long, one costs as much as a new one
 	idleSave  = 0.9  // of the cost of a longer one: a shorter idle time has to save as much
@@ -157,7 +158,8 @@
 	opened       time.Duration // of this window
 	queued, left float64       // seconds queued by those that left the queue in this window, and how many
 	credit       float64       // beta of calm windows in which the cursor could not move
-	over, queue  float64       // the last window's queuing time, in thresholds and in seconds
+	over         float64       // the last window's queuing time, in thresholds
+	held         float64       // seconds that what was held at its end would keep the cores
 	use          mean          // share of the cores in use in this window
 	reading      float64       // seconds that reading alone takes
 	unread       mean          // seconds that what was read in this window had waited unread
@@ -446,7 +448,8 @@
 	case c.shut(), c.drowned:
 		away = c.cfg.MaxAdvice
 	case c.over > adviseAt:
-		away = min(c.cfg.MaxAdvice, time.Duration(c.queue*float64(time.Second)))
+		// Guards against callers that all stay away for longer than what is held keeps the cores busy.
+		away = min(c.cfg.MaxAdvice, time.Duration(adviseFor*c.held*float64(time.Second)))
 	}
 	c.w.Refuse(r.ID, away, last)
 	c.end(r)
@@ -880,7 +883,8 @@
 	c.weighTenants(span.Seconds(), seen)
 	c.opened, c.queued, c.left = c.now, 0, 0
 	c.closeIdle(usual / (1 - math.Exp(-float64(c.now-c.born)/float64(memory))))
-	c.over, c.queue = over, q
+	held := c.backlog()
+	c.over, c.held = over, held
 	want := admitted
 	if over > 1 {
 		c.credit = 0
@@ -889,7 +893,7 @@
 		// What a window may add and no bin was small enough for is kept: else a hot user's bin, which
 		// holds more than beta of all, would stop the cursor for good.
 		// Guards against refusals that outlast a jump of traffic: what is added too much can wait.
-		calm := max(0, 1-2*max(over, c.backlog()/(queuePart*aim.Seconds())))
+		calm := max(0, 1-2*max(over, held/(queuePart*aim.Seconds())))
 		c.credit += min(betaMax, beta+betaCalm*calm+betaIdle*max(0, wantUse/max(use, 0.1)-1))
 		want *= 1 + c.credit
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -14,13 +14,14 @@
 	last                                                           map[uint32]bool
 	level                                                          float64
 	healthy                                                        bool
-	wake, idle, patience                                           time.Duration
+	wake, idle, patience, away                                     time.Duration
 }
 
 func (t *tape) Run(id uint32)  { t.ran = append(t.ran, id) }
 func (t *tape) Stop(id uint32) { t.stopped = append(t.stopped, id) }
 func (t *tape) Refuse(id uint32, away time.Duration, last bool) {
 	t.refused = append(t.refused, id)
+	t.away = away
 	if t.last == nil {
 		t.last = map[uint32]bool{}
 	}
@@ -282,6 +283,33 @@
 	}
 }
 
+// Callers told to stay away come back while there is still work: half of what is held, nothing where none is.
+func TestAdviceEndsBeforeTheWorkDoes(t *testing.T) {
+	c, w := begin(t, plain())
+	now := flood(c, 0, 0, 1)
+	now = flood(c, now, 700*ms, 1)
+	if len(w.refused) == 0 || w.away != 0 {
+		t.Fatalf("%d refused, told to stay away for %v with nothing held", len(w.refused), w.away)
+	}
+	c.classes[0].work = mean{v: 0.1, n: enough}
+	for id := uint32(1); id <= 8; id++ { // two run, six keep two cores for 0.42 s by what a run may take
+		q := ask(id, 0)
+		q.Rank = 1
+		c.Request(now, q)
+		c.Decide(now)
+	}
+	for i := time.Duration(1); i <= 4; i++ {
+		c.Tick(now+i*90*ms, Gauges{CoreUse: 1, OnCores: 9})
+		c.Decide(now + i*90*ms)
+	}
+	q := ask(9, 0)
+	q.Rank = 0
+	c.Request(now+360*ms, q)
+	if !has(w.refused, 9) || w.away < 150*ms || w.away > 300*ms {
+		t.Fatalf("refused %v, told to stay away for %v, want half of the work held", has(w.refused, 9), w.away)
+	}
+}
+
 // While the cursor comes down in steps, an idle core does not turn away what has been read already.
 func TestAnIdleCoreTakesWhatRanksUnderTheCursor(t *testing.T) {
 	c, w := begin(t, plain())
