Ask again for runs that showed nothing of themselves; keep who reads when others do not

A spawn may be repeated at no risk, so it is, unless the run has shown itself; a reply is not, as before. What waits to be written has one room for all clients (sock.Box.Send): once peers that do not read had it full, the next answer to anyone, a balancer's too, ended its connection with all open on it. Who has under 12 KB waiting stays.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,9 +45,9 @@
 func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
 
 // Budget bounds what waits to be written to the clients of one front. A balancer has 32 answers open at
-// most, each under 6 KB.
+// most, each under 6 KB; two of them always find room.
 func (l *Limits) Budget() *sock.Budget {
-	return &sock.Budget{Peer: 32 * 6 << 10, All: l.MemoryMB << 20 / 8}
+	return &sock.Budget{Peer: 32 * 6 << 10, All: l.MemoryMB << 20 / 8, Spare: 12 << 10}
 }
 
 // Conns is how many clients of the platform's front are served at a time, beside others descriptors.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,6 +107,7 @@
 	sent     time.Duration // when that was given
 	spawns   int           // commands to run it that were sent
 	doubtful bool          // that may not have come
+	begins   bool          // that asks for its run
 	stopping bool          // it was told to stop, and no end has come
 }
 
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -125,12 +125,13 @@
 		r.spawns++
 		c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body)
 	})
+	r.begins = true
 }
 
 // command sends a command for r and keeps it until the worker pool has shown that it came. Without a link it
 // is only kept.
 func (c *Core) command(r *request, f func()) {
-	r.resend, r.sent, r.doubtful = f, c.now, !c.linked
+	r.resend, r.sent, r.doubtful, r.begins = f, c.now, !c.linked, false
 	if c.linked {
 		f()
 	}
@@ -231,7 +232,8 @@
 		if r.state != running {
 			continue
 		}
-		if r.doubtful && r.resend != nil {
+		// To ask for a run twice does no harm. Guards against runs that never begin, whose end nobody tells.
+		if r.resend != nil && (r.doubtful || r.begins) {
 			r.sent, r.doubtful = c.now, false
 			r.resend()
 		}
--- a/internal/sock/box.go
+++ b/internal/sock/box.go
@@ -21,6 +21,7 @@
 // Budget bounds what waits to be written to all peers of a server together.
 type Budget struct {
 	Peer, All int // bytes, for one and for all
+	Spare     int // bytes that one may have waiting though All is used up
 	used      atomic.Int64
 }
 
@@ -56,7 +57,7 @@
 	for _, p := range parts {
 		more += len(p)
 	}
-	if b.size+more > b.limit || b.budget != nil && b.budget.used.Load()+int64(more) > int64(b.budget.All) {
+	if b.size+more > b.limit || b.over(b.size+more, more) {
 		b.why = ErrFull
 		b.kill()
 		return false
@@ -70,6 +71,12 @@
 	return true
 }
 
+// over tells whether more bytes, size with what waits already, are too many for all peers together. Guards
+// against many that do not read: they use up what is for all, and those who have little waiting stay.
+func (b *Box) over(size, more int) bool {
+	return b.budget != nil && size > b.budget.Spare && b.budget.used.Load()+int64(more) > int64(b.budget.All)
+}
+
 func (b *Box) grow(by int) {
 	b.size += by
 	if b.budget != nil {
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -36,6 +36,30 @@
 	}
 }
 
+// Peers that do not read use up the room of all; one that has little waiting is served all the same.
+func TestThoseWhoDoNotReadCostOthersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &Budget{All: 100, Spare: 10}
+		box := func() (*Box, net.Conn) {
+			mine, theirs := net.Pipe()
+			b := NewBox(mine)
+			b.budget = budget
+			return b, theirs
+		}
+		deaf, _ := box()
+		deaf.Send(make([]byte, 100))
+		b, theirs := box()
+		b.Send([]byte("a line\n"))
+		if line, err := Line(bufio.NewReader(theirs)); err != nil || string(line) != "a line" {
+			t.Errorf("%q, %v", line, err)
+		}
+		if b.Send(make([]byte, 11)) || deaf.Send([]byte("x")) {
+			t.Error("who has much waiting goes on")
+		}
+		<-deaf.Done()
+	})
+}
+
 // Close lets what was queued out first.
 func TestCloseWritesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
