Judge calls by their class, and make none that cannot come back in time

Now each class has its own times of calls, a request counts only those in line before it, and one whose call would not be back fails at once (control.hopeless).

--- a/control/control.go
+++ b/control/control.go
@@ -70,6 +70,7 @@
 	minPause    = 5 * time.Millisecond
 	callGiveUp  = 5.0             // times the median of calls: a longer one is given up
 	callTail    = 2.0             // times the median of calls: the longest that one is expected to take
+	vainPart    = 0.8             // of what a call takes: with less time left it is not made
 	callStep    = 1.05            // by which the median moves at a call
 	callForget  = 2 * time.Second // a slow reading of calls fades so fast: calls go on as probes
 )
@@ -123,9 +124,12 @@
 
 type class struct {
 	Class
-	work  mean // core seconds of a run
-	calls mean // calls of a run
-	usual mean // core seconds of a run, over a long time
+	work                                mean          // core seconds of a run
+	calls                               mean          // calls of a run
+	usual                               mean          // core seconds of a run, over a long time
+	below                               *heap         // its calls in hand, by when they were made
+	callRTT, callMin, callMed, callSeen float64       // the mean time of calls now and at its quickest, their median, and how many
+	callAt                              time.Duration // the last of them
 }
 
 // mean is a running mean that starts as a plain one, and stays one with a least weight of 0.
@@ -168,19 +172,17 @@
 	said         float64
 	healthy      bool
 
-	slowed                    mean    // core seconds of runs of late, in their class's usual ones
-	pace                      mean    // core seconds used for each second of the hint
-	limit                     float64 // running on the cores
-	onCores                   int
-	mem                       float64
-	core                      float64 // core clock: seconds a request on the cores has had of one core
-	below                     *heap   // calls in hand, by when they were made
-	toCall                    int     // on the cores and of a class that calls
-	lapsed                    *heap   // abandoned calls still in hand below
-	callDebt                  float64 // seconds that calls were in hand beyond the bound
-	callCap, callRTT, callMin float64 // the bound, and the mean time of calls now and at its quickest
-	callAt                    time.Duration
-	callMed, callSeen         float64 // the median of calls, and how many were seen
+	slowed   mean    // core seconds of runs of late, in their class's usual ones
+	pace     mean    // core seconds used for each second of the hint
+	limit    float64 // running on the cores
+	onCores  int
+	mem      float64
+	core     float64 // core clock: seconds a request on the cores has had of one core
+	below    *heap   // calls in hand, by when they were made
+	toCall   int     // on the cores and of a class that calls
+	lapsed   *heap   // abandoned calls still in hand below
+	callDebt float64 // seconds that calls were in hand beyond the bound
+	callCap  float64 // the bound
 
 	seen     seen // when each caller came last
 	idleCost [idleSteps]mean
@@ -223,7 +225,7 @@
 		if k.Aim <= 0 || k.Aim > k.Deadline {
 			k.Aim = k.Deadline
 		}
-		c.classes = append(c.classes, class{Class: k})
+		c.classes = append(c.classes, class{Class: k, below: newHeap()})
 		if c.shortest == 0 || k.Aim < c.shortest {
 			c.shortest = k.Aim
 		}
@@ -386,26 +388,26 @@
 		// An idle core finds out: else one bad spell would have it refuse all, and never learn better.
 		s = min(s, servePart*k.Aim.Seconds())
 	}
-	if k.Calls && k.SkipWorth <= 0 && c.callRTT > 0 {
+	if k.Calls && k.SkipWorth <= 0 && k.callRTT > 0 {
 		n := 1.0
 		if k.calls.n >= enough {
 			n = k.calls.v
 		}
-		// Those at a call, those on the way to one and this one share the bound.
-		line := float64(c.below.len()+len(c.stood.list)+1) + float64(c.toCall)/2
-		s += c.callTime() * max(n, n-1+line/c.callCap)
+		// Those at a call, those on the way to one before it and this one share the bound.
+		line := float64(c.below.len()+c.stood.place(r)+1) + float64(c.toCall)/2
+		s += c.callTime(k) * max(n, n-1+line/c.callCap)
 	}
 	return time.Duration(s * float64(time.Second))
 }
 
-// callTime is what a call takes now: no less than the middle one in hand has taken so far, as a slow call
+// callTime is what a call of a class takes now, as the layer below takes the worthier first: no less than the middle one in hand has taken so far, as a slow call
 // tells of itself only once it ends, and little more than the median. Guards against a few that are slow, or
 // whose reply is lost, on one machine below of several: they say nothing of the others, and are given up. A
 // slow reading fades, so that calls go on and find out.
-func (c *Controller) callTime() float64 {
-	f := math.Exp(-float64(c.now-c.callAt) / float64(callForget))
-	t := c.callMin + (min(c.callRTT, callTail*c.callMed)-c.callMin)*f
-	if o, ok := c.below.middle(); ok {
+func (c *Controller) callTime(k *class) float64 {
+	f := math.Exp(-float64(c.now-k.callAt) / float64(callForget))
+	t := k.callMin + (min(k.callRTT, callTail*k.callMed)-k.callMin)*f
+	if o, ok := k.below.middle(); ok {
 		t = max(t, (c.now - o.at).Seconds())
 	} else if c.below.len() > 0 && c.callCap < 2 { // there is never another
 		t = max(t, (c.now - c.below.first().at).Seconds())
@@ -483,6 +485,7 @@
 		c.stood.drop(r)
 	case calling:
 		c.below.drop(r.ID)
+		r.class.below.drop(r.ID)
 	}
 	if (r.state == held || r.state == replaying) != (s == held || s == replaying) {
 		d := r.Memory * (c.cfg.RunFactor - 1)
@@ -506,6 +509,7 @@
 		c.stood.add(r)
 	case calling:
 		c.below.set(r.ID, c.now)
+		r.class.below.set(r.ID, c.now)
 	}
 }
 
@@ -600,7 +604,7 @@
 	if r == nil || r.state != calling {
 		return
 	}
-	c.heard(took.Seconds(), how)
+	c.heard(r.class, took.Seconds(), how)
 	switch how {
 	case OK:
 		r.calls++
@@ -612,7 +616,7 @@
 		c.lapsed.set(id, now+c.cfg.CallLingers)
 	case Rejected, Unreachable:
 		// Guards against calls that keep a layer below busy turning them away.
-		wait := callPause * c.callRTT * float64(uint(1)<<min(r.tries-1, 4))
+		wait := callPause * r.class.callRTT * float64(uint(1)<<min(r.tries-1, 4))
 		r.pause = now + max(minPause, time.Duration(wait*float64(time.Second)))
 	}
 	c.to(r, blocked)
@@ -620,27 +624,27 @@
 
 // heard learns from a call that ended. The bound falls while calls take longer than they did at their
 // quickest, down to what a dependency is never crowded by, and rises again otherwise.
-func (c *Controller) heard(t float64, how Outcome) {
-	w := max(callLearn, 1-math.Exp(-float64(c.now-c.callAt)/float64(callForget)))
-	if how == OK || how == TimedOut && t > c.callRTT {
-		if c.callRTT == 0 {
-			c.callRTT, c.callMin = t, t
+func (c *Controller) heard(k *class, t float64, how Outcome) {
+	w := max(callLearn, 1-math.Exp(-float64(c.now-k.callAt)/float64(callForget)))
+	if how == OK || how == TimedOut && t > k.callRTT {
+		if k.callRTT == 0 {
+			k.callRTT, k.callMin = t, t
 		}
-		if c.callSeen++; c.callSeen == 1 {
-			c.callMed = t
+		if k.callSeen++; k.callSeen == 1 {
+			k.callMed = t
 		}
-		if c.callMed *= callStep; t < c.callMed/callStep {
-			c.callMed /= callStep * callStep
+		if k.callMed *= callStep; t < k.callMed/callStep {
+			k.callMed /= callStep * callStep
 		}
-		c.callRTT += (t - c.callRTT) * w
-		c.callAt = c.now
-		c.callMin = min(c.callMin*(1+callRelearn), c.callRTT)
+		k.callRTT += (t - k.callRTT) * w
+		k.callAt = c.now
+		k.callMin = min(k.callMin*(1+callRelearn), k.callRTT)
 	}
 	top := c.cfg.CallShare * callPart
 	switch {
 	case how != OK:
 		c.callCap *= callCut
-	case c.callRTT > callSlow*c.callMin:
+	case k.callRTT > callSlow*k.callMin:
 		c.callCap *= 1 - callEase*w
 	default:
 		c.callCap += top * callEase * w
@@ -728,14 +732,14 @@
 	for i := 0; i < len(c.stood.list); {
 		r := c.stood.list[i]
 		rest := time.Duration(0.5 * r.class.work.v * float64(time.Second))
-		late := c.now+time.Duration(c.callTime()*float64(time.Second))+rest > r.aim
+		late := c.now+time.Duration(c.callTime(r.class)*float64(time.Second))+rest > r.aim
 		switch {
 		case r.answered:
 			i++
 		case r.class.SkipWorth > 0 && (late || r.unsure):
 			c.w.Skip(r.ID)
 			c.to(r, running)
-		case r.unsure && r.class.Effect != Safe, c.now >= r.aim && r.class.LateWorth <= 0:
+		case r.unsure && r.class.Effect != Safe, r.class.LateWorth <= 0 && (c.now >= r.aim || c.hopeless(r, rest)):
 			c.w.Fail(r.ID)
 			c.settle(r)
 			i++
@@ -746,7 +750,7 @@
 			if r.class.Effect == Safe && r.class.LateWorth <= 0 {
 				patience = min(patience, r.aim-c.now)
 				// Guards against a reply that never comes: given up in time, the call can be made again.
-				next := time.Duration(c.callRTT*float64(time.Second)) + rest
+				next := time.Duration(r.class.callRTT*float64(time.Second)) + rest
 				if most := c.giveUp(r); c.now+most+next < r.aim {
 					patience = min(patience, most)
 				}
@@ -763,13 +767,18 @@
 	}
 }
 
+// hopeless tells that a call of r would not come back in time.
+func (c *Controller) hopeless(r *request, rest time.Duration) bool {
+	return c.now+time.Duration(vainPart*c.callTime(r.class)*float64(time.Second))+rest > r.aim
+}
+
 // giveUp is after how long a call is rather lost, or met a slow machine, than slow as all are; later with
 // each try. Harm: where calls differ that much by themselves, some are made twice.
 func (c *Controller) giveUp(r *request) time.Duration {
-	if c.callSeen < enough {
+	if r.class.callSeen < enough {
 		return r.class.Aim
 	}
-	return time.Duration(callGiveUp * c.callMed * float64(uint(1)<<min(r.tries, 4)) * float64(time.Second))
+	return time.Duration(callGiveUp * r.class.callMed * float64(uint(1)<<min(r.tries, 4)) * float64(time.Second))
 }
 
 // mayCall bounds the calls in hand, those abandoned too. Guards the shared dependency. A bound under one is
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -654,6 +654,52 @@
 	}
 }
 
+// callsOf makes n calls of a class, a second apart, that take so long, and gives the time.
+func callsOf(c *Controller, class int, n uint32, took time.Duration, now time.Duration) time.Duration {
+	for id := uint32(1); id <= n; id++ {
+		now += time.Second
+		c.Request(now, ask(id, class))
+		c.Decide(now)
+		c.AtCall(now, id)
+		c.Decide(now)
+		c.CallDone(now+took, id, took, OK)
+		c.Done(now+took, id, took, OK)
+		now += took
+	}
+	return now
+}
+
+// The layer below takes the worthier first: slow calls of one class say nothing of another's.
+func TestCallsAreJudgedByTheirClass(t *testing.T) {
+	cfg := plain()
+	cfg.Classes = append(cfg.Classes, Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 3, Calls: true})
+	c, w := begin(t, cfg)
+	now := callsOf(c, 3, 10, 50*ms, 0)
+	now = callsOf(c, 2, 10, 850*ms, now)
+	for id, class := range map[uint32]int{100: 2, 101: 3} {
+		q := ask(id, class)
+		q.Waited = 400 * ms
+		c.Request(now, q)
+	}
+	if !has(w.refused, 100) || has(w.refused, 101) {
+		t.Fatalf("refused %v, want the one whose calls are slow", w.refused)
+	}
+}
+
+// A call that cannot come back in time is not made: its request fails at once, and what is below is spared.
+func TestNoCallIsMadeInVain(t *testing.T) {
+	c, w := begin(t, plain())
+	now := callsOf(c, 2, 10, 400*ms, 0)
+	c.Request(now, ask(100, 2))
+	c.Decide(now)
+	w.called = nil
+	c.AtCall(now+750*ms, 100)
+	c.Decide(now + 750*ms)
+	if len(w.called) > 0 || !has(w.failed, 100) {
+		t.Fatalf("called %v, failed %v, with 250 ms left for a call of 400 ms", w.called, w.failed)
+	}
+}
+
 // One slow machine below of several makes one call in three slow: what calls is taken all the same, and a slow
 // call is given up in time to be made again.
 func TestAFewSlowCallsDoNotSpeakForAll(t *testing.T) {
