--- a/control/control.go
+++ b/control/control.go
@@ -124,12 +124,12 @@
 
 type class struct {
 	Class
-	work                                mean          // core seconds of a run
-	calls                               mean          // calls of a run
-	usual                               mean          // core seconds of a run, over a long time
-	below                               *heap         // its calls in hand, by when they were made
-	callRTT, callMin, callMed, callSeen float64       // the mean time of calls now and at its quickest, their median, and how many
-	callAt                              time.Duration // the last of them
+	work, calls       mean          // core seconds, and calls, of a run
+	usual             mean          // core seconds of a run, over a long time
+	below             *heap         // its calls in hand, by when they were made
+	callRTT, callMin  float64       // the mean time of calls now, and at its quickest
+	callMed, callSeen float64       // the median of calls, and how many were seen
+	callAt            time.Duration // when one was seen last
 }
 
 // mean is a running mean that starts as a plain one, and stays one with a least weight of 0.
@@ -400,10 +400,10 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// callTime is what a call of a class takes now, as the layer below takes the worthier first: no less than the middle one in hand has taken so far, as a slow call
-// tells of itself only once it ends, and little more than the median. Guards against a few that are slow, or
-// whose reply is lost, on one machine below of several: they say nothing of the others, and are given up. A
-// slow reading fades, so that calls go on and find out.
+// callTime is what a call of a class takes now, as the layer below takes the worthier first: no less than the
+// middle one in hand has taken so far, as a slow call tells of itself only once it ends, and little more than
+// the median. Guards against a few that are slow, or whose reply is lost, on one machine below of several:
+// they say nothing of the others, and are given up. A slow reading fades, so that calls go on and find out.
 func (c *Controller) callTime(k *class) float64 {
 	f := math.Exp(-float64(c.now-k.callAt) / float64(callForget))
 	t := k.callMin + (min(k.callRTT, callTail*k.callMed)-k.callMin)*f
@@ -739,7 +739,7 @@
 		case r.class.SkipWorth > 0 && (late || r.unsure):
 			c.w.Skip(r.ID)
 			c.to(r, running)
-		case r.unsure && r.class.Effect != Safe, r.class.LateWorth <= 0 && (c.now >= r.aim || c.hopeless(r, rest)):
+		case r.unsure && r.class.Effect != Safe, r.class.LateWorth <= 0 && c.hopeless(r, rest):
 			c.w.Fail(r.ID)
 			c.settle(r)
 			i++
@@ -767,9 +767,9 @@
 	}
 }
 
-// hopeless tells that a call of r would not come back in time.
+// hopeless tells that a call of r would not come back in time. Guards what is below against work for nobody.
 func (c *Controller) hopeless(r *request, rest time.Duration) bool {
-	return c.now+time.Duration(vainPart*c.callTime(r.class)*float64(time.Second))+rest > r.aim
+	return c.now >= r.aim || c.now+time.Duration(vainPart*c.callTime(r.class)*float64(time.Second))+rest > r.aim
 }
 
 // giveUp is after how long a call is rather lost, or met a slow machine, than slow as all are; later with
@@ -778,7 +778,8 @@
 	if r.class.callSeen < enough {
 		return r.class.Aim
 	}
-	return time.Duration(callGiveUp * r.class.callMed * float64(uint(1)<<min(r.tries, 4)) * float64(time.Second))
+	most := callGiveUp * r.class.callMed * float64(uint(1)<<min(r.tries, 4))
+	return time.Duration(most * float64(time.Second))
 }
 
 // mayCall bounds the calls in hand, those abandoned too. Guards the shared dependency. A bound under one is
