--- a/control/control.go
+++ b/control/control.go
@@ -769,7 +769,8 @@
 
 // hopeless tells that a call of r would not come back in time. Guards what is below against work for nobody.
 func (c *Controller) hopeless(r *request, rest time.Duration) bool {
-	return c.now >= r.aim || c.now+time.Duration(vainPart*c.callTime(r.class)*float64(time.Second))+rest > r.aim
+	took := time.Duration(vainPart * c.callTime(r.class) * float64(time.Second))
+	return c.now >= r.aim || c.now+took+rest > r.aim
 }
 
 // giveUp is after how long a call is rather lost, or met a slow machine, than slow as all are; later with
