Keep a cold worker's cursor until callers come

Ruled out: the level it says (callers do not hear it before they come), warmth (its speed rises with requests).

--- a/control/control.go
+++ b/control/control.go
@@ -162,8 +162,7 @@
 	opened       time.Duration // of this window
 	queued, left float64       // seconds queued by those that left the queue in this window, and how many
 	credit       float64       // beta of calm windows in which the cursor could not move
-	over         float64       // the last window's queuing time, in thresholds
-	held         float64       // seconds that what was held at its end would keep the cores
+	over, held   float64       // the last window's queuing time in thresholds; its held work, s
 	use          mean          // share of the cores in use in this window
 	reading      float64       // seconds that reading alone takes
 	unread       mean          // seconds that what was read in this window had waited unread
@@ -846,8 +845,10 @@
 
 // window closes the window when it is over and moves the cursor: DAGOR's Algorithm 1.
 func (c *Controller) window() {
-	span := c.now - c.opened
-	aim := c.shortest
+	if c.cfg.Cold && math.IsInf(c.reading, 1) {
+		c.opened, c.use = c.now, mean{} // callers do not know it yet: idle cores must not open it
+	}
+	span, aim := c.now-c.opened, c.shortest
 	if span < time.Duration(windowPart*float64(aim)) {
 		return
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -310,6 +310,28 @@
 	}
 }
 
+// Callers hear of a cold worker seconds after its start. Until then its cores idle, which tells nothing of what
+// it can carry; once they come, it opens as its cores allow.
+func TestAColdWorkerDoesNotOpenBeforeCallersCome(t *testing.T) {
+	cfg := plain()
+	cfg.Cold, cfg.ColdFrom, cfg.ColdFor = true, 0.3, 10*time.Second
+	c, w := begin(t, cfg)
+	now := time.Duration(0)
+	for ; now < 4*time.Second; now += 100 * ms {
+		c.Tick(now, Gauges{CoreUse: 0})
+		c.Decide(now)
+	}
+	if w.level < 0.6 {
+		t.Fatalf("level %v after four seconds without a request", w.level)
+	}
+	for range 3 {
+		now = flood(c, now, 0, 0.3)
+	}
+	if w.level > 0 {
+		t.Fatalf("level %v six seconds after callers came, with idle cores", w.level)
+	}
+}
+
 // While the cursor comes down in steps, an idle core does not turn away what has been read already.
 func TestAnIdleCoreTakesWhatRanksUnderTheCursor(t *testing.T) {
 	c, w := begin(t, plain())
