--- /dev/null
+++ b/internal/wal/fs.go
@@ -0,0 +1,117 @@
+package wal
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FS is the file system that a log lies on: one flat directory. What File.Sync and SyncDir have returned for
+// is on the disk; of the rest a power cut leaves any part. Errors are those of package os.
+type FS interface {
+	Create(name string) (File, error) // a new file, or an old one made empty
+	Open(name string) (File, error)   // for reading, and for cutting its tail
+	List() ([]string, error)          // the names in the directory, sorted
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncDir() error
+}
+
+// File is one file of an FS. Writes go to its end.
+type File interface {
+	io.Writer
+	io.ReaderAt
+	io.Closer
+	Size() (int64, error)
+	Truncate(size int64) error
+	Sync() error
+}
+
+// ErrLocked is a directory that another process owns.
+var ErrLocked = errors.New("in use by another process")
+
+// Dir is a directory of the machine as an FS.
+type Dir string
+
+// Make creates the directory.
+func (d Dir) Make() error { return os.MkdirAll(string(d), 0o750) }
+
+// Lock takes the directory for this process until the file it gives is closed, however the process ends.
+func (d Dir) Lock() (io.Closer, error) {
+	f, err := os.OpenFile(d.path("lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = ErrLocked
+		}
+		return nil, &fs.PathError{Op: "lock", Path: string(d), Err: err}
+	}
+	return f, nil
+}
+
+func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
+
+// Create implements FS.
+func (d Dir) Create(name string) (File, error) {
+	return file(os.OpenFile(d.path(name), os.O_CREATE|os.O_TRUNC|os.O_RDWR|os.O_APPEND, 0o640))
+}
+
+// Open implements FS. A file that may not be written is opened for reading alone.
+func (d Dir) Open(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_RDWR|os.O_APPEND, 0)
+	if errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.EROFS) {
+		f, err = os.Open(d.path(name))
+	}
+	return file(f, err)
+}
+
+// List implements FS.
+func (d Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, err
+}
+
+// Rename implements FS.
+func (d Dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+// Remove implements FS.
+func (d Dir) Remove(name string) error { return os.Remove(d.path(name)) }
+
+// SyncDir implements FS.
+func (d Dir) SyncDir() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+type osFile struct{ *os.File }
+
+func file(f *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
