--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "larchscale/internal/scenario/fixed"
 	"larchscale/internal/simfs"
 	"larchscale/internal/wal"
 )
