--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -10,6 +10,8 @@
 		c.turnAway(r, Invalid, "the id is in use")
 	case c.ctl == nil || c.over:
 		c.turnAway(r, Refused, "the worker pool is not up")
+	case c.books != nil && !c.books.Ready():
+		c.turnAway(r, Refused, "the ledger cannot be written")
 	case len(c.byHandle) >= c.site.Bounds.Open:
 		c.turnAway(r, Refused, "too many requests in hand")
 	case c.strange(r.session):
@@ -34,6 +36,7 @@
 func (c *Core) turnAway(r *request, k Kind, why string) {
 	r.state = ended
 	c.answer(r, Answer{Kind: k, Why: why, Away: c.site.Control.MaxAdvice})
+	c.enterUse(r)
 }
 
 const maxRecent = 8192
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"larchscale/control"
+	"larchscale/internal/ledger"
 )
 
 // Kind tells what an Answer means.
@@ -89,6 +90,32 @@
 	Release(k Key)
 }
 
+// Use is what one request used, told when it is over.
+type Use struct {
+	Class        int
+	Tenant       int // -1 = none
+	Began, Ended time.Time
+	End          ledger.End
+	Replay       bool // served with the result of another try
+	Figures      ledger.Figures
+}
+
+// Booker keeps the ledger of use. Its methods must not block. Booked events tell how far what it was given is
+// written.
+type Booker interface {
+	// Book takes an entry and gives its ticket; tickets count up from 1.
+	Book(Use) uint64
+	// Flush ends a turn in which entries were booked.
+	Flush()
+	// Ready tells that new work may be taken.
+	Ready() bool
+	// Strict tells that a result leaves only once its entry is written.
+	Strict() bool
+	// Overdue tells what becomes of a result whose entry is not written when it is due: true = it leaves, false
+	// = the request fails.
+	Overdue() bool
+}
+
 // Site is what a server is told of its place.
 type Site struct {
 	Control control.Config
@@ -214,6 +241,9 @@
 	Result []byte // ClaimDone
 }
 
+// Booked tells that all entries up to a ticket are written.
+type Booked struct{ Through uint64 }
+
 // Drain is the notice to leave.
 type Drain struct{}
 
@@ -230,4 +260,5 @@
 func (PoolPolled) event()   {}
 func (CallEnded) event()    {}
 func (Claimed) event()      {}
+func (Booked) event()       {}
 func (Drain) event()        {}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -9,7 +9,8 @@
 // The stage "book": the one final answer, and the end of a request.
 
 // answer gives the final answer. This is the one place where a request becomes answered with one, so that
-// none gets two; a caller that has gone counts as answered too.
+// none gets two; a caller that has gone counts as answered too. With a strict ledger a result waits for its entry,
+// which is booked in the same turn.
 func (c *Core) answer(r *request, a Answer) {
 	if r.answered {
 		return
@@ -17,6 +18,14 @@
 	r.answered = true
 	if r.session.idled++; a.Kind == Served {
 		r.session.idled = 0
+		r.use.out = int64(len(a.Body))
+	}
+	c.endsAs(r, a.Kind)
+	if c.books != nil && a.Kind == Served && c.books.Strict() {
+		if r.use.answer = a; a.Body == nil {
+			r.use.answer.Body = []byte{}
+		}
+		return
 	}
 	a.Hint = c.level
 	r.reply.Answer(a)
@@ -67,6 +76,7 @@
 	c.late.drop(&r.patience)
 	delete(c.byID, r.id)
 	c.forgetHandle(r)
+	c.enterUse(r)
 	e := r.entry
 	if e == nil {
 		return
@@ -102,5 +112,6 @@
 	c.late.drop(&r.patience)
 	delete(c.byID, r.id)
 	c.forgetHandle(r)
+	c.enterUse(r)
 	c.again = append(c.again, func() { c.ctl.Done(c.now, r.id, took, how) })
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,7 +31,8 @@
 	runner Runner
 	caller Caller
 	lister Lister
-	store  Store // nil = keys are this server's alone
+	store  Store  // nil = keys are this server's alone
+	books  Booker // nil = no ledger
 	log    *slog.Logger
 	events chan Event
 	ended  chan struct{} // closed when the loop is over
@@ -56,6 +57,9 @@
 	table    table
 	recent   recent // handles of late
 
+	unwritten []*request // results that wait for their entries, by ticket
+	bookedNow bool       // in this turn
+
 	level     float64
 	up        bool
 	idleAfter time.Duration
@@ -109,6 +113,7 @@
 	doubtful bool          // that may not have come
 	begins   bool          // that asks for its run
 	stopping bool          // it was told to stop, and no end has come
+	use      use
 }
 
 // New makes a core; its loop starts with Run.
@@ -127,6 +132,9 @@
 	c.runner, c.caller, c.lister, c.store = r, below, l, s
 }
 
+// Keep names the ledger. It is called before Run.
+func (c *Core) Keep(b Booker) { c.books = b }
+
 // Send hands an event to the loop; it waits while the loop's queue is full. After the loop it does nothing.
 func (c *Core) Send(e Event) {
 	select {
@@ -156,6 +164,27 @@
 		c.turn()
 		clock.Reset(c.next())
 	}
+	c.settle()
+}
+
+// settle books what is open when the server ends: runs that nobody waits for any longer.
+func (c *Core) settle() {
+	if c.books == nil {
+		return
+	}
+	for _, r := range c.unwritten {
+		if r.use.answer.Body != nil {
+			c.overdue(r)
+		}
+	}
+	for _, r := range c.byHandle {
+		if r.ran {
+			r.runEnded(c.now, c.now-r.use.since)
+		}
+		c.endsAs(r, Failed)
+		c.enterUse(r)
+	}
+	c.books.Flush()
 }
 
 // tell reads the clock, once a turn.
@@ -191,6 +220,10 @@
 			f()
 		}
 	}
+	if c.bookedNow {
+		c.bookedNow = false
+		c.books.Flush()
+	}
 	c.checkEnd()
 }
 
@@ -222,6 +255,8 @@
 		c.callEnded(e)
 	case Claimed:
 		c.claimed(e)
+	case Booked:
+		c.booked(e.Through)
 	case Drain:
 		c.drain()
 	}
@@ -286,7 +321,7 @@
 
 // checkEnd ends the loop early when the grace is over, all is answered and nobody is connected.
 func (c *Core) checkEnd() {
-	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 {
+	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 || len(c.unwritten) > 0 {
 		return
 	}
 	if c.ctl == nil || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -127,6 +127,7 @@
 		return
 	}
 	r.answered = true
+	c.withdrawn(r)
 	r.session.idled++
 	c.left(r)
 	if r.state == claiming {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -26,6 +26,7 @@
 		return
 	}
 	r.state, r.began = calling, c.now
+	r.use.calls++
 	c.late.set(&r.patience, c.now+patience+callMargin)
 	once := c.site.Control.Classes[r.Class].Effect != control.Safe
 	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, once, r.callBody)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -34,6 +34,7 @@
 	owner   *request // nil once it is over
 	phase   phase
 	ran     bool
+	earned  bool // a result was given out
 	claimed bool // it is this server's in the shared store
 	result  []byte
 	waiters []*request
@@ -143,6 +144,7 @@
 // share gives a repeat the end of the try that ran.
 func (c *Core) share(r *request) {
 	how := control.Errored
+	r.use.replay = true
 	if r.entry.phase == done {
 		how = control.OK
 		c.answer(r, Answer{Kind: Served, Body: r.entry.result})
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -117,6 +117,7 @@
 		return
 	}
 	r.state, r.ran = running, true
+	r.use.since = c.now
 	if r.entry != nil {
 		c.remember(r)
 	}
@@ -275,6 +276,7 @@
 	if r.state == calling {
 		c.abandon(r)
 	}
+	r.runEnded(c.now, e.Took)
 	switch e.End {
 	case control.OK:
 		c.answer(r, Answer{Kind: Served, Body: e.Body})
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -239,9 +239,12 @@
 	return nil
 }
 
+// KeptRecord holds a pending batch's bytes in a log that begins with a snapshot.
+func KeptRecord(bytes []byte) []byte { return append([]byte{kindKept}, bytes...) }
+
 // SealedBatch gives the bytes of the batch in a record; false = it holds none.
 func SealedBatch(rec []byte) ([]byte, bool) {
-	if len(rec) == 0 || rec[0] != kindSeal {
+	if len(rec) == 0 || rec[0] != kindSeal && rec[0] != kindKept {
 		return nil, false
 	}
 	return rec[1:], true
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -168,6 +168,11 @@
 		return apply(body, b.applyAck)
 	case kindSnapshot:
 		return apply(body, b.restore)
+	case kindKept:
+		if h := SumOf(body); !slices.ContainsFunc(b.pending, func(s Sealed) bool { return s.Hash == h }) {
+			return fmt.Errorf("%w: a kept batch that does not wait", ErrRecord)
+		}
+		return nil
 	default:
 		return fmt.Errorf("record of kind %d: %w", rec[0], ErrNewer)
 	}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -22,6 +22,7 @@
 	kindSeal
 	kindAck
 	kindSnapshot
+	kindKept
 )
 
 // ErrNewer is a record or batch of a version that this program does not know.
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -50,13 +50,16 @@
 
 // NewWorld starts a core with a warm worker pool. With shared, a store is attached, played by Claimed
 // events. The core ends with the test.
-func NewWorld(t *testing.T, site core.Site, shared bool) *World {
+func NewWorld(t *testing.T, site core.Site, shared bool, with ...func(*World)) *World {
 	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{}}
 	var s core.Store
 	if shared {
 		s = keys{w}
 	}
 	w.Core.Attach(runner{w}, caller{w}, lister{w}, s)
+	for _, f := range with {
+		f(w)
+	}
 	ctx, end := context.WithCancel(context.Background())
 	t.Cleanup(func() { // a bubble has to be empty when its test returns
 		end()
@@ -174,6 +177,48 @@
 	}
 }
 
+// Ledger is a ledger that a test writes by hand.
+type Ledger struct {
+	w                     *World
+	IsStrict, LetsOverdue bool
+	refuses               atomic.Bool
+	tickets               uint64
+}
+
+// KeepLedger attaches a ledger before the core's first event. What it is told is recorded.
+func KeepLedger(l *Ledger) func(*World) {
+	return func(w *World) {
+		l.w = w
+		w.Core.Keep(l)
+	}
+}
+
+// Refuse makes it take no new work.
+func (l *Ledger) Refuse(on bool) { l.refuses.Store(on) }
+
+// Book implements core.Booker.
+func (l *Ledger) Book(u core.Use) uint64 {
+	l.tickets++
+	replay := ""
+	if u.Replay {
+		replay = " replay"
+	}
+	l.w.note("book %d %s%s%s", l.tickets, u.End, replay, fmt.Sprint(u.Figures))
+	return l.tickets
+}
+
+// Flush implements core.Booker.
+func (l *Ledger) Flush() {}
+
+// Ready implements core.Booker.
+func (l *Ledger) Ready() bool { return !l.refuses.Load() }
+
+// Strict implements core.Booker.
+func (l *Ledger) Strict() bool { return l.IsStrict }
+
+// Overdue implements core.Booker.
+func (l *Ledger) Overdue() bool { return l.LetsOverdue }
+
 // FullStore makes the store take no claims.
 func (w *World) FullStore() { w.full = true }
 
--- a/internal/simfs/simfs.go
+++ b/internal/simfs/simfs.go
@@ -230,6 +230,27 @@
 	return nil
 }
 
+// Patch implements wal.FS. Power may fail in it: then any part of it is on the disk.
+func (d *Disk) Patch(name string, at int64, b []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.files[name]
+	err := d.op("patch")
+	if n == nil || at+int64(len(b)) > int64(len(n.data)) {
+		return &fs.PathError{Op: "patch", Path: name, Err: fs.ErrNotExist}
+	}
+	if err == ErrPower {
+		b = b[:d.rand.IntN(len(b)+1)]
+	} else if err != nil {
+		return err
+	}
+	copy(n.data[at:], b)
+	if end := at + int64(len(b)); end <= int64(len(n.synced)) {
+		copy(n.synced[at:end], b)
+	}
+	return err
+}
+
 type file struct {
 	d *Disk
 	n *node
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -18,6 +18,8 @@
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir() error
+	// Patch writes over bytes that a file has, which needs no room, and syncs them.
+	Patch(name string, at int64, b []byte) error
 }
 
 // File is one file of an FS. Writes go to its end.
@@ -89,6 +91,18 @@
 // Remove implements FS.
 func (d Dir) Remove(name string) error { return os.Remove(d.path(name)) }
 
+// Patch implements FS.
+func (d Dir) Patch(name string, at int64, b []byte) error {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	if _, err = f.WriteAt(b, at); err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
 // SyncDir implements FS.
 func (d Dir) SyncDir() error {
 	f, err := os.Open(string(d))
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -84,6 +84,14 @@
 // Next is the LSN that the next record gets.
 func (l *Log) Next() uint64 { return l.next }
 
+// Segment is the number of the newest segment; 0 = there is none.
+func (l *Log) Segment() uint32 {
+	if l.seg == nil {
+		return 0
+	}
+	return l.seg.segment
+}
+
 // Failed tells why the newest segment takes nothing more; nil = it does.
 func (l *Log) Failed() error { return l.failed }
 
