Wire the ledger into the program; larchctl with statements, exports and a trial

Operators need to turn the ledger on, read it and settle from it, and a fresh machine had no trial that is served. [ledger] in deploy/operator.toml (the complete file, in place of uwsgi.toml) opens it before anything else; larchctl, on kong, checks settings, states, corrects, exports, reconciles and verifies; make demo runs the real program beside a pool, calls, a directory, callers on both fronts and a collector. Off on the platform.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build test race lint size run fuzz
+.PHONY: check build demo test race lint size run fuzz
 
 check: lint build size test
 
@@ -9,6 +9,11 @@
 build:
 	$(BUILD)
 
+# The main job on one machine: the real program beside stand-ins, mixed requests on both fronts, and the ledger's
+# statement held against what the callers saw.
+demo: build
+	bin/larchctl dev
+
 test:
 	go test -timeout 120s ./...
 
@@ -36,3 +41,6 @@
 	go test -run '^$$' -fuzz FuzzReadPacket -fuzztime 10s ./internal/uwsgi
 	go test -run '^$$' -fuzz FuzzReadResponse -fuzztime 10s ./internal/uwsgi
 	go test -run '^$$' -fuzz FuzzReadReply -fuzztime 10s ./internal/index
+	go test -run '^$$' -fuzz FuzzOpen -fuzztime 10s ./internal/wal
+	go test -run '^$$' -fuzz FuzzApply -fuzztime 10s ./internal/ledger
+	go test -run '^$$' -fuzz FuzzOutage -fuzztime 10s ./internal/keeper
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"flag"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,17 +14,24 @@
 	"runtime/debug"
 	"syscall"
 	"time"
+	_ "time/tzdata" // a box may have none of its own
+
+	"github.com/alecthomas/kong"
 
 	"larchscale/internal/config"
 	"larchscale/internal/core"
 	"larchscale/internal/directory"
+	"larchscale/internal/export"
 	"larchscale/internal/index"
 	"larchscale/internal/jsonrpc"
+	"larchscale/internal/keeper"
 	"larchscale/internal/logs"
 	"larchscale/internal/pool"
 	"larchscale/internal/sock"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
+	"larchscale/internal/version"
+	"larchscale/internal/wal"
 )
 
 const (
@@ -33,41 +40,100 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stderr)) }
 
+// flags are the program's arguments. The platform gives none: it names its file by the environment.
+type flags struct {
+	Config   string           `help:"The platform's config.json; BALANCER_CONFIG names it too." placeholder:"FILE"`
+	Operator string           `help:"The operator's TOML, as deploy/operator.toml; without it all that it sets is off. LARCHSCALE_OPERATOR names it too." placeholder:"FILE"`
+	Version  kong.VersionFlag `help:"Print the version."`
+}
+
+// parse reads the arguments. A long flag may have one dash, as it always could.
+func parse(args []string, env func(string) string, out io.Writer) (f flags, code int, err error) {
+	code = -1
+	p, err := kong.New(&f, kong.Name("larchscale"), kong.Description("One app server: the decision module on real sockets."),
+		kong.Vars{"version": "larchscale " + version.Number}, kong.Writers(out, out), kong.Exit(func(c int) { code = c }))
+	if err != nil {
+		return f, code, err
+	}
+	long := make([]string, len(args))
+	for i, a := range args {
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' {
+			a = "-" + a
+		}
+		long[i] = a
+	}
+	if _, err = p.Parse(long); err != nil || code >= 0 {
+		return f, code, err
+	}
+	if f.Config == "" {
+		f.Config = env("BALANCER_CONFIG")
+	}
+	if f.Operator == "" {
+		f.Operator = env("LARCHSCALE_OPERATOR")
+	}
+	if f.Config == "" {
+		err = errors.New("no configuration: set BALANCER_CONFIG or --config")
+	}
+	return f, code, err
+}
+
 // run starts the program and gives its exit code: 2 for bad settings, 1 for what fails later.
 func run(args []string, env func(string) string, out io.Writer) int {
-	flags := flag.NewFlagSet("larchscale", flag.ContinueOnError)
-	flags.SetOutput(out)
-	path := flags.String("config", env("BALANCER_CONFIG"), "the platform's config.json")
-	operator := flags.String("operator", env("LARCHSCALE_OPERATOR"), "the operator's TOML, as deploy/uwsgi.toml; none = no uwsgi front")
-	if err := flags.Parse(args); err != nil {
+	bad := func(err error) int {
+		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
-	if *path == "" {
-		fmt.Fprintln(out, "larchscale: no configuration: set BALANCER_CONFIG or -config")
-		return 2
+	f, code, err := parse(args, env, out)
+	if err != nil {
+		return bad(err)
+	}
+	if code >= 0 {
+		return code
 	}
-	cfg, err := config.Load(*path)
+	cfg, err := config.Load(f.Config)
 	if err != nil {
-		fmt.Fprintln(out, "larchscale:", err)
-		return 2
+		return bad(err)
 	}
-	own, err := config.LoadOperator(*operator, cfg)
+	own, err := config.LoadOperator(f.Operator, cfg)
 	if err != nil {
-		fmt.Fprintln(out, "larchscale:", err)
-		return 2
+		return bad(err)
+	}
+	log := slog.New(logs.New(out)).With("server", cfg.Name)
+	books, err := openLedger(own, cfg, log)
+	if err != nil {
+		return bad(err)
 	}
 	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
-	if err := serve(*path, cfg, own, slog.New(logs.New(out)).With("server", cfg.Name)); err != nil {
+	if err := serve(f.Config, cfg, own, books, log); err != nil {
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
 	}
 	return 0
 }
 
+// openLedger opens the box's ledger before anything else is; nil = it keeps none.
+func openLedger(own *config.Operator, cfg *config.Config, log *slog.Logger) (*keeper.Keeper, error) {
+	dir := wal.Dir(own.Ledger.Dir)
+	if dir == "" {
+		return nil, nil
+	}
+	if err := dir.Make(); err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	if _, err := dir.Lock(); err != nil { // held until the process ends
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	k, err := keeper.Open(dir, own.Ledger.Options, keeper.Site{Box: cfg.Name, Stands: cfg.Site.Tenants, Classes: cfg.Site.Classes, Boot: keeper.BootID()}, log)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %s: %w", dir, err)
+	}
+	return k, nil
+}
+
 // serve wires the parts together and returns when the core has answered all after SIGTERM. SIGHUP moves the
 // links to the addresses in the file as it is then; all else lives on.
-func serve(path string, cfg *config.Config, own *config.Operator, log *slog.Logger) error {
+func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	signals := make(chan os.Signal, 8)
@@ -101,6 +167,18 @@
 		keys = db
 	}
 	c.Attach(workers, below, list, keys)
+	if books != nil {
+		c.Keep(books)
+		books.Attach(c.Send)
+		go books.Run()
+		if own.Ledger.Collector.URL != "" {
+			e, err := export.New(own.Ledger.Collector, books, nil, log)
+			if err != nil {
+				return err
+			}
+			go e.Run(ctx)
+		}
+	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
 		desks, err := net.Listen("tcp", own.UWSGI.Listen)
@@ -131,11 +209,30 @@
 			log.Info("reloaded", "pool", next.Pool, "index", next.Index, "lookup", next.Lookup)
 		}
 	}()
-	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis)
+	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis, "ledger", own.Ledger.Dir)
 	c.Run(ctx)
+	closed := closeLedger(books, log)
 	for _, f := range fronts {
 		f.Stop(lastWrites)
 	}
+	<-closed
 	log.Info("stopped")
 	return nil
 }
+
+// closeLedger has the last entries written, while the fronts write their last answers.
+func closeLedger(books *keeper.Keeper, log *slog.Logger) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if books == nil {
+			return
+		}
+		ctx, stop := context.WithTimeout(context.Background(), lastWrites)
+		defer stop()
+		if err := books.Close(ctx); err != nil {
+			log.Error("ledger", "do", "end", "err", err)
+		}
+	}()
+	return done
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"larchscale/internal/core"
+	"larchscale/internal/export"
+	"larchscale/internal/keeper"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
 )
@@ -38,12 +40,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, path := range []string{"", "../../deploy/uwsgi.toml"} {
+	for _, path := range []string{"", "../../deploy/operator.toml"} {
 		o, err := LoadOperator(path, c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults()}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults()}}
 		if path != "" {
 			want.UWSGI.Listen, want.UWSGI.Below = "127.0.0.4:6566", []string{}
 		}
@@ -63,6 +65,17 @@
 		"time to read": "[uwsgi]\nread_ms = 0",
 		"memory":       "[uwsgi]\nheld_kb = -1",
 		"timeout":      "[store]\ntimeout_ms = 0",
+		"ledger mode":  "[ledger]\ndir = 'x'\nmode = 'lax'",
+		"failure":      "[ledger]\ndir = 'x'\non_failure = 'wait'",
+		"period":       "[ledger]\ndir = 'x'\nperiod = 'year'",
+		"zone":         "[ledger]\ndir = 'x'\ntime_zone = 'Bengal'",
+		"disk":         "[ledger]\ndir = 'x'\ndisk_kb = 4096",
+		"grace":        "[ledger]\ndir = 'x'\ngrace_s = 0",
+		"no directory": "[ledger.collector]\nurl = 'http://127.0.0.1:1/'",
+		"no URL":       "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = '127.0.0.1:1'",
+		"plain URL":    "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'http://10.0.0.1/'",
+		"no CA":        "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\nca = '/nowhere'",
+		"half a pair":  "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
 		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
 	} {
 		path := filepath.Join(t.TempDir(), "o.toml")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -8,19 +8,29 @@
 
 	"github.com/BurntSushi/toml"
 
+	"larchscale/internal/export"
+	"larchscale/internal/keeper"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
 )
 
-// Operator is the operator's own file, deploy/uwsgi.toml or one like it.
+// Operator is the operator's own file, deploy/operator.toml or one like it.
 type Operator struct {
-	UWSGI uwsgi.Options `toml:"uwsgi"`
-	Store store.Options `toml:"store"`
+	UWSGI  uwsgi.Options `toml:"uwsgi"`
+	Store  store.Options `toml:"store"`
+	Ledger Ledger        `toml:"ledger"`
 }
 
-// LoadOperator reads the operator's file; without a path nothing is turned on.
+// Ledger is the table of that name.
+type Ledger struct {
+	keeper.Options
+	Collector export.Options `toml:"collector"`
+}
+
+// LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
+// it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults()}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults()}}
 	if path == "" {
 		return o, nil
 	}
@@ -56,7 +66,12 @@
 			return err
 		}
 	}
+	if err := errors.Join(o.Ledger.Check(), o.Ledger.Collector.Check()); err != nil {
+		return err
+	}
 	switch {
+	case o.Ledger.Collector.URL != "" && o.Ledger.Dir == "":
+		return errors.New("ledger.collector needs ledger.dir")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
--- a/internal/keeper/files.go
+++ b/internal/keeper/files.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/tidwall/gjson"
@@ -151,3 +153,35 @@
 		return b, out, nil
 	}
 }
+
+// BatchEnding is how the names of batch files end.
+const BatchEnding = ".batch"
+
+// BatchName is the file name of a batch: box, ledger and sequence, in an order that sorts.
+func BatchName(b *ledger.Batch) string {
+	return fmt.Sprintf("%s-%s-%010d%s", url.PathEscape(b.Box), b.Ledger.String()[:12], b.Seq, BatchEnding)
+}
+
+// ErrDiffers is a batch file that is there with other bytes.
+var ErrDiffers = errors.New("it is there with other bytes")
+
+// WriteBatch writes a batch file, whole or not at all. One that is there already stays.
+func WriteBatch(fsys wal.FS, name string, bytes []byte) error {
+	f, err := fsys.Open(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return replace(fsys, name, bytes)
+	}
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	have := make([]byte, len(bytes))
+	size, err := f.Size()
+	if err == nil {
+		_, err = f.ReadAt(have, 0)
+	}
+	if size != int64(len(bytes)) || !slices.Equal(have, bytes) {
+		return fmt.Errorf("%s: %w", name, ErrDiffers)
+	}
+	return err
+}
--- a/internal/keeper/inbox.go
+++ b/internal/keeper/inbox.go
@@ -57,6 +57,36 @@
 	return a, err == nil, err
 }
 
+// takenEnding ends the names of files that say that a batch was taken as a file.
+const takenEnding = ".taken"
+
+// Taken tells the box that owns the directory that a batch has left it as a file.
+func Taken(fsys wal.FS, s ledger.Sealed) error {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return replace(fsys, fmt.Sprintf("%020d%s", s.Seq, takenEnding), text)
+}
+
+// take acknowledges a batch that has left as a file. One that is out of turn waits.
+func (k *Keeper) take(name string) (done bool) {
+	text, err := readSmall(k.fs, name)
+	var s ledger.Sealed
+	if err != nil || json.Unmarshal(text, &s) != nil {
+		return true
+	}
+	if rec, ok := k.book.ProposeAck(s.Seq, s.Hash); ok {
+		if _, err := k.promise(rec); err != nil {
+			return false
+		}
+		delete(k.batches, s.Seq)
+		return true
+	}
+	next, ok := k.book.Next()
+	return !ok || next.Seq >= s.Seq
+}
+
 // inbox takes what operators left. A correction that cannot be written stays for the next time.
 func (k *Keeper) inbox(now int64) {
 	names, err := k.fs.List()
@@ -64,7 +94,10 @@
 		return
 	}
 	taken := 0
-	for _, n := range names {
+	for _, n := range names { // sorted: batches are in their order
+		if strings.HasSuffix(n, takenEnding) && k.take(n) {
+			k.fs.Remove(n)
+		}
 		name, ok := strings.CutSuffix(n, inEnding)
 		if !ok || taken >= maxInbox {
 			continue
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -23,6 +23,14 @@
 // MarshalText gives it in hexadecimal.
 func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
 
+// UnmarshalText reads it again.
+func (h *Hash) UnmarshalText(text []byte) error {
+	if n, err := hex.Decode(h[:], text[:min(len(text), 2*len(h))]); err != nil || n != len(h) || len(text) != 2*n {
+		return fmt.Errorf("%w: no hash", ErrRecord)
+	}
+	return nil
+}
+
 // ID is a ledger's own, drawn when it is made: a box that lost its disk begins another.
 type ID [16]byte
 
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Stands and Classes are those of every box here; the second class is keyed.
+var (
+	Stands  = []string{"howrah-stand", "sealdah-stand", "esplanade-stand", "dum-dum-stand"}
+	Classes = []string{"fare-quote", "book-ride", "ride-status"}
+)
+
+// Box is the real program as a process of its own, on files that outlive it.
+type Box struct {
+	Name          string
+	Listen        string // the platform's front
+	Desk          string // the uwsgi front
+	Dir           string // its ledger's
+	program, home string
+	cmd           *exec.Cmd
+	log           *tail
+	ended         chan struct{}
+}
+
+// NewBox writes a box's files under home. operator is the text of its operator's file beyond the uwsgi front;
+// $DIR in it is the ledger's directory.
+func NewBox(program, home, name string, site *Site, operator string) (*Box, error) {
+	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), log: &tail{}}
+	var err error
+	if b.Listen, err = freeAddr(); err != nil {
+		return nil, err
+	}
+	if b.Desk, err = freeAddr(); err != nil {
+		return nil, err
+	}
+	var classes, tenants []map[string]any
+	for i, c := range Classes {
+		k := map[string]any{"Name": c, "AimUs": 2900000, "GiveUpUs": 8700000, "Importance": 1, "LateWorth": 0.2, "Effect": "repeatable"}
+		if i == 1 {
+			k["Effect"], k["Importance"], k["MemorySpanUs"] = "by_key", 3, 34668000
+		}
+		classes = append(classes, k)
+	}
+	for _, s := range Stands {
+		tenants = append(tenants, map[string]any{"Name": s, "Fraction": 0.25, "QuotaPerS": 1000})
+	}
+	config, err := json.Marshal(map[string]any{"name": name, "listen": b.Listen, "pool": site.Pool, "index": site.Index, "lookup": site.Lookup,
+		"seed": "1", "stop_ms": 3200, "limits": map[string]any{"memory_mb": 32, "sockets": 1024},
+		"settings": map[string]any{"Servers": 1, "RequestClasses": classes, "Tenants": tenants,
+			"FamilyInfo": map[string]any{"Cpus": 6, "Upstreams": 4, "Advert": "level", "MemoryKb": 8_000_000, "RunFactor": 8, "OwnStats": []string{"core_use", "on_cores", "heap_share", "links"},
+				"Below": "tier", "ClassCalls": []bool{true, true, true}, "HangupSeen": true, "Preemption": "drop"},
+			"Safety": map[string]any{"FallMultiple": 8, "FallUs": 1500000, "DrainGraceUs": 2500000, "AnswerSlackUs": 80000}}})
+	if err != nil {
+		return nil, err
+	}
+	operator = fmt.Sprintf("[uwsgi]\nlisten = %q\n", b.Desk) + strings.ReplaceAll(operator, "$DIR", b.Dir)
+	for name, text := range map[string][]byte{"config.json": config, "operator.toml": []byte(operator)} {
+		if err := os.WriteFile(filepath.Join(home, name), text, 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// Operator is the path of its operator's file.
+func (b *Box) Operator() string { return filepath.Join(b.home, "operator.toml") }
+
+// freeAddr gives an address of loopback that nobody listens on.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Start starts the process and returns once its pool is up.
+func (b *Box) Start() error {
+	b.cmd = exec.Command(b.program, "--config", filepath.Join(b.home, "config.json"), "--operator", b.Operator())
+	b.cmd.Stderr = b.log
+	up := b.log.wait("worker pool up")
+	if err := b.cmd.Start(); err != nil {
+		return err
+	}
+	b.ended = make(chan struct{})
+	go func(c *exec.Cmd, ended chan struct{}) {
+		c.Wait()
+		close(ended)
+	}(b.cmd, b.ended)
+	select {
+	case <-up:
+		return nil
+	case <-b.ended:
+		return fmt.Errorf("the box ended: %s", b.log)
+	case <-time.After(10 * time.Second):
+		b.Kill()
+		return fmt.Errorf("the box does not come up: %s", b.log)
+	}
+}
+
+// Kill ends the process at once.
+func (b *Box) Kill() {
+	b.cmd.Process.Signal(syscall.SIGKILL)
+	<-b.ended
+}
+
+// Stop drains it, and gives its exit code.
+func (b *Box) Stop() (int, error) {
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-b.ended:
+		return b.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(10 * time.Second):
+		b.Kill()
+		return -1, errors.New("the box does not drain")
+	}
+}
+
+// Log gives the newest lines of its log.
+func (b *Box) Log() string { return b.log.String() }
+
+// tail keeps the end of a log and wakes who waits for a word in it.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+	word string
+	seen chan struct{}
+}
+
+func (t *tail) wait(word string) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.word, t.seen = word, make(chan struct{})
+	return t.seen
+}
+
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seen != nil && bytes.Contains(b, []byte(t.word)) {
+		close(t.seen)
+		t.seen = nil
+	}
+	t.text = append(t.text, b...)
+	if n := len(t.text) - 16<<10; n > 0 {
+		t.text = append([]byte{}, t.text[n:]...)
+	}
+	return len(b), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
+}
+
+var _ io.Writer = (*tail)(nil)
--- /dev/null
+++ b/internal/standin/site.go
@@ -0,0 +1,230 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Site is what stands behind a box: its worker pool, the calls below and the directory. It outlives the box, and
+// counts how often each request's body has run.
+type Site struct {
+	Pool, Index, Lookup string // addresses
+
+	work    time.Duration
+	serving net.Listener
+	calls   net.Listener
+	listing net.Listener
+	began   time.Time
+	mu      sync.Mutex
+	runs    map[string]int // by body
+	link    net.Conn
+	notices []string // of this start of the box, numbered from 1
+	begun   map[string]string
+	waiting map[string]chan string // runs at a call, by handle
+}
+
+// NewSite starts a site on loopback. A run takes work, and every third makes a call below.
+func NewSite(work time.Duration) (*Site, error) {
+	s := &Site{work: work, began: time.Now(), runs: map[string]int{}, begun: map[string]string{}, waiting: map[string]chan string{}}
+	for _, x := range []struct {
+		l      *net.Listener
+		addr   *string
+		handle func(net.Conn)
+	}{{&s.serving, &s.Pool, s.pool}, {&s.calls, &s.Index, s.index}, {&s.listing, &s.Lookup, s.directory}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		*x.l, *x.addr = l, l.Addr().String()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go x.handle(c)
+			}
+		}()
+	}
+	return s, nil
+}
+
+// Close ends the site.
+func (s *Site) Close() {
+	for _, l := range []net.Listener{s.serving, s.calls, s.listing} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		s.link.Close()
+	}
+}
+
+// Runs tells how often each body has run.
+func (s *Site) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for body, n := range s.runs {
+		out[body] = n
+	}
+	return out
+}
+
+// pool serves one link of the worker pool's protocol.
+func (s *Site) pool(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		j := gjson.Parse(line)
+		handle, arg := j.Get("handle").String(), j.Get("arg").String()
+		switch j.Get("event").String() {
+		case "bind":
+			s.bind(c, j.Get("cursor").Int())
+		case "spawn":
+			s.spawn(handle, j.Get("entry").String(), arg)
+		case "supply":
+			s.mu.Lock()
+			if w := s.waiting[handle]; w != nil {
+				delete(s.waiting, handle)
+				w <- arg
+			}
+			s.mu.Unlock()
+		case "suspend":
+			s.mu.Lock()
+			if w := s.waiting[handle]; w != nil {
+				delete(s.waiting, handle)
+				close(w)
+			}
+			s.mu.Unlock()
+		case "poll":
+			s.mu.Lock()
+			fmt.Fprintf(c, `{"event":"polled","ticket":%q,"figures":[0.2,0,0.1,0]}`+"\n", j.Get("ticket").String())
+			s.mu.Unlock()
+		}
+	}
+}
+
+// bind makes c the link. A cursor of 0 is a box that has just started: notices begin anew, and runs of an
+// earlier one are nobody's.
+func (s *Site) bind(c net.Conn, cursor int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		s.link.Close()
+	}
+	s.link = c
+	if cursor == 0 {
+		s.notices = nil
+	}
+	fmt.Fprintf(c, `{"event":"bound","fate":"hot","lasted":%d}`+"\n", max(60_000, time.Since(s.began).Milliseconds()))
+	for _, n := range s.notices[min(int(cursor), len(s.notices)):] {
+		io.WriteString(c, n)
+	}
+}
+
+// notice tells the box; s.mu is held.
+func (s *Site) notice(f string, x ...any) {
+	n := fmt.Sprintf(`{"cursor":%d,`, len(s.notices)+1) + fmt.Sprintf(f, x...) + "}\n"
+	s.notices = append(s.notices, n)
+	if s.link != nil {
+		io.WriteString(s.link, n)
+	}
+}
+
+func (s *Site) spawn(handle, class, arg string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.begun[handle]; ok {
+		return
+	}
+	s.begun[handle] = class
+	body, _ := base64.StdEncoding.DecodeString(arg)
+	s.runs[string(body)]++
+	began := time.Now()
+	calls := len(s.begun)%3 == 0
+	var supplied chan string
+	if calls {
+		supplied = make(chan string, 1)
+		s.waiting[handle] = supplied
+		s.notice(`"event":"blocked","handle":%q,"arg":%q`, handle, base64.StdEncoding.EncodeToString([]byte("fleet-match")))
+	}
+	go func() {
+		fate := "complete"
+		if calls {
+			if _, ok := <-supplied; !ok {
+				fate = "cancelled"
+			}
+		}
+		time.Sleep(s.work)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		result := base64.StdEncoding.EncodeToString([]byte("done: " + string(body)))
+		if fate != "complete" {
+			result = ""
+		}
+		s.notice(`"event":"finished","handle":%q,"fate":%q,"lasted":%d,"arg":%q`, handle, fate, time.Since(began).Milliseconds(), result)
+	}()
+}
+
+// index answers calls below.
+func (s *Site) index(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		f := strings.Fields(line)
+		if len(f) != 4 || f[0] != "GET" {
+			continue
+		}
+		n, err := strconv.Atoi(f[3])
+		if err != nil || n < 0 || n > 1<<20 {
+			return
+		}
+		if _, err := in.Discard(n + 2); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "%s HIT 4\r\ntaxi\r\n", f[1])
+	}
+}
+
+// directory answers reports.
+func (s *Site) directory(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for size := 0; ; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if v, ok := strings.CutPrefix(strings.ToLower(line), "content-length:"); ok {
+			size, _ = strconv.Atoi(strings.TrimSpace(v))
+		}
+		if line == "\r\n" {
+			if _, err := in.Discard(min(size, 1<<20)); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	}
+}
