--- a/cmd/larchctl/dev.go
+++ b/cmd/larchctl/dev.go
@@ -81,7 +81,7 @@
 	server := &http.Server{Handler: collector}
 	go server.Serve(l)
 	defer server.Close()
-	box, err := standin.NewBox(c.Program, c.Home, "dev", site, fmt.Sprintf("[ledger]\ndir = \"$DIR\"\nmode = \"strict\"\nperiod = \"day\"\nexport_s = 1\n"+
+	box, err := standin.NewBox(c.Program, c.Home, "dev", site, fmt.Sprintf("[ledger]\ndir = \"$DIR\"\nmode = \"strict\"\nperiod = \"day\"\nexport_ms = 20\n"+
 		"[ledger.collector]\nurl = \"http://%s/batches\"\ntimeout_ms = 1000\nretry_ms = 20\nretry_max_s = 1\n", l.Addr()))
 	if err != nil {
 		return nil, err
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -289,7 +289,7 @@
 // Run writes until Close.
 func (k *Keeper) Run() {
 	defer close(k.ended)
-	tick := time.NewTicker(min(k.opt.ms(k.opt.WriteMs), choresEach))
+	tick := time.NewTicker(min(k.opt.ms(k.opt.WriteMs), k.opt.ms(k.opt.ExportMs), choresEach))
 	defer tick.Stop()
 	for {
 		select {
@@ -476,7 +476,7 @@
 			k.retryAt = time.Now().Add(k.retry.NextBackOff())
 		}
 	}
-	if now.Sub(k.chores) < choresEach {
+	if now.Sub(k.chores) < min(choresEach, k.opt.ms(k.opt.ExportMs)) {
 		return
 	}
 	k.chores = now
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -25,7 +25,7 @@
 
 func options(mode, onFailure string) Options {
 	o := Defaults()
-	o.Dir, o.Mode, o.OnFailure, o.Period, o.SegmentKB, o.DiskKB, o.ExportS = "-", mode, onFailure, "hour", 64, 1024, 5
+	o.Dir, o.Mode, o.OnFailure, o.Period, o.SegmentKB, o.DiskKB, o.ExportMs = "-", mode, onFailure, "hour", 64, 1024, 5000
 	return o
 }
 
--- a/internal/keeper/options.go
+++ b/internal/keeper/options.go
@@ -23,7 +23,7 @@
 	WriteMs   int    `toml:"write_ms"`
 	SegmentKB int    `toml:"segment_kb"`
 	DiskKB    int    `toml:"disk_kb"`
-	ExportS   int    `toml:"export_s"`
+	ExportMs  int    `toml:"export_ms"`
 }
 
 // The words of mode and on_failure.
@@ -37,7 +37,7 @@
 // Defaults are the options that a file need not name. Without a directory there is no ledger.
 func Defaults() Options {
 	return Options{Mode: Relaxed, OnFailure: Gap, Period: "month", Zone: "Asia/Kolkata", GraceS: 60, Keep: 24,
-		SyncMs: 1000, WriteMs: 100, SegmentKB: 4096, DiskKB: 32768, ExportS: 60}
+		SyncMs: 1000, WriteMs: 100, SegmentKB: 4096, DiskKB: 32768, ExportMs: 60_000}
 }
 
 // Check finds what cannot be.
@@ -49,7 +49,7 @@
 		name            string
 		is, least, most int
 	}{{"grace_s", o.GraceS, 1, 3600}, {"keep_periods", o.Keep, 1, 1000}, {"sync_ms", o.SyncMs, 0, 60_000}, {"write_ms", o.WriteMs, 1, 10_000},
-		{"segment_kb", o.SegmentKB, 64, 1 << 20}, {"disk_kb", o.DiskKB, 1024, 1 << 24}, {"export_s", o.ExportS, 1, 86_400}} {
+		{"segment_kb", o.SegmentKB, 64, 1 << 20}, {"disk_kb", o.DiskKB, 1024, 1 << 24}, {"export_ms", o.ExportMs, 10, 86_400_000}} {
 		if b.is < b.least || b.is > b.most {
 			return fmt.Errorf("ledger.%s is %d, %d to %d", b.name, b.is, b.least, b.most)
 		}
@@ -73,7 +73,7 @@
 func (o *Options) policy() ledger.Policy {
 	cal, _ := ledger.NewCalendar(o.Period, o.Zone) // checked
 	return ledger.Policy{Calendar: cal, Grace: int64(o.GraceS) * 1000, Keep: o.Keep,
-		ExportEvery: int64(o.ExportS) * 1000, MaxPending: o.DiskKB << 10 / 4}
+		ExportEvery: int64(o.ExportMs), MaxPending: o.DiskKB << 10 / 4}
 }
 
 func (o *Options) ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -57,11 +57,11 @@
 		tenants = append(tenants, map[string]any{"Name": s, "Fraction": 0.25, "QuotaPerS": 1000})
 	}
 	config, err := json.Marshal(map[string]any{"name": name, "listen": b.Listen, "pool": site.Pool, "index": site.Index, "lookup": site.Lookup,
-		"seed": "1", "stop_ms": 3200, "limits": map[string]any{"memory_mb": 32, "sockets": 1024},
+		"seed": "1", "stop_ms": 1200, "limits": map[string]any{"memory_mb": 32, "sockets": 1024},
 		"settings": map[string]any{"Servers": 1, "RequestClasses": classes, "Tenants": tenants,
 			"FamilyInfo": map[string]any{"Cpus": 6, "Upstreams": 4, "Advert": "level", "MemoryKb": 8_000_000, "RunFactor": 8, "OwnStats": []string{"core_use", "on_cores", "heap_share", "links"},
 				"Below": "tier", "ClassCalls": []bool{true, true, true}, "HangupSeen": true, "Preemption": "drop"},
-			"Safety": map[string]any{"FallMultiple": 8, "FallUs": 1500000, "DrainGraceUs": 2500000, "AnswerSlackUs": 80000}}})
+			"Safety": map[string]any{"FallMultiple": 8, "FallUs": 1500000, "DrainGraceUs": 500000, "AnswerSlackUs": 80000}}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 )
 
@@ -38,7 +39,7 @@
 
 // NewStream makes a stream; its name keeps its handles and tokens apart from other streams'.
 func NewStream(name string, seed uint64) *Stream {
-	return &Stream{rand: rand.New(rand.NewPCG(seed, 3)), name: name}
+	return &Stream{rand: rand.New(rand.NewPCG(seed, xxhash.Sum64String(name))), name: name}
 }
 
 // Next makes a request.
--- a/internal/standin/compare.go
+++ b/internal/standin/compare.go
@@ -20,9 +20,9 @@
 		for _, r := range s.Rows {
 			end := "served"
 			switch r.End {
-			case ledger.Refused.String(), ledger.Rejected.String():
+			case ledger.Refused.String():
 				end = "refused"
-			case ledger.Failed.String():
+			case ledger.Failed.String(), ledger.Rejected.String():
 				end = "failed"
 			case ledger.WithdrawnRan.String(), ledger.WithdrawnUnrun.String():
 				end = "lost"
