--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture race lint size run fuzz
+.PHONY: check build demo test torture measure-ledger race lint size run fuzz
 
 check: lint build size test
 
@@ -17,6 +17,10 @@
 test:
 	go test -timeout 120s ./...
 
+# The figures of docs/measurements.md; each ends with exit code 1 past a bound.
+measure-ledger: build
+	bin/measure ledger
+
 # The long form of the tests with the real program: 200 kills, and 100,000 requests against a collector that fails.
 torture:
 	go test -v -timeout 900s -count=1 ./internal/standin -kills 200 -requests 100000
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -169,7 +169,7 @@
 	c.Attach(workers, below, list, keys)
 	if books != nil {
 		c.Keep(books)
-		books.Attach(c.Send)
+		books.Attach(c.Send, c.Start())
 		go books.Run()
 		if own.Ledger.Collector.URL != "" {
 			e, err := export.New(own.Ledger.Collector, books, nil, log)
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -93,8 +93,8 @@
 // Use is what one request used, told when it is over.
 type Use struct {
 	Class        int
-	Tenant       int // -1 = none
-	Began, Ended time.Time
+	Tenant       int           // -1 = none
+	Began, Ended time.Duration // since Core.Start
 	End          ledger.End
 	Replay       bool // served with the result of another try
 	Figures      ledger.Figures
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -22,9 +22,7 @@
 	}
 	c.endsAs(r, a.Kind)
 	if c.books != nil && a.Kind == Served && c.books.Strict() {
-		if r.use.answer = a; a.Body == nil {
-			r.use.answer.Body = []byte{}
-		}
+		r.use.kept = &kept{answer: a}
 		return
 	}
 	a.Hint = c.level
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	recent   recent // handles of late
 
 	unwritten []*request // results that wait for their entries, by ticket
+	overdueAt deadline   // the first of them waits no longer
 	bookedNow bool       // in this turn
 
 	level     float64
@@ -124,6 +125,7 @@
 	c.table.entries = map[Key]*entry{}
 	c.wake.do = c.woken
 	c.report.do = c.reported
+	c.overdueAt.do = c.sweepOverdue
 	return c
 }
 
@@ -132,6 +134,9 @@
 	c.runner, c.caller, c.lister, c.store = r, below, l, s
 }
 
+// Start is when the core was made; its times count from there.
+func (c *Core) Start() time.Time { return c.start }
+
 // Keep names the ledger. It is called before Run.
 func (c *Core) Keep(b Booker) { c.books = b }
 
@@ -173,9 +178,7 @@
 		return
 	}
 	for _, r := range c.unwritten {
-		if r.use.answer.Body != nil {
-			c.overdue(r)
-		}
+		c.overdue(r)
 	}
 	for _, r := range c.byHandle {
 		if r.ran {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -24,9 +24,15 @@
 	since   time.Duration // its run began
 	running time.Duration // it ran or was paused
 	over    time.Duration // when it was booked
-	answer  Answer        // kept until the entry is written
-	ticket  uint64
-	overdue deadline
+	kept    *kept
+}
+
+// kept is a result that waits for its entry.
+type kept struct {
+	answer Answer
+	given  bool
+	ticket uint64
+	until  time.Duration // it waits no longer
 }
 
 // endsAs notes how a request ends, the first time it is said.
@@ -82,11 +88,13 @@
 	}
 	r.use.booked, r.use.over = true, c.now
 	c.bookedNow = true
-	r.use.ticket = c.books.Book(c.useOf(r))
-	if r.use.answer.Body != nil {
-		r.use.overdue.do = func() { c.overdue(r) }
+	ticket := c.books.Book(c.useOf(r))
+	if w := r.use.kept; w != nil {
+		w.ticket, w.until = ticket, r.due-writtenEarly
 		c.unwritten = append(c.unwritten, r)
-		c.late.set(&r.use.overdue, r.due-writtenEarly)
+		if len(c.unwritten) == 1 || w.until < c.overdueAt.at {
+			c.late.set(&c.overdueAt, w.until)
+		}
 	}
 }
 
@@ -106,7 +114,7 @@
 	f[ledger.Held] = int64(held * (float64((span - busy).Microseconds()) + c.site.Control.RunFactor*float64(busy.Microseconds())) / 1e6)
 	f[ledger.Run] = u.took.Microseconds()
 	f[ledger.Calls], f[ledger.In], f[ledger.Out] = u.calls, int64(len(r.Body)), u.out
-	return Use{Class: r.Class, Tenant: r.Tenant, Began: c.start.Add(r.arrived), Ended: c.start.Add(u.over), End: u.end, Replay: u.replay, Figures: f}
+	return Use{Class: r.Class, Tenant: r.Tenant, Began: r.arrived, Ended: u.over, End: u.end, Replay: u.replay, Figures: f}
 }
 
 // micro is the one place where a worth becomes an integer.
@@ -115,25 +123,41 @@
 // booked gives out the results whose entries are written.
 func (c *Core) booked(through uint64) {
 	n := 0
-	for n < len(c.unwritten) && c.unwritten[n].use.ticket <= through {
+	for n < len(c.unwritten) && c.unwritten[n].use.kept.ticket <= through {
 		r := c.unwritten[n]
 		n++
-		if r.use.answer.Body != nil { // else it became overdue
-			c.late.drop(&r.use.overdue)
-			c.giveOut(r, r.use.answer)
-		}
+		c.giveOut(r, r.use.kept.answer)
 	}
 	clear(c.unwritten[:n])
 	if c.unwritten = c.unwritten[n:]; len(c.unwritten) == 0 {
 		c.unwritten = nil
+		c.late.drop(&c.overdueAt)
+	}
+}
+
+// sweepOverdue ends the waiting of results that are due. One deadline serves for all of them, as nearly none is met.
+func (c *Core) sweepOverdue() {
+	next := time.Duration(math.MaxInt64)
+	for _, r := range c.unwritten {
+		if w := r.use.kept; w.until <= c.now {
+			c.overdue(r)
+		} else if !w.given {
+			next = min(next, w.until)
+		}
+	}
+	if next < math.MaxInt64 {
+		c.late.set(&c.overdueAt, next)
 	}
 }
 
 // overdue is a result whose entry is not written when it has to leave. It leaves all the same, or the request
 // fails: its entry, wherever that is by now, is taken back and another one booked.
 func (c *Core) overdue(r *request) {
+	if r.use.kept.given {
+		return
+	}
 	if c.books.Overdue() {
-		c.giveOut(r, r.use.answer)
+		c.giveOut(r, r.use.kept.answer)
 		return
 	}
 	back := c.useOf(r)
@@ -145,9 +169,13 @@
 	c.giveOut(r, Answer{Kind: TimedOut, Why: "the ledger could not be written"})
 }
 
-// giveOut sends an answer that has waited.
+// giveOut sends an answer that has waited, once.
 func (c *Core) giveOut(r *request, a Answer) {
-	r.use.answer = Answer{}
+	w := r.use.kept
+	if w.given {
+		return
+	}
+	w.given, w.answer = true, Answer{}
 	a.Hint = c.level
 	r.reply.Answer(a)
 	c.left(r)
--- /dev/null
+++ b/internal/keeper/bench_test.go
@@ -0,0 +1,30 @@
+package keeper
+
+import (
+	"testing"
+
+	"larchscale/internal/core"
+	"larchscale/internal/ledger"
+	"larchscale/internal/simfs"
+)
+
+// What the core's loop spends on an entry.
+func BenchmarkBook(b *testing.B) {
+	for _, mode := range []string{Relaxed, Strict} {
+		b.Run(mode, func(b *testing.B) {
+			k, err := Open(simfs.New(1), options(mode, Gap), site("n1"), quiet)
+			if err != nil {
+				b.Fatal(err)
+			}
+			u := core.Use{Class: 1, Figures: ledger.Figures{1, 3, 100, 7, 0, 1, 1}}
+			n := 0
+			for b.Loop() {
+				u.Tenant = n & 1
+				k.Book(u)
+				if n++; n%1000 == 0 {
+					k.write()
+				}
+			}
+		})
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	maxQueue   = 4096                   // entries that wait to be written; beyond, they are summed
-	writeAt    = 256                    // entries that wait at most for the next regular writing
+	maxQueue   = 4096                   // entries that wait to be written one by one; beyond, they are summed
 	stalled    = 500 * time.Millisecond // an entry that waits longer shows a disk that does not answer
+	spacing    = 100 * time.Microsecond // between two groups in strict mode: under load they grow instead
+	maxDense   = 8192                   // cells of one quarter that have a place each
 	choresEach = 250 * time.Millisecond
 	quarter    = 900_000 // ms: entries that are summed lie in one quarter of an hour, and so in one period
 )
@@ -32,26 +33,33 @@
 
 // Keeper owns the book and its log. Book, Flush and Ready are the core's; all else goes to its own goroutine.
 type Keeper struct {
-	opt     Options
-	fs      wal.FS
-	log     *slog.Logger
-	sink    func(core.Event)
-	tenants []uint16 // stand by the core's tenant
-	classes []uint16
-	none    uint16 // requests of no stand
-	began   time.Time
-	wall    func() time.Time
-	offset  atomic.Int64 // wall clock less the time since began, in ns
-	failing atomic.Bool
-
-	mu     sync.Mutex
-	queue  []ledger.Entry
-	folded map[foldKey]*ledger.Entry
-	ticket uint64
-	oldest time.Time // of what waits
+	opt        Options
+	fs         wal.FS
+	log        *slog.Logger
+	sink       func(core.Event)
+	tenants    []uint16 // stand by the core's tenant
+	classes    []uint16
+	none       uint16 // requests of no stand
+	classCount int    // classes that the book knows
+	began      time.Time
+	start      time.Duration // the core's start, since began
+	wall       func() time.Time
+	offset     atomic.Int64 // wall clock less the time since began, in ns
+	failing    atomic.Bool
+
+	mu      sync.Mutex
+	queue   []ledger.Entry
+	dense   []ledger.Entry            // sums of one quarter, by stand, class, end and replay
+	used    []int                     // places in dense that hold something
+	denseAt int64                     // the quarter
+	folded  map[foldKey]*ledger.Entry // sums that have no place there
+	ticket  uint64
+	waits   int       // entries in both
+	oldest  time.Time // of them
 
 	wake  chan struct{}
 	calls chan func()
+	once  sync.Once
 	stop  chan struct{}
 	ended chan struct{}
 
@@ -60,7 +68,8 @@
 	wal     *wal.Log
 	clock   ledger.Clock
 	spare   []ledger.Entry
-	through uint64 // tickets that are in the book
+	wrote   time.Time // the newest group
+	through uint64    // tickets that are in the book
 	batches map[uint64]wal.Position
 	moved   chan struct{} // a batch was sealed
 	chores  time.Time
@@ -158,6 +167,11 @@
 			return err
 		}
 	}
+	stands, classes := k.book.Names()
+	if n := stands * classes * int(ledger.Ends) * 2; n <= maxDense {
+		k.dense = make([]ledger.Entry, n)
+	}
+	k.classCount = classes
 	k.none, _ = k.book.Stand("")
 	for _, n := range site.Stands {
 		s, _ := k.book.Stand(n)
@@ -185,7 +199,7 @@
 	if err := makeSlot(k.fs); err != nil {
 		return err
 	}
-	start := k.book.ProposeStart(ledger.Start{Nonce: rand.Uint64(), At: now, Boot: site.Boot, Strict: k.opt.Mode == Strict, AtMost: 2 * maxQueue})
+	start := k.book.ProposeStart(ledger.Start{Nonce: rand.Uint64(), At: now, Boot: site.Boot, Strict: k.opt.Mode == Strict, AtMost: maxQueue})
 	if err := k.book.Apply(start); err != nil {
 		return err
 	}
@@ -204,8 +218,11 @@
 	return n
 }
 
-// Attach names who hears that entries are written. It is called before Run.
-func (k *Keeper) Attach(sink func(core.Event)) { k.sink = sink }
+// Attach names who hears that entries are written, and from when on the times of entries count. It is called
+// before Run.
+func (k *Keeper) Attach(sink func(core.Event), start time.Time) {
+	k.sink, k.start = sink, start.Sub(k.began)
+}
 
 // observe reads the wall clock.
 func (k *Keeper) observe() (ledger.Step, bool) {
@@ -215,24 +232,25 @@
 	return step, ok
 }
 
-func (k *Keeper) ms(t time.Time) int64 {
-	return (int64(t.Sub(k.began)) + k.offset.Load()) / int64(time.Millisecond)
+// now is the time by the ledger's clock, in Unix milliseconds.
+func (k *Keeper) now() int64 {
+	return (int64(time.Since(k.began)) + k.offset.Load()) / int64(time.Millisecond)
 }
 
-func (k *Keeper) now() int64 { return k.ms(time.Now()) }
-
 // Book implements core.Booker.
 func (k *Keeper) Book(u core.Use) uint64 {
-	e := ledger.Entry{Began: k.ms(u.Began), Ended: k.ms(u.Ended), Stand: k.none, Class: k.classes[u.Class], End: u.End, Replay: u.Replay, Figures: u.Figures}
+	at := int64(k.start) + k.offset.Load()
+	e := ledger.Entry{Began: (int64(u.Began) + at) / 1e6, Ended: (int64(u.Ended) + at) / 1e6, Stand: k.none, Class: k.classes[u.Class], End: u.End, Replay: u.Replay, Figures: u.Figures}
 	if u.Tenant >= 0 {
 		e.Stand = k.tenants[u.Tenant]
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(k.queue) == 0 {
+	if k.waits == 0 {
 		k.oldest = time.Now()
 	}
-	if k.ticket++; len(k.queue) < maxQueue {
+	k.waits++
+	if k.ticket++; k.opt.Mode == Strict && len(k.queue) < maxQueue {
 		k.queue = append(k.queue, e)
 	} else {
 		k.fold(e)
@@ -240,25 +258,55 @@
 	return k.ticket
 }
 
-// fold sums entries that find no room. Guards against memory that grows with a disk that does not answer.
+// fold sums entries that need not be written one by one: in relaxed mode all, in strict mode those that find no
+// room. Guards against memory that grows with a disk that does not answer.
 func (k *Keeper) fold(e ledger.Entry) {
-	key := foldKey{e.Stand, e.Class, e.End, e.Replay, e.Began / quarter}
-	have := k.folded[key]
-	if have == nil {
-		e.Began = key.quarter * quarter
-		k.folded[key] = &e
-		return
+	q := e.Began / quarter
+	if q != k.denseAt && len(k.used) == 0 {
+		k.denseAt = q
+	}
+	var have *ledger.Entry
+	if q == k.denseAt && len(k.dense) > 0 {
+		i := ((int(e.Stand)*k.classCount+int(e.Class))*int(ledger.Ends) + int(e.End)) * 2
+		if e.Replay {
+			i++
+		}
+		if have = &k.dense[i]; have.Figures[ledger.Requests] == 0 && have.Ended == 0 {
+			k.used = append(k.used, i)
+			*have = e
+			have.Began = q * quarter
+			return
+		}
+	} else {
+		key := foldKey{e.Stand, e.Class, e.End, e.Replay, q}
+		if have = k.folded[key]; have == nil {
+			first := e
+			first.Began = q * quarter
+			k.folded[key] = &first
+			return
+		}
 	}
 	have.Ended = max(have.Ended, e.Ended)
 	have.Figures, _ = have.Figures.Add(e.Figures) // a quarter of an hour is far from the bounds
 }
 
-// Flush implements core.Booker.
+// unfold takes the sums out, and adds them to list.
+func (k *Keeper) unfold(list []ledger.Entry) []ledger.Entry {
+	for _, i := range k.used {
+		list = append(list, k.dense[i])
+		k.dense[i] = ledger.Entry{}
+	}
+	k.used = k.used[:0]
+	for _, e := range k.folded {
+		list = append(list, *e)
+	}
+	clear(k.folded)
+	return list
+}
+
+// Flush implements core.Booker. In relaxed mode entries wait for the next regular writing.
 func (k *Keeper) Flush() {
-	k.mu.Lock()
-	waits := len(k.queue)
-	k.mu.Unlock()
-	if k.opt.Mode == Relaxed && waits < writeAt {
+	if k.opt.Mode == Relaxed {
 		return
 	}
 	select {
@@ -277,7 +325,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.queue) == 0 || time.Since(k.oldest) < stalled+k.opt.ms(k.opt.WriteMs)
+	return k.waits == 0 || time.Since(k.oldest) < stalled+k.opt.ms(k.opt.WriteMs)
 }
 
 // Strict implements core.Booker.
@@ -294,6 +342,9 @@
 	for {
 		select {
 		case <-k.wake:
+			if gap := spacing - time.Since(k.wrote); gap > 0 && gap <= spacing {
+				time.Sleep(gap)
+			}
 		case <-tick.C:
 		case f := <-k.calls:
 			f()
@@ -308,7 +359,7 @@
 
 // Close writes what is left and ends the incarnation. It waits no longer than ctx: the disk may not answer.
 func (k *Keeper) Close(ctx context.Context) error {
-	close(k.stop)
+	k.once.Do(func() { close(k.stop) })
 	select {
 	case <-k.ended:
 		return nil
@@ -328,13 +379,10 @@
 
 // write puts all that waits into the book and the log, as one group.
 func (k *Keeper) write() {
+	k.wrote = time.Now()
 	k.mu.Lock()
-	list, through := k.queue, k.ticket
-	for _, e := range k.folded {
-		list = append(list, *e)
-	}
-	clear(k.folded)
-	k.queue, k.spare = k.spare[:0], list
+	list, through := k.unfold(k.queue), k.ticket
+	k.queue, k.spare, k.waits = k.spare[:0], list, 0
 	k.mu.Unlock()
 	if len(list) == 0 {
 		return
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -57,12 +57,13 @@
 		return nil, err
 	}
 	b := &box{Keeper: k}
-	k.Attach(func(e core.Event) { b.through = e.(core.Booked).Through })
+	k.Attach(func(e core.Event) { b.through = e.(core.Booked).Through }, k.began)
 	return b, nil
 }
 
 func (b *box) use(tenant int) {
-	b.Book(core.Use{Class: 1, Tenant: tenant, Began: time.Now(), Ended: time.Now(), Figures: ledger.Figures{1, 3, 100, 7, 0, 1, 1}})
+	at := time.Since(b.began)
+	b.Book(core.Use{Class: 1, Tenant: tenant, Began: at, Ended: at, Figures: ledger.Figures{1, 3, 100, 7, 0, 1, 1}})
 }
 
 // pass lets time go by as Run would.
@@ -272,15 +273,15 @@
 // Entries that find no room while a disk does not answer are summed, not dropped.
 func TestQueueFoldsBeyondItsBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b, err := open(simfs.New(1), options(Relaxed, Gap))
+		b, err := open(simfs.New(1), options(Strict, Gap))
 		if err != nil {
 			t.Fatal(err)
 		}
 		for i := range 3 * maxQueue {
 			b.use(i % 2)
 		}
-		if len(b.queue)+len(b.folded) > maxQueue+2 {
-			t.Errorf("%d and %d wait", len(b.queue), len(b.folded))
+		if len(b.queue)+len(b.folded)+len(b.used) > maxQueue+2 {
+			t.Errorf("%d, %d and %d wait", len(b.queue), len(b.folded), len(b.used))
 		}
 		b.pass(time.Second)
 		if s, _ := b.book.Totals(); s.Booked[ledger.Requests] != 3*maxQueue || s.Booked[ledger.Worth] != 9*maxQueue {
@@ -394,7 +395,7 @@
 		t.Fatal(err)
 	}
 	told := make(chan uint64, 10)
-	k.Attach(func(e core.Event) { told <- e.(core.Booked).Through })
+	k.Attach(func(e core.Event) { told <- e.(core.Booked).Through }, k.began)
 	go k.Run()
 	b := &box{Keeper: k}
 	b.use(0)
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -103,7 +103,7 @@
 	}
 	bad := b.Box == "" || b.Seq == 0
 	for _, l := range b.Lines {
-		bad = bad || l.Period < 0 || l.Period >= len(b.Periods) || l.End >= ends
+		bad = bad || l.Period < 0 || l.Period >= len(b.Periods) || l.End >= Ends
 	}
 	for _, m := range b.Missing {
 		bad = bad || m.Period < 0 || m.Period >= len(b.Periods) || m.Entries < 0
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -221,6 +221,9 @@
 	return nil
 }
 
+// Names tells how many stands and classes are known.
+func (b *Book) Names() (stands, classes int) { return len(b.stands), len(b.classes) }
+
 // Stand gives the number of a stand.
 func (b *Book) Stand(name string) (uint16, bool) { n, ok := b.standAt[name]; return n, ok }
 
--- a/internal/ledger/figures.go
+++ b/internal/ledger/figures.go
@@ -8,7 +8,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/bits"
 )
 
 // The figures of use, in the order of Figures.
@@ -32,25 +31,21 @@
 // ErrOverflow is a sum beyond 64 bits.
 var ErrOverflow = errors.New("the sum is too large")
 
-// Add gives f + g.
+// Add gives f + g. A sum overflows if its sign is neither of its parts'.
 func (f Figures) Add(g Figures) (Figures, error) {
+	sum, over := f, int64(0)
 	for i, x := range g {
-		sum, ok := add(f[i], x)
-		if !ok {
-			return Figures{}, fmt.Errorf("%s: %w", FigureNames[i], ErrOverflow)
-		}
-		f[i] = sum
+		sum[i] += x
+		over |= (f[i] ^ sum[i]) & (x ^ sum[i])
 	}
-	return f, nil
-}
-
-// Minus gives f - g.
-func (f Figures) Minus(g Figures) (Figures, error) {
-	neg, err := g.Neg()
-	if err != nil {
-		return Figures{}, err
+	if over < 0 {
+		for i, x := range g {
+			if (f[i]^sum[i])&(x^sum[i]) < 0 {
+				return Figures{}, fmt.Errorf("%s: %w", FigureNames[i], ErrOverflow)
+			}
+		}
 	}
-	return f.Add(neg)
+	return sum, nil
 }
 
 // Neg gives -f.
@@ -68,9 +63,8 @@
 func (f Figures) Zero() bool { return f == Figures{} }
 
 func add(a, b int64) (int64, bool) {
-	sum, _ := bits.Add64(uint64(a), uint64(b), 0)
-	s := int64(sum)
-	return s, (a >= 0) != (b >= 0) || (s >= 0) == (a >= 0)
+	s := a + b
+	return s, (a^s)&(b^s) >= 0
 }
 
 // End is how a request ended.
@@ -85,13 +79,13 @@
 	WithdrawnRan              // its caller gave up after a run had begun
 	WithdrawnUnrun            // its caller gave up before that
 	Rejected                  // it could not be a request, or its token belongs to another body; it never ran
-	ends
+	Ends                      // how many there are
 )
 
-var endNames = [ends]string{"served", "late", "refused", "failed", "withdrawn-ran", "withdrawn", "rejected"}
+var endNames = [Ends]string{"served", "late", "refused", "failed", "withdrawn-ran", "withdrawn", "rejected"}
 
 func (e End) String() string {
-	if e < ends {
+	if e < Ends {
 		return endNames[e]
 	}
 	return fmt.Sprintf("end-%d", uint8(e))
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -149,7 +149,7 @@
 		for i := from; i < figures; i++ {
 			e.Figures[i] = r.int()
 		}
-		if e.Stand, e.Class = uint16(stand), uint16(class); r.bad || e.End >= ends || stand > 1<<16-1 || class > 1<<16-1 {
+		if e.Stand, e.Class = uint16(stand), uint16(class); r.bad || e.End >= Ends || stand > 1<<16-1 || class > 1<<16-1 {
 			return fmt.Errorf("%w: an entry cannot be", ErrRecord)
 		}
 		if err := do(e); err != nil {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -86,7 +86,7 @@
 		n.periods[p.Start] = p
 	}
 	for _, c := range s.Cells {
-		if int(c.Stand) >= len(s.Stands) || int(c.Class) >= len(s.Classes) || c.End >= ends {
+		if int(c.Stand) >= len(s.Stands) || int(c.Class) >= len(s.Classes) || c.End >= Ends {
 			return fmt.Errorf("%w: a cell of no stand or class", ErrRecord)
 		}
 		n.cells[Cell{c.Period, c.Stand, c.Class, c.End, c.Replay, c.Late}] = &sums{c.Total, c.Waiting}
