Let boxes that may talk settle a period among themselves, over mutual TLS

Reconciling from exports alone needs all files in one place; installations where boxes may talk want the fleet's statement at any of them. Each box tells digests of what it has sealed of each period, others fetch what differs from that box alone; what others say of it shows who contradicts whom. Old files, a changed closed period, a box that speaks for another and one that has forgotten are named in the statement. Off unless set; only mutual TLS leaves the machine. Seen: a state machine of three boxes ends with the same statement at each as from the exports; it found that a period dropped before anybody asked was silently missing, which is now said.

--- a/Makefile
+++ b/Makefile
@@ -52,4 +52,5 @@
 	go test -run '^$$' -fuzz FuzzReadReply -fuzztime 10s ./internal/index
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime 10s ./internal/wal
 	go test -run '^$$' -fuzz FuzzApply -fuzztime 10s ./internal/ledger
+	go test -run '^$$' -fuzz FuzzPeers -fuzztime 10s ./internal/ledger
 	go test -run '^$$' -fuzz FuzzOutage -fuzztime 10s ./internal/keeper
--- a/cmd/larchctl/ledger.go
+++ b/cmd/larchctl/ledger.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"larchscale/internal/config"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
+	"larchscale/internal/peers"
 	"larchscale/internal/wal"
 )
 
@@ -24,6 +26,7 @@
 	Correct   correctCmd   `cmd:"" help:"Book a correction at a box."`
 	Export    exportCmd    `cmd:"" help:"Write the batches that wait as files."`
 	Reconcile reconcileCmd `cmd:"" help:"Settle a period from the exports of all boxes."`
+	Fleet     fleetCmd     `cmd:"" help:"Ask a running box for the statement of all boxes that it hears of."`
 	Verify    verifyCmd    `cmd:"" help:"Check a box's files."`
 }
 
@@ -215,6 +218,30 @@
 	return con.print(names, func(w io.Writer) { fmt.Fprintf(w, "%d batches in %s\n", len(names), c.To) })
 }
 
+type fleetCmd struct {
+	atBox  `embed:""`
+	Period string `arg:"" help:"Its name, as 2026-12."`
+}
+
+func (c *fleetCmd) Run(con *console) error {
+	o, _, err := c.open()
+	if err != nil {
+		return err
+	}
+	if o.Ledger.Peers.Listen == "" {
+		return badInput{fmt.Errorf("%s: ledger.peers.listen is not set", c.Operator)}
+	}
+	b, _, err := c.read()
+	if err != nil {
+		return err
+	}
+	s, err := peers.Statement(context.Background(), o.Ledger.Peers, b.Box, c.Period)
+	if err != nil {
+		return err
+	}
+	return con.whole(s.Complete, s, func(w io.Writer) { statement(w, s) })
+}
+
 type verifyCmd struct {
 	atBox `embed:""`
 }
--- a/cmd/larchctl/main_test.go
+++ b/cmd/larchctl/main_test.go
@@ -99,6 +99,7 @@
 		{[]string{"ledger", "reconcile", out, "--period", "x"}, 1, []string{`unknown period "x"`}},
 		{[]string{"ledger", "status"}, 2, []string{"missing flags: --operator"}},
 		{[]string{"ledger", "status", "--operator", tariff}, 2, []string{"unknown key"}},
+		{[]string{"ledger", "fleet", "--operator", n1, period}, 2, []string{"ledger.peers.listen is not set"}},
 		{[]string{"config", "check", n1}, 0, []string{"good"}},
 		{[]string{"config", "check", tariff}, 2, []string{"unknown key"}},
 		{[]string{"tea"}, 2, []string{"unexpected argument tea"}},
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -26,6 +26,7 @@
 	"larchscale/internal/jsonrpc"
 	"larchscale/internal/keeper"
 	"larchscale/internal/logs"
+	"larchscale/internal/peers"
 	"larchscale/internal/pool"
 	"larchscale/internal/sock"
 	"larchscale/internal/store"
@@ -178,6 +179,18 @@
 			}
 			go e.Run(ctx)
 		}
+		if own.Ledger.Peers.Listen != "" {
+			others, err := peers.New(own.Ledger.Peers, cfg.Name, books, log)
+			if err != nil {
+				return err
+			}
+			asked, err := others.Listen()
+			if err != nil {
+				return err
+			}
+			go others.Serve(ctx, asked)
+			go others.Run(ctx)
+		}
 	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,6 +11,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/export"
 	"larchscale/internal/keeper"
+	"larchscale/internal/peers"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
 )
@@ -45,9 +46,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults()}}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}}
 		if path != "" {
-			want.UWSGI.Listen, want.UWSGI.Below = "127.0.0.4:6566", []string{}
+			want.UWSGI.Listen, want.UWSGI.Below, want.Ledger.Peers.Boxes = "127.0.0.4:6566", []string{}, []string{}
 		}
 		if diff := cmp.Diff(want, o); diff != "" {
 			t.Errorf("%q: %s", path, diff)
@@ -75,6 +76,9 @@
 		"no URL":       "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = '127.0.0.1:1'",
 		"plain URL":    "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'http://10.0.0.1/'",
 		"no CA":        "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\nca = '/nowhere'",
+		"peer's name":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['127.0.0.1:2']",
+		"peers plain":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['n2=10.0.0.2:2']",
+		"no listener":  "[ledger]\ndir = 'x'\n[ledger.peers]\nboxes = ['n2=127.0.0.1:2']",
 		"half a pair":  "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
 		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
 	} {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 
 	"larchscale/internal/export"
 	"larchscale/internal/keeper"
+	"larchscale/internal/peers"
 	"larchscale/internal/store"
 	"larchscale/internal/uwsgi"
 )
@@ -25,12 +27,13 @@
 type Ledger struct {
 	keeper.Options
 	Collector export.Options `toml:"collector"`
+	Peers     peers.Options  `toml:"peers"`
 }
 
 // LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
 // it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults()}}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}}
 	if path == "" {
 		return o, nil
 	}
@@ -66,12 +69,12 @@
 			return err
 		}
 	}
-	if err := errors.Join(o.Ledger.Check(), o.Ledger.Collector.Check()); err != nil {
+	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check()); err != nil {
 		return err
 	}
 	switch {
-	case o.Ledger.Collector.URL != "" && o.Ledger.Dir == "":
-		return errors.New("ledger.collector needs ledger.dir")
+	case o.Ledger.Collector.URL+o.Ledger.Peers.Listen != "" && o.Ledger.Dir == "":
+		return errors.New("ledger.collector and ledger.peers need ledger.dir")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
--- a/internal/export/export.go
+++ b/internal/export/export.go
@@ -100,24 +100,32 @@
 		}
 	}
 	if o.Cert != "" {
-		p := &pair{cert: o.Cert, key: o.Key}
-		if _, err := p.get(); err != nil {
+		p, err := LoadPair(o.Cert, o.Key)
+		if err != nil {
 			return nil, fmt.Errorf("ledger.collector.cert: %w", err)
 		}
-		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.get() }
+		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.Get() }
 	}
 	return c, nil
 }
 
-// pair is a certificate and its key in files.
-type pair struct {
+// Pair is a certificate and its key in files.
+type Pair struct {
 	cert, key string
 	mu        sync.Mutex
 	read      time.Time // of the change that was read
 	have      *tls.Certificate
 }
 
-func (p *pair) get() (*tls.Certificate, error) {
+// LoadPair reads a certificate and its key.
+func LoadPair(cert, key string) (*Pair, error) {
+	p := &Pair{cert: cert, key: key}
+	_, err := p.Get()
+	return p, err
+}
+
+// Get gives the certificate, read again when its file has changed.
+func (p *Pair) Get() (*tls.Certificate, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	info, err := os.Stat(p.cert)
--- a/internal/export/export_test.go
+++ b/internal/export/export_test.go
@@ -3,23 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -28,6 +20,7 @@
 	"go.uber.org/goleak"
 
 	"larchscale/internal/ledger"
+	"larchscale/internal/scenario/certs"
 )
 
 // source is a ledger with a few batches.
@@ -201,48 +194,14 @@
 	})
 }
 
-// certificate writes a certificate and its key; with a nil parent it signs itself.
-func certificate(t *testing.T, dir, name string, parent *tls.Certificate) (certFile, keyFile string, c *tls.Certificate) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	x := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
-		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: parent == nil, BasicConstraintsValid: true}
-	signer, signKey := x, any(key)
-	if parent != nil {
-		signer, signKey = parent.Leaf, parent.PrivateKey
-	}
-	der, err := x509.CreateCertificate(rand.Reader, x, signer, &key.PublicKey, signKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certFile, keyFile = filepath.Join(dir, name+".crt"), filepath.Join(dir, name+".key")
-	for file, block := range map[string]*pem.Block{certFile: {Type: "CERTIFICATE", Bytes: der}, keyFile: {Type: "PRIVATE KEY", Bytes: raw}} {
-		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	pair, err := tls.LoadX509KeyPair(certFile, keyFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return certFile, keyFile, &pair
-}
-
 // Both sides show certificates; a new one in the file is used without a restart, and a collector of another
 // authority gets nothing.
 func TestMutualTLS(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	dir := t.TempDir()
-	caFile, _, ca := certificate(t, dir, "ca", nil)
-	_, _, serverCert := certificate(t, dir, "collector", ca)
-	certFile, keyFile, _ := certificate(t, dir, "n1", ca)
+	caFile, _, ca := certs.New(t, dir, "ca", nil)
+	_, _, serverCert := certs.New(t, dir, "collector", ca)
+	certFile, keyFile, _ := certs.New(t, dir, "n1", ca)
 	pool := x509.NewCertPool()
 	pool.AddCert(ca.Leaf)
 	var names []string
@@ -274,14 +233,14 @@
 		e.once(t.Context())
 		e.client.CloseIdleConnections()
 		if i == 0 {
-			certificate(t, dir, "n1", ca)
+			certs.New(t, dir, "n1", ca)
 			os.Chtimes(certFile, time.Now(), time.Now().Add(time.Minute))
 		}
 	}
 	if s.acked != 2 || len(names) != 2 || names[0] == names[1] {
 		t.Errorf("%d acknowledged, shown: %v", s.acked, names)
 	}
-	otherFile, _, _ := certificate(t, dir, "other", nil)
+	otherFile, _, _ := certs.New(t, dir, "other", nil)
 	opt.CA = otherFile
 	e, err := New(opt, newSource(t, 1), nil, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -624,6 +624,12 @@
 	return t, errors.Join(call, err)
 }
 
+// PeriodStates gives what is sealed of each period.
+func (k *Keeper) PeriodStates(ctx context.Context) (digests []ledger.Digest, states [][]byte, err error) {
+	err = k.do(ctx, func() { digests, states = k.book.PeriodStates() })
+	return digests, states, err
+}
+
 // BootID names this start of the machine: what a process wrote is lost to a power cut, not to its own end.
 func BootID() string {
 	b, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -187,10 +187,7 @@
 		out.Adjustments = append(out.Adjustments, *b.corrections[id])
 	}
 	out.More = out.More || len(b.adjusted) > batchLines
-	bytes, err := encoder.Marshal(out)
-	if err != nil { // a plain structure
-		panic(err)
-	}
+	bytes = encode(out)
 	return append([]byte{kindSeal}, bytes...), bytes
 }
 
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -115,6 +115,7 @@
 	sealedAt       int64
 	told           int64 // closed, as the newest batch says it
 	pending        []Sealed
+	forgotten      int64 // figures of periods that end by then may be gone
 
 	cache Period // the period of the last entry
 }
@@ -387,6 +388,7 @@
 	}
 	b.steps, b.stepOut = b.steps[old:], b.stepOut-old
 	delete(b.periods, start)
+	b.forgotten = max(b.forgotten, end)
 	return nil
 }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -46,12 +46,14 @@
 }
 
 // record is a kind and a value in CBOR.
-func record(kind byte, v any) []byte {
+func record(kind byte, v any) []byte { return append([]byte{kind}, encode(v)...) }
+
+func encode(v any) []byte {
 	b, err := encoder.Marshal(v)
 	if err != nil { // all values are plain structures of this package
 		panic(err)
 	}
-	return append([]byte{kind}, b...)
+	return b
 }
 
 func decode[T any](b []byte) (v T, err error) {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -48,6 +48,7 @@
 		SealedAt    int64        `cbor:"24,keyasint"`
 		Told        int64        `cbor:"25,keyasint"`
 		Pending     []Sealed     `cbor:"26,keyasint"`
+		Forgotten   int64        `cbor:"27,keyasint"`
 	}
 )
 
@@ -57,7 +58,7 @@
 	s := bookState{Box: b.Box, ID: b.ID, Start: b.start, Running: b.running, Last: b.last, Stands: b.stands, Classes: b.classes,
 		Periods: b.Periods(), Closed: b.closed, Adjusted: b.adjusted, Unclean: b.unclean, UncleanOut: b.uncleanOut,
 		Steps: b.steps, StepOut: b.stepOut, Booked: b.booked, Sealed: b.sealed, Lost: b.lost, LostOut: b.lostOut,
-		Seq: b.seq, Prev: b.prev, SealedAt: b.sealedAt, Told: b.told, Pending: b.pending}
+		Seq: b.seq, Prev: b.prev, SealedAt: b.sealedAt, Told: b.told, Pending: b.pending, Forgotten: b.forgotten}
 	for _, c := range slices.SortedFunc(maps.Keys(b.cells), Cell.compare) {
 		v := b.cells[c]
 		s.Cells = append(s.Cells, cellState{c.Period, c.Stand, c.Class, c.End, c.Replay, c.Late, v.total, v.waiting})
@@ -110,7 +111,7 @@
 	}
 	n.adjusted, n.unclean, n.uncleanOut, n.steps, n.stepOut = s.Adjusted, s.Unclean, s.UncleanOut, s.Steps, s.StepOut
 	n.booked, n.sealed, n.lost, n.lostOut = s.Booked, s.Sealed, s.Lost, s.LostOut
-	n.seq, n.prev, n.told, n.pending = s.Seq, s.Prev, s.Told, s.Pending
+	n.seq, n.prev, n.told, n.pending, n.forgotten = s.Seq, s.Prev, s.Told, s.Pending, s.Forgotten
 	*b = *n
 	return nil
 }
