--- a/cmd/larchctl/main_test.go
+++ b/cmd/larchctl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -147,3 +148,22 @@
 		t.Errorf("exit %d: %s", code, text)
 	}
 }
+
+// The trial on one machine runs the real program and ends with a ledger that says what the callers saw.
+func TestDev(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "larchscale")
+	if out, err := exec.Command("go", "build", "-o", program, "larchscale/cmd/larchscale").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	if code, text := call("dev", "--program", program, "--requests", "640"); code != 0 || !strings.Contains(text, "the ledger says just what the callers saw") {
+		t.Errorf("exit %d: %s", code, text)
+	}
+	for _, bad := range [][]string{{"--requests", "0"}, {"--faults", "1"}, {"--lines", "0"}} {
+		if code, text := call(append([]string{"dev", "--program", program}, bad...)...); code != exitBad {
+			t.Errorf("%v: exit %d: %s", bad, code, text)
+		}
+	}
+	if code, _ := call("dev", "--program", program+"x"); code != exitFailed {
+		t.Errorf("no program: exit %d", code)
+	}
+}
--- a/internal/standin/box_test.go
+++ b/internal/standin/box_test.go
@@ -16,6 +16,7 @@
 
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
+	"larchscale/internal/peers"
 	"larchscale/internal/standin"
 	"larchscale/internal/wal"
 )
@@ -197,6 +198,50 @@
 	}
 }
 
+// Two real boxes that may talk each state the period for both.
+func TestPeersAsPrograms(t *testing.T) {
+	addrs := map[string]string{}
+	for _, name := range []string{"n1", "n2"} {
+		var err error
+		if addrs[name], err = standin.FreeAddr(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, other := range map[string]string{"n1": "n2", "n2": "n1"} {
+		site, err := standin.NewSite(time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer site.Close()
+		b, err := standin.NewBox(program, t.TempDir(), name, site, fmt.Sprintf("[ledger]\ndir = \"$DIR\"\nperiod = \"month\"\nexport_ms = 20\n"+
+			"[ledger.peers]\nlisten = %q\nboxes = [\"%s=%s\"]\nevery_ms = 50\n", addrs[name], other, addrs[other]))
+		if err == nil {
+			err = b.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer b.Kill()
+		c := &standin.Callers{Box: b, Lines: 1}
+		if err := c.Send(name, 200, 0.3, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	calendar, err := ledger.NewCalendar("month", "Asia/Kolkata")
+	if err != nil {
+		t.Fatal(err)
+	}
+	period := calendar.At(time.Now().UnixMilli()).Name
+	for _, name := range []string{"n1", "n2"} {
+		var s ledger.Statement
+		for end := time.Now().Add(10 * time.Second); s.Total.Used[ledger.Requests] != 400; time.Sleep(20 * time.Millisecond) {
+			if s, err = peers.Statement(t.Context(), peers.Options{Listen: addrs[name]}, name, period); time.Now().After(end) {
+				t.Fatalf("%s: %+v, %v", name, s.Total, err)
+			}
+		}
+	}
+}
+
 // Two boxes whose directories were swapped are refused at the start, with one line and exit code 2.
 func TestSwappedDirectories(t *testing.T) {
 	site, err := standin.NewSite(time.Millisecond)
