--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -107,6 +107,7 @@
 	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
 	if err := serve(f.Config, cfg, own, books, log); err != nil {
+		<-closeLedger(books, log)
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
 	}
--- a/cmd/larchscale/main_test.go
+++ b/cmd/larchscale/main_test.go
@@ -5,13 +5,16 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 
+	"larchscale/internal/keeper"
 	"larchscale/internal/scenario"
+	"larchscale/internal/wal"
 )
 
 // A configuration that cannot be is one clear line and exit code 2, before anything is opened.
@@ -88,3 +91,46 @@
 		t.Errorf("exit %d", c)
 	}
 }
+
+// A start that fails after the ledger was opened ends it well: its statement is not incomplete for that.
+func TestAddressInUse(t *testing.T) {
+	taken := scenario.Listen(t)
+	home := t.TempDir()
+	dir := filepath.Join(home, "ledger")
+	for name, text := range map[string]string{
+		"config.json": fmt.Sprintf(`{"name":"n","listen":%q,"pool":"127.0.0.1:1","seed":"1","stop_ms":400,"settings":{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1}}}`, taken.Addr),
+		"o.toml":      fmt.Sprintf("[ledger]\ndir = %q\n", dir),
+	} {
+		if err := os.WriteFile(filepath.Join(home, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out bytes.Buffer
+	if code := run([]string{"-config", filepath.Join(home, "config.json"), "-operator", filepath.Join(home, "o.toml")}, func(string) string { return "" }, &out); code != 1 || strings.Count(out.String(), "\n") != 1 {
+		t.Fatalf("exit %d: %s", code, out.String())
+	}
+	o := keeper.Defaults()
+	o.Dir = dir
+	k, err := keeper.Open(wal.Dir(dir), o, keeper.Site{Box: "n", Classes: []string{"a"}}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close(t.Context())
+	book, _, err := keeper.Read(wal.Dir(dir), o)
+	if err != nil || book.Incarnation() != 2 || book.Waits() { // an unclean end would wait to be exported
+		t.Errorf("incarnation %d, waits %v, %v", book.Incarnation(), book.Waits(), err)
+	}
+}
+
+// The version and the help are told, and an unknown flag is one line.
+func TestArguments(t *testing.T) {
+	for arg, want := range map[string]struct {
+		code int
+		text string
+	}{"--version": {0, "larchscale "}, "--help": {0, "--operator=FILE"}, "--bogus": {2, "unknown flag --bogus"}, "-bogus": {2, "unknown flag --bogus"}} {
+		var out bytes.Buffer
+		if code := run([]string{arg}, func(string) string { return "" }, &out); code != want.code || !strings.Contains(out.String(), want.text) {
+			t.Errorf("%s: exit %d: %s", arg, code, out.String())
+		}
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -47,6 +47,7 @@
 	wall       func() time.Time
 	offset     atomic.Int64 // wall clock less the time since began, in ns
 	failing    atomic.Bool
+	runs       atomic.Bool
 
 	mu      sync.Mutex
 	queue   []ledger.Entry
@@ -336,8 +337,11 @@
 // Overdue implements core.Booker.
 func (k *Keeper) Overdue() bool { return k.opt.OnFailure == Gap }
 
-// Run writes until Close.
+// Run writes until Close. It runs once.
 func (k *Keeper) Run() {
+	if k.runs.Swap(true) {
+		return
+	}
 	defer close(k.ended)
 	tick := time.NewTicker(min(k.opt.ms(k.opt.WriteMs), k.opt.ms(k.opt.ExportMs), choresEach))
 	defer tick.Stop()
@@ -359,9 +363,11 @@
 	}
 }
 
-// Close writes what is left and ends the incarnation. It waits no longer than ctx: the disk may not answer.
+// Close writes what is left and ends the incarnation, also of a keeper that never ran. It waits no longer than ctx:
+// the disk may not answer.
 func (k *Keeper) Close(ctx context.Context) error {
 	k.once.Do(func() { close(k.stop) })
+	go k.Run()
 	select {
 	case <-k.ended:
 		return nil
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -154,7 +154,7 @@
 	s.Serve(&limited{Listener: l, free: make(chan struct{}, 2*maxBoxes)})
 }
 
-// limited bounds the connections that are open at a time; more wait to be accepted.
+// limited bounds the connections that are open at a time; more are closed at once.
 type limited struct {
 	net.Listener
 	free chan struct{}
@@ -167,16 +167,17 @@
 }
 
 func (l *limited) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case l.free <- struct{}{}:
-		return &limitedConn{Conn: c, free: l.free}, nil
-	default:
-		c.Close()
-		return l.Accept()
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &limitedConn{Conn: c, free: l.free}, nil
+		default:
+			c.Close()
+		}
 	}
 }
 
