--- a/client/route/route.go
+++ b/client/route/route.go
@@ -228,7 +228,7 @@
 // closed tells why a box may not be tried: 0 = it may, a time to come = until then, -1 = nobody knows how long.
 func (t *Table) closed(b *box, a Ask, now time.Duration) time.Duration {
 	switch {
-	case slices.Contains(a.Not, b.Name):
+	case a.Only == "" && slices.Contains(a.Not, b.Name):
 		return -1
 	case b.ejected > now && a.Only == "" && !t.desperate(now):
 		return b.ejected
--- a/client/route/route_test.go
+++ b/client/route/route_test.go
@@ -115,7 +115,9 @@
 	if n, _ := pick(x, Ask{Rank: 1, Only: "n01"}, 3*time.Second); n != "n01" {
 		t.Errorf("a write whose box drains has no other: %q", n)
 	}
+	x = table(t, 2)
 	x.Draining("n00", 3*time.Second)
+	x.Draining("n01", 3*time.Second)
 	if n, wait := pick(x, Ask{Rank: 1}, 4*time.Second); n != "" || wait != 4*time.Second {
 		t.Errorf("all drain: %q, %v", n, wait)
 	}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -14,6 +14,9 @@
 	"github.com/tidwall/gjson"
 )
 
+// callWithin is how long a run waits for the reply to its call.
+const callWithin = 300 * time.Millisecond
+
 // Site is what stands behind a box: its worker pool, the calls below and the directory. It outlives the box, and
 // counts how often each request's body has run.
 type Site struct {
@@ -169,8 +172,16 @@
 	go func() {
 		fate := "complete"
 		if calls {
-			if _, ok := <-supplied; !ok {
+			select {
+			case _, ok := <-supplied:
+				if !ok {
+					fate = "cancelled"
+				}
+			case <-time.After(callWithin): // its request is over, as far as anybody can tell
 				fate = "cancelled"
+				s.mu.Lock()
+				delete(s.waiting, handle)
+				s.mu.Unlock()
 			}
 		}
 		time.Sleep(s.work)
