--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -77,14 +78,18 @@
 // Operator is the path of its operator's file.
 func (b *Box) Operator() string { return filepath.Join(b.home, "operator.toml") }
 
-// FreeAddr gives an address of loopback that nobody listens on.
+// FreeAddr gives an address of loopback that nobody listens on, below the ports that connections get: while a box is
+// down no connection takes its port.
 func FreeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // Start starts the process and returns once its pool is up.
