--- a/internal/standin/box_test.go
+++ b/internal/standin/box_test.go
@@ -23,7 +23,7 @@
 
 var (
 	kills    = flag.Int("kills", 200, "how often TestLedgerOutlivesKills kills the box")
-	requests = flag.Int("requests", 100_000, "how many requests TestLedgerMatchesCallers sends")
+	requests = flag.Int("requests", 102_400, "how many requests TestLedgerMatchesCallers sends")
 	program  string
 )
 
