--- a/cmd/larchctl/ledger.go
+++ b/cmd/larchctl/ledger.go
@@ -411,5 +411,5 @@
 	if by = slices.Index(ledger.FigureNames[:], file.By); by < 0 {
 		return 0, t, badInput{fmt.Errorf("%s: by %q is none of %s", path, file.By, strings.Join(ledger.FigureNames[:], ", "))}
 	}
-	return by, ledger.Tariff{By: by, Shares: file.Shares, OverPerMille: file.Over}, nil
+	return by, ledger.Tariff{Shares: file.Shares, OverPerMille: file.Over}, nil
 }
--- a/cmd/larchctl/main_test.go
+++ b/cmd/larchctl/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"log/slog"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -13,6 +12,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
+	"larchscale/internal/standin"
 	"larchscale/internal/wal"
 )
 
@@ -151,9 +151,9 @@
 
 // The trial on one machine runs the real program and ends with a ledger that says what the callers saw.
 func TestDev(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "larchscale")
-	if out, err := exec.Command("go", "build", "-o", program, "larchscale/cmd/larchscale").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	program, err := standin.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
 	if code, text := call("dev", "--program", program, "--requests", "640"); code != 0 || !strings.Contains(text, "the ledger says just what the callers saw") {
 		t.Errorf("exit %d: %s", code, text)
--- a/internal/ledger/apportion.go
+++ b/internal/ledger/apportion.go
@@ -11,7 +11,6 @@
 
 // Tariff says how a sum of money is divided.
 type Tariff struct {
-	By           int              // the figure that counts
 	Shares       map[string]int64 // of each stand, in millionths; empty = nothing is over a share
 	OverPerMille int64            // the price of use over a share, 1000 = as within
 }
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -10,12 +10,11 @@
 
 // Bounds of a book.
 const (
-	MaxNames       = 4096    // stands, and classes
-	MaxCorrections = 8192    // within the kept periods
-	MaxNotes       = 1024    // unclean ends and clock steps within the kept periods
-	maxOpen        = 64      // periods that are not closed: clocks step
-	batchLines     = 2000    // of one batch; the rest waits for the next
-	quarter        = 900_000 // ms; all zones' bounds are multiples of it
+	MaxNames       = 4096 // stands, and classes
+	MaxCorrections = 8192 // within the kept periods
+	MaxNotes       = 1024 // unclean ends and clock steps within the kept periods
+	maxOpen        = 64   // periods that are not closed: clocks step
+	batchLines     = 2000 // of one batch; the rest waits for the next
 )
 
 // Cell is what figures are summed by. Late marks entries whose own period was closed when they came.
@@ -29,14 +28,20 @@
 }
 
 func (a Cell) compare(b Cell) int {
-	flag := func(x bool) int {
-		if x {
-			return 1
-		}
+	return cmp.Or(cmp.Compare(a.Period, b.Period), cmp.Compare(a.Stand, b.Stand), cmp.Compare(a.Class, b.Class),
+		cmp.Compare(a.End, b.End), order(a.Replay, b.Replay), order(a.Late, b.Late))
+}
+
+// order puts false before true.
+func order(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Period, b.Period), cmp.Compare(a.Stand, b.Stand), cmp.Compare(a.Class, b.Class),
-		cmp.Compare(a.End, b.End), flag(a.Replay)-flag(b.Replay), flag(a.Late)-flag(b.Late))
 }
 
 // Gap is a number of entries of one stand in one period that were not kept.
--- a/internal/ledger/figures.go
+++ b/internal/ledger/figures.go
@@ -90,13 +90,3 @@
 	}
 	return fmt.Sprintf("end-%d", uint8(e))
 }
-
-// EndOf gives an end by its name.
-func EndOf(name string) (End, bool) {
-	for i, n := range endNames {
-		if n == name {
-			return End(i), true
-		}
-	}
-	return 0, false
-}
--- a/internal/ledger/statement.go
+++ b/internal/ledger/statement.go
@@ -18,14 +18,8 @@
 }
 
 func (r Row) compare(s Row) int {
-	flag := func(x bool) int {
-		if x {
-			return 1
-		}
-		return 0
-	}
 	return cmp.Or(cmp.Compare(r.Stand, s.Stand), cmp.Compare(r.Class, s.Class), cmp.Compare(r.End, s.End),
-		flag(r.Replay)-flag(s.Replay), flag(r.Late)-flag(s.Late))
+		order(r.Replay, s.Replay), order(r.Late, s.Late))
 }
 
 // Share is the sum of a stand: what it used, its adjustments, and both.
--- a/internal/simfs/simfs.go
+++ b/internal/simfs/simfs.go
@@ -308,16 +308,6 @@
 	return int64(len(f.n.data)), nil
 }
 
-func (f *file) Truncate(size int64) error {
-	f.d.mu.Lock()
-	defer f.d.mu.Unlock()
-	if err := f.d.op("truncate"); err != nil {
-		return err
-	}
-	f.n.data = f.n.data[:min(size, int64(len(f.n.data)))]
-	return nil
-}
-
 // Sync fails without having anything on the disk, and a later one that succeeds does not mend that: what was
 // written before it counts as lost, as on systems that mark such pages clean.
 func (f *file) Sync() error {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -23,6 +23,29 @@
 	Classes = []string{"fare-quote", "book-ride", "ride-status"}
 )
 
+// Build builds the real program into dir.
+func Build(dir string) (program string, err error) {
+	program = filepath.Join(dir, "larchscale")
+	if out, err := exec.Command("go", "build", "-o", program, "larchscale/cmd/larchscale").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return program, nil
+}
+
+// WithProgram runs a package's tests with the real program built once for them, and gives the exit code.
+func WithProgram(program *string, tests func() int) int {
+	dir, err := os.MkdirTemp("", "larchscale-")
+	if err == nil {
+		defer os.RemoveAll(dir)
+		*program, err = Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return tests()
+}
+
 // Box is the real program as a process of its own, on files that outlive it.
 type Box struct {
 	Name          string
--- a/internal/standin/box_test.go
+++ b/internal/standin/box_test.go
@@ -30,22 +30,7 @@
 // The real program is built once for all tests.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "larchscale-")
-	if err == nil {
-		program = filepath.Join(dir, "larchscale")
-		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "larchscale/cmd/larchscale").CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
-	}
-	code := 1
-	if err == nil {
-		code = m.Run()
-	} else {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(standin.WithProgram(&program, m.Run))
 }
 
 // world is a box with everything round it.
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -13,7 +13,7 @@
 // is on the disk; of the rest a power cut leaves any part. Errors are those of package os.
 type FS interface {
 	Create(name string) (File, error) // a new file, or an old one made empty
-	Open(name string) (File, error)   // for reading, and for cutting its tail
+	Open(name string) (File, error)   // for reading
 	List() ([]string, error)          // the names in the directory, sorted
 	Rename(from, to string) error
 	Remove(name string) error
@@ -28,7 +28,6 @@
 	io.ReaderAt
 	io.Closer
 	Size() (int64, error)
-	Truncate(size int64) error
 	Sync() error
 }
 
