Admin door, figures, drain by health and SO_REUSEPORT handoff

- internal/admin: the operators' door on net/http with its timeouts, one call a connection, 32 at a time; /healthcheck, /stats, /healthcheck/fail and /ok.
It reads only what the loop publishes.
- internal/handoff, without I/O: whether a SIGTERM is a handoff (a newer living process wrote the start file in TMPDIR) and when the kill comes.
- A handoff tells open connections at once to reconnect, keeps accepting what was queued for 200 ms, and ends once all is answered, before the kill.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -18,10 +19,12 @@
 
 	"github.com/alecthomas/kong"
 
+	"larchscale/internal/admin"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
 	"larchscale/internal/directory"
 	"larchscale/internal/export"
+	"larchscale/internal/handoff"
 	"larchscale/internal/index"
 	"larchscale/internal/jsonrpc"
 	"larchscale/internal/keeper"
@@ -95,6 +98,9 @@
 	if err != nil {
 		return bad(err)
 	}
+	if err := cfg.SetAdmin(env("BALANCER_ADMIN")); err != nil {
+		return bad(err)
+	}
 	own, err := config.LoadOperator(f.Operator, cfg)
 	if err != nil {
 		return bad(err)
@@ -141,10 +147,16 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := sock.Listen(cfg.Listen)
 	if err != nil {
 		return err
 	}
+	var doors net.Listener
+	if cfg.Admin != "" {
+		if doors, err = net.Listen("tcp4", cfg.Admin); err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+	}
 	others := 0
 	if own.UWSGI.Listen != "" {
 		others += own.UWSGI.MaxConns
@@ -204,12 +216,21 @@
 	for _, f := range fronts {
 		go f.Serve()
 	}
+	if doors != nil {
+		door := admin.New(cfg.Site.Classes, c.Figures, log)
+		go door.Serve(doors)
+		defer door.Close()
+	}
+	started := filepath.Join(os.TempDir(), handoff.FileName(cfg.Name))
+	if err := os.WriteFile(started, handoff.Record(os.Getpid()), 0o600); err != nil {
+		log.Warn("start file", "err", err)
+	}
 	go workers.Keep(ctx)
 	go list.Run(ctx)
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
-				c.Send(core.Drain{})
+				leave(c, fronts[0], listener, started, &cfg.Site, log)
 				continue
 			}
 			next, err := cfg.Reload(path)
@@ -234,6 +255,31 @@
 	return nil
 }
 
+// handoffQueue is how long a process that hands off goes on accepting: the connections that the kernel had
+// queued for it before it steered new ones away.
+const handoffQueue = 200 * time.Millisecond
+
+// leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
+func leave(c *core.Core, front *sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
+	file, _ := os.ReadFile(started)
+	next := handoff.Successor(os.Getpid(), file, func(pid int) bool { return syscall.Kill(pid, 0) == nil })
+	if next == 0 {
+		c.Send(core.Drain{})
+		return
+	}
+	deadlines := make([]time.Duration, len(site.Control.Classes))
+	for i, k := range site.Control.Classes {
+		deadlines[i] = k.Deadline
+	}
+	kill := handoff.Kill(deadlines)
+	log.Info("handing off", "to", next, "kill_ms", kill.Milliseconds())
+	c.Send(core.Handoff{Kill: kill})
+	if err := sock.Steer(l, 1); err != nil {
+		log.Warn("handing off", "err", err)
+	}
+	time.AfterFunc(handoffQueue, front.Shut)
+}
+
 // closeLedger has the last entries written, while the fronts write their last answers.
 func closeLedger(books *keeper.Keeper, log *slog.Logger) <-chan struct{} {
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,165 @@
+// Package admin is the operators' door: a second address that speaks HTTP/1.1, one call a connection.
+//
+//	GET /healthcheck       200 once this process serves and no drain was called, else 503
+//	GET /stats             200, the figures as name=value lines
+//	PUT /healthcheck/fail  200; health answers 503 from now on: the platform sends the balancers away
+//	PUT /healthcheck/ok    200; health answers as the process stands again
+//
+// The door reads only what the core loop publishes; it never sends to the loop nor waits on it.
+package admin
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"larchscale/internal/core"
+)
+
+// Bounds of the door.
+const (
+	MaxConns    = 32          // connections at a time; more are closed unseen
+	MaxHead     = 4 << 10     // bytes of a request's head; more is answered 431
+	headWithin  = time.Second // a request head has to come whole within
+	writeWithin = time.Second // an answer has to leave within
+)
+
+// Door answers the operators' calls.
+type Door struct {
+	classes []string
+	figures func() *core.Figures
+	held    atomic.Bool
+	log     *slog.Logger
+	server  *http.Server
+}
+
+// New makes a door for the figures of classes, in the order of Site.Classes.
+func New(classes []string, figures func() *core.Figures, log *slog.Logger) *Door {
+	d := &Door{classes: classes, figures: figures, log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthcheck", d.health)
+	mux.HandleFunc("/healthcheck/fail", d.hold(true))
+	mux.HandleFunc("/healthcheck/ok", d.hold(false))
+	mux.HandleFunc("/stats", d.stats)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no such call", http.StatusNotFound) })
+	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: headWithin, ReadTimeout: headWithin,
+		WriteTimeout: writeWithin, IdleTimeout: headWithin, MaxHeaderBytes: MaxHead,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	d.server.SetKeepAlivesEnabled(false)
+	return d
+}
+
+// Held tells that a drain was called and not taken back.
+func (d *Door) Held() bool { return d.held.Load() }
+
+// Serve answers on l until Close.
+func (d *Door) Serve(l net.Listener) error {
+	err := d.server.Serve(&bounded{Listener: l, room: make(chan struct{}, MaxConns)})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close stops the door and the calls in hand.
+func (d *Door) Close() error { return d.server.Close() }
+
+func only(method string, w http.ResponseWriter, r *http.Request) bool {
+	if r.Method == method {
+		return true
+	}
+	w.Header().Set("Allow", method)
+	http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	return false
+}
+
+func (d *Door) health(w http.ResponseWriter, r *http.Request) {
+	if !only(http.MethodGet, w, r) {
+		return
+	}
+	switch {
+	case d.held.Load():
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !d.figures().Serves:
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	default:
+		w.Write([]byte("ok\n"))
+	}
+}
+
+func (d *Door) hold(held bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !only(http.MethodPut, w, r) {
+			return
+		}
+		if d.held.Swap(held) != held {
+			d.log.Info("health held", "held", held)
+		}
+		w.Write([]byte("ok\n"))
+	}
+}
+
+func (d *Door) stats(w http.ResponseWriter, r *http.Request) {
+	if !only(http.MethodGet, w, r) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Write(Lines(d.classes, d.figures()))
+}
+
+// Lines writes figures as the operators read them: svc.ok.C, svc.shed.C, svc.errors.C, svc.tries.C for each
+// class C, then svc.active, one name=value a line.
+func Lines(classes []string, f *core.Figures) []byte {
+	var b bytes.Buffer
+	for _, set := range []struct {
+		name   string
+		counts []uint64
+	}{{"ok", f.OK}, {"shed", f.Shed}, {"errors", f.Errors}, {"tries", f.Tries}} {
+		for i, c := range classes {
+			b.WriteString("svc." + set.name + "." + c + "=")
+			b.WriteString(strconv.FormatUint(set.counts[i], 10))
+			b.WriteByte('\n')
+		}
+	}
+	b.WriteString("svc.active=" + strconv.Itoa(f.Active) + "\n")
+	return b.Bytes()
+}
+
+// bounded closes connections beyond its room unseen, so that callers who say nothing hold up nobody else.
+type bounded struct {
+	net.Listener
+	room chan struct{}
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case b.room <- struct{}{}:
+			return &slot{Conn: c, room: b.room}, nil
+		default:
+			c.Close()
+		}
+	}
+}
+
+type slot struct {
+	net.Conn
+	room chan struct{}
+	done atomic.Bool
+}
+
+func (s *slot) Close() error {
+	if !s.done.Swap(true) {
+		<-s.room
+	}
+	return s.Conn.Close()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Pool   string
 	Lookup string // the directory; empty = not listed anywhere
 	Index  string // calls below; empty = the last tier
+	Admin  string // the operators' door; empty = none
 	Site   core.Site
 	Limits Limits
 }
@@ -84,6 +85,18 @@
 	return next, nil
 }
 
+// SetAdmin names the operators' door from $BALANCER_ADMIN, which wins over config.json; "" keeps the file's.
+func (c *Config) SetAdmin(addr string) error {
+	if addr == "" {
+		return nil
+	}
+	if err := checkAddr(addr); err != nil {
+		return fmt.Errorf("BALANCER_ADMIN: %w", err)
+	}
+	c.Admin = addr
+	return nil
+}
+
 // Parse reads the text of config.json and checks it.
 func Parse(text []byte) (*Config, error) {
 	if !gjson.ValidBytes(text) {
@@ -91,14 +104,15 @@
 	}
 	j := gjson.ParseBytes(text)
 	c := &Config{Name: j.Get("name").String(), Listen: j.Get("listen").String(), Pool: j.Get("pool").String(),
-		Lookup: j.Get("lookup").String(), Index: j.Get("index").String()}
+		Lookup: j.Get("lookup").String(), Index: j.Get("index").String(), Admin: j.Get("admin").String()}
 	if c.Name == "" {
 		return nil, errors.New("name is missing")
 	}
 	for _, a := range []struct {
 		field, addr string
 		need        bool
-	}{{"listen", c.Listen, true}, {"pool", c.Pool, true}, {"lookup", c.Lookup, false}, {"index", c.Index, false}} {
+	}{{"listen", c.Listen, true}, {"pool", c.Pool, true}, {"lookup", c.Lookup, false}, {"index", c.Index, false},
+		{"admin", c.Admin, false}} {
 		if a.addr == "" && !a.need {
 			continue
 		}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -19,10 +19,12 @@
 	case c.site.Keyed(r.Class):
 		c.byHandle[r.Handle] = r
 		c.recent.add(r.Handle)
+		c.changed()
 		c.routeKeyed(r)
 	default:
 		c.byHandle[r.Handle] = r
 		c.recent.add(r.Handle)
+		c.changed()
 		c.enter(r, 0)
 	}
 }
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -247,6 +247,11 @@
 // Drain is the notice to leave.
 type Drain struct{}
 
+// Handoff is a SIGTERM while a newer process of this server serves the same address: no notice to leave the
+// fleet. Open connections are told at once to reconnect, what is open is finished, and the loop ends before
+// Kill, counted from the event.
+type Handoff struct{ Kill time.Duration }
+
 func (Opened) event()       {}
 func (Closed) event()       {}
 func (Arrive) event()       {}
@@ -262,3 +267,4 @@
 func (Claimed) event()      {}
 func (Booked) event()       {}
 func (Drain) event()        {}
+func (Handoff) event()      {}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -16,6 +16,7 @@
 		return
 	}
 	r.answered = true
+	c.counted(r.Class, a.Kind)
 	if r.session.idled++; a.Kind == Served {
 		r.session.idled = 0
 		r.use.out = int64(len(a.Body))
@@ -101,6 +102,7 @@
 func (c *Core) forgetHandle(r *request) {
 	if c.byHandle[r.Handle] == r {
 		delete(c.byHandle, r.Handle)
+		c.changed()
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,10 +61,13 @@
 	overdueAt deadline   // the first of them waits no longer
 	bookedNow bool       // in this turn
 
+	figs figures
+
 	level     float64
 	up        bool
 	idleAfter time.Duration
 	leaving   bool
+	handing   bool // the leaving is a handoff to a newer process
 	notice    time.Duration
 	shut      bool // it leaves, and its grace is nearly over
 	over      bool
@@ -126,6 +129,8 @@
 	c.wake.do = c.woken
 	c.report.do = c.reported
 	c.overdueAt.do = c.sweepOverdue
+	c.figs.publish.do = c.published
+	c.figs.init(len(site.Classes), c.start)
 	return c
 }
 
@@ -262,6 +267,8 @@
 		c.booked(e.Through)
 	case Drain:
 		c.drain()
+	case Handoff:
+		c.handoff(e.Kill)
 	}
 }
 
@@ -287,7 +294,7 @@
 
 // reported tells the directory where this server stands, over and over.
 func (c *Core) reported() {
-	c.lister.Report(c.up && !c.leaving)
+	c.lister.Report(c.up && (!c.leaving || c.handing))
 	c.late.set(&c.report, c.now+reportEach)
 }
 
@@ -297,6 +304,7 @@
 		return
 	}
 	c.leaving, c.notice = true, c.now
+	c.changed()
 	c.log.Info("draining", "open", len(c.byHandle), "stop_ms", c.site.Stop.Milliseconds())
 	if c.ctl != nil {
 		c.ctl.Leave(c.now, max(0, c.site.Stop-stopEarly))
@@ -308,6 +316,18 @@
 	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
 }
 
+// handoff leaves the address to a newer process: it is reported as before, and the newer one takes the
+// connections that the balancers make anew.
+func (c *Core) handoff(kill time.Duration) {
+	if c.leaving {
+		return
+	}
+	c.site.Stop = min(c.site.Stop, kill)
+	c.handing = true
+	c.drain()
+	c.shutDown()
+}
+
 // shutDown asks all for nothing more, shortly before what comes would not be run. Guards against a fleet that
 // goes without this server before its successor is known: until then it works on.
 func (c *Core) shutDown() {
@@ -327,7 +347,7 @@
 	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 || len(c.unwritten) > 0 {
 		return
 	}
-	if c.ctl == nil || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
+	if c.ctl == nil || c.handing || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
 		c.over = true
 	}
 }
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -122,6 +122,8 @@
 		c.remember(r)
 	}
 	r.spawns, r.stopping = 0, false
+	c.figs.counts.Tries[r.Class]++
+	c.changed()
 	c.command(r, func() {
 		r.spawns++
 		c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body)
@@ -193,6 +195,7 @@
 		return
 	}
 	c.ctl, c.poolAt = ctl, at
+	c.changed()
 	c.log.Info("worker pool up", "cold", cold, "age_ms", (c.now - at).Milliseconds())
 	if c.leaving {
 		c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -61,6 +61,9 @@
 	s.handle(conn, b)
 }
 
+// Shut closes the listener: Serve returns, and the connections it has go on.
+func (s *Server) Shut() { s.listener.Close() }
+
 // Stop closes the listener, and every connection after its last write; it waits for these up to limit.
 func (s *Server) Stop(limit time.Duration) {
 	s.listener.Close()
