--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,7 +14,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +25,7 @@
 
 // Bounds of the door.
 const (
-	MaxConns    = 32          // connections at a time; more are closed unseen
+	MaxConns    = 32          // connections at a time; beyond, the oldest silent one goes
 	MaxHead     = 4 << 10     // bytes of a request's head; more is answered 431
 	headWithin  = time.Second // a request head has to come whole within
 	writeWithin = time.Second // an answer has to leave within
@@ -59,7 +61,7 @@
 
 // Serve answers on l until Close.
 func (d *Door) Serve(l net.Listener) error {
-	err := d.server.Serve(&bounded{Listener: l, room: make(chan struct{}, MaxConns)})
+	err := d.server.Serve(&bounded{Listener: l, room: MaxConns})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -130,10 +132,13 @@
 	return b.Bytes()
 }
 
-// bounded closes connections beyond its room unseen, so that callers who say nothing hold up nobody else.
+// bounded keeps up to its room of connections. A newcomer beyond it takes the place of the oldest that has sent
+// nothing yet, or is closed unseen where all have: callers who say nothing hold up nobody else.
 type bounded struct {
 	net.Listener
-	room chan struct{}
+	room  int
+	mu    sync.Mutex
+	slots []*slot // in the order they came
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -142,24 +147,57 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case b.room <- struct{}{}:
-			return &slot{Conn: c, room: b.room}, nil
-		default:
-			c.Close()
+		if s := b.take(c); s != nil {
+			return s, nil
 		}
+		c.Close()
+	}
+}
+
+func (b *bounded) take(c net.Conn) *slot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.slots) >= b.room {
+		i := slices.IndexFunc(b.slots, func(s *slot) bool { return !s.heard.Load() })
+		if i < 0 {
+			return nil
+		}
+		old := b.slots[i]
+		b.slots = slices.Delete(b.slots, i, i+1)
+		old.gone.Store(true)
+		old.Conn.Close()
+	}
+	s := &slot{Conn: c, of: b}
+	b.slots = append(b.slots, s)
+	return s
+}
+
+func (b *bounded) drop(s *slot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.slots, s); i >= 0 {
+		b.slots = slices.Delete(b.slots, i, i+1)
 	}
 }
 
 type slot struct {
 	net.Conn
-	room chan struct{}
-	done atomic.Bool
+	of    *bounded
+	heard atomic.Bool // a byte came
+	gone  atomic.Bool // out of the room
+}
+
+func (s *slot) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	if n > 0 {
+		s.heard.Store(true)
+	}
+	return n, err
 }
 
 func (s *slot) Close() error {
-	if !s.done.Swap(true) {
-		<-s.room
+	if !s.gone.Swap(true) {
+		s.of.drop(s)
 	}
 	return s.Conn.Close()
 }
