An operator's drain reaches the core: JSON-RPC health and directory reports say no

The door's own health said 503, so the other sayers were what remained: the answer to a JSON-RPC health check (intake.go, Up) and the report to the directory (core.go, reported). Both ignored the door. Now the door hands a Hold event to the loop from a goroutine of its own, the last state first, without waiting; while held both say no, and what comes is served.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -217,7 +217,7 @@
 		go f.Serve()
 	}
 	if doors != nil {
-		door := admin.New(cfg.Site.Classes, c.Figures, log)
+		door := admin.New(cfg.Site.Classes, c.Figures, c.Send, log)
 		go door.Serve(doors)
 		defer door.Close()
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,13 +36,26 @@
 	classes []string
 	figures func() *core.Figures
 	held    atomic.Bool
+	moved   chan struct{} // held changed since it was last told
+	stop    chan struct{}
 	log     *slog.Logger
 	server  *http.Server
 }
 
-// New makes a door for the figures of classes, in the order of Site.Classes.
-func New(classes []string, figures func() *core.Figures, log *slog.Logger) *Door {
-	d := &Door{classes: classes, figures: figures, log: log}
+// New makes a door for the figures of classes, in the order of Site.Classes. A drain or its end is handed to
+// tell, from a goroutine of the door's own, the last one first: the calls never wait for it.
+func New(classes []string, figures func() *core.Figures, tell func(core.Event), log *slog.Logger) *Door {
+	d := &Door{classes: classes, figures: figures, log: log, moved: make(chan struct{}, 1), stop: make(chan struct{})}
+	go func() {
+		for {
+			select {
+			case <-d.moved:
+				tell(core.Hold{On: d.held.Load()})
+			case <-d.stop:
+				return
+			}
+		}
+	}()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthcheck", d.health)
 	mux.HandleFunc("/healthcheck/fail", d.hold(true))
@@ -69,7 +82,10 @@
 }
 
 // Close stops the door and the calls in hand.
-func (d *Door) Close() error { return d.server.Close() }
+func (d *Door) Close() error {
+	close(d.stop)
+	return d.server.Close()
+}
 
 func only(method string, w http.ResponseWriter, r *http.Request) bool {
 	if r.Method == method {
@@ -101,6 +117,10 @@
 		}
 		if d.held.Swap(held) != held {
 			d.log.Info("health held", "held", held)
+			select {
+			case d.moved <- struct{}{}:
+			default:
+			}
 		}
 		w.Write([]byte("ok\n"))
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -16,12 +16,17 @@
 )
 
 func open(t *testing.T, f *atomic.Pointer[core.Figures]) string {
+	t.Helper()
+	return openTelling(t, f, func(core.Event) {})
+}
+
+func openTelling(t *testing.T, f *atomic.Pointer[core.Figures], tell func(core.Event)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := admin.New([]string{"quote", "book"}, f.Load, slog.New(slog.DiscardHandler))
+	d := admin.New([]string{"quote", "book"}, f.Load, tell, slog.New(slog.DiscardHandler))
 	go d.Serve(l)
 	t.Cleanup(func() { d.Close() })
 	return l.Addr().String()
@@ -53,7 +58,8 @@
 // Health follows the process and the drain: fail holds it bad, ok gives it back.
 func TestHealthAndDrain(t *testing.T) {
 	f := figures(false)
-	addr := open(t, f)
+	told := make(chan core.Event, 4)
+	addr := openTelling(t, f, func(e core.Event) { told <- e })
 	get := "GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n"
 	for _, step := range []struct {
 		serves bool
@@ -72,6 +78,11 @@
 			t.Fatalf("%q with serving %v: %s, want %s", step.call, step.serves, got, step.want)
 		}
 	}
+	for _, want := range []core.Hold{{On: true}, {On: false}} {
+		if got := <-told; got != want {
+			t.Fatalf("the loop was told %#v, want %#v", got, want)
+		}
+	}
 }
 
 // The figures come as name=value lines under the operators' names.
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -247,6 +247,10 @@
 // Drain is the notice to leave.
 type Drain struct{}
 
+// Hold is an operator's drain (On) or its end: while held, health checks and reports to the directory say
+// that this server takes no work, and what still comes is served as ever.
+type Hold struct{ On bool }
+
 // Handoff is a SIGTERM while a newer process of this server serves the same address: no notice to leave the
 // fleet. Open connections are told at once to reconnect, what is open is finished, and the loop ends before
 // Kill, counted from the event.
@@ -268,3 +272,4 @@
 func (Booked) event()       {}
 func (Drain) event()        {}
 func (Handoff) event()      {}
+func (Hold) event()         {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 	idleAfter time.Duration
 	leaving   bool
 	handing   bool // the leaving is a handoff to a newer process
+	held      bool // an operator drains it
 	notice    time.Duration
 	shut      bool // it leaves, and its grace is nearly over
 	over      bool
@@ -269,6 +270,9 @@
 		c.drain()
 	case Handoff:
 		c.handoff(e.Kill)
+	case Hold:
+		c.held = e.On
+		c.reported()
 	}
 }
 
@@ -294,7 +298,7 @@
 
 // reported tells the directory where this server stands, over and over.
 func (c *Core) reported() {
-	c.lister.Report(c.up && (!c.leaving || c.handing))
+	c.lister.Report(c.up && !c.held && (!c.leaving || c.handing))
 	c.late.set(&c.report, c.now+reportEach)
 }
 
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -92,7 +92,7 @@
 	if !ok {
 		return
 	}
-	e.Reply.Answer(Answer{Kind: Checked, Up: c.up && !c.shut, Hint: c.level})
+	e.Reply.Answer(Answer{Kind: Checked, Up: c.up && !c.shut && !c.held, Hint: c.level})
 	c.rest(x)
 }
 
