--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -11,7 +11,7 @@
 
 // Listen opens a TCP listener on addr with SO_REUSEPORT, so that the next process of the same server binds
 // the same address while this one serves. New connections go to the oldest listener of the address until
-// it hands off (Steer); without that, the kernel would spread them over both by a hash.
+// it hands off (Steer). A kernel that does not steer (EOPNOTSUPP) spreads them over both by a hash.
 func Listen(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		var err error
