--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger race lint size run fuzz
+.PHONY: check build demo test torture measure-ledger measure-ops race lint size run fuzz
 
 check: lint build size test
 
@@ -21,6 +21,9 @@
 measure-ledger: build
 	bin/measure ledger
 
+measure-ops: build
+	bin/measure ops
+
 # The long form of the tests with the real program: 1,000 kills, and 500,000 requests against a collector that fails.
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -255,10 +255,6 @@
 	return nil
 }
 
-// handoffQueue is how long a process that hands off goes on accepting: the connections that the kernel had
-// queued for it before it steered new ones away.
-const handoffQueue = 200 * time.Millisecond
-
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
 func leave(c *core.Core, front *sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
 	file, _ := os.ReadFile(started)
@@ -277,7 +273,7 @@
 	if err := sock.Steer(l, 1); err != nil {
 		log.Warn("handing off", "err", err)
 	}
-	time.AfterFunc(handoffQueue, front.Shut)
+	front.Shut()
 }
 
 // closeLedger has the last entries written, while the fronts write their last answers.
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -11,6 +11,7 @@
 
 type cli struct {
 	Ledger ledgerCmd `cmd:"" help:"The ledger of use."`
+	Ops    opsCmd    `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
 
 	Recover recoverCmd `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
 	Hour    hourCmd    `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,8 @@
 	quitAfter  = 500 * time.Millisecond // beyond the grace: with nothing left, the program ends sooner
 	callMargin = 100 * time.Millisecond // the layer below is given its patience and this
 	lostBefore = 100 * time.Millisecond // a link that ends may take commands of its last 50 ms with it
+	// a handoff ends no sooner: the connections taken from the listener's queue have come to the loop by then
+	handoffLinger = 200 * time.Millisecond
 )
 
 // Core owns the controller and the state of all requests. All fields belong to the goroutine of Run.
@@ -330,6 +332,7 @@
 	c.handing = true
 	c.drain()
 	c.shutDown()
+	c.late.set(&deadline{do: func() {}}, c.now+handoffLinger)
 }
 
 // shutDown asks all for nothing more, shortly before what comes would not be run. Guards against a fleet that
@@ -351,7 +354,7 @@
 	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 || len(c.unwritten) > 0 {
 		return
 	}
-	if c.ctl == nil || c.handing || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
+	if c.ctl == nil || c.handing && c.now >= c.notice+handoffLinger || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
 		c.over = true
 	}
 }
--- a/internal/sock/listen_test.go
+++ b/internal/sock/listen_test.go
@@ -22,18 +22,6 @@
 	return conns
 }
 
-// answerQueued accepts on l and answers each, until l is closed.
-func answerQueued(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		c.Write([]byte("ok"))
-		c.Close()
-	}
-}
-
 // unheard counts the connections that get no answer.
 func unheard(conns []net.Conn) int {
 	n := 0
@@ -47,7 +35,7 @@
 }
 
 // Two processes of one server on one address: a listener closed with a full accept queue drops what waits there,
-// while one that went on accepting until it closed leaves none unheard.
+// while Shut takes the queue before it closes, and leaves none unheard.
 func TestHandoffLeavesNoQueuedConnectionUnheard(t *testing.T) {
 	old, err := Listen("127.0.0.1:0")
 	if err != nil {
@@ -80,13 +68,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if Steer(old, 1) == nil { // where the kernel steers, new connections go to next from here on
-		t.Log("the kernel steers")
-	}
-	go answerQueued(old)
-	conns := dialAll(t, addr, 40)
-	if n := unheard(conns); n != 0 {
-		t.Fatalf("%d of %d unheard while both accept", n, len(conns))
+	s := NewServer(old, 64, &Budget{Peer: 1 << 10, All: 1 << 20, Spare: 1 << 10}, func(c net.Conn, _ *Box) {
+		c.Write([]byte("ok"))
+	})
+	queued = dialAll(t, addr, 40) // nobody accepts on old: what the kernel gave it waits
+	s.Shut()
+	if n := unheard(queued); n != 0 {
+		t.Fatalf("over a shut with a full queue %d of %d connections unheard", n, len(queued))
 	}
-	old.Close()
 }
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Server accepts connections, each with a goroutine of its own.
@@ -61,8 +64,50 @@
 	s.handle(conn, b)
 }
 
-// Shut closes the listener: Serve returns, and the connections it has go on.
-func (s *Server) Shut() { s.listener.Close() }
+// Shut takes what waits in the listener's queue and closes it at once after: Serve returns, and the
+// connections go on. Closing alone would reset every connection still queued; what comes in the instant
+// between the last take and the close is still lost, where the kernel has no other listener to steer to.
+func (s *Server) Shut() {
+	if t, ok := s.listener.(*net.TCPListener); ok {
+		if rc, err := t.SyscallConn(); err == nil {
+			var taken []int
+			rc.Control(func(fd uintptr) {
+				for {
+					c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+					if err != nil {
+						if err == unix.EINTR || err == unix.ECONNABORTED {
+							continue
+						}
+						return
+					}
+					taken = append(taken, c)
+				}
+			})
+			s.listener.Close()
+			for _, fd := range taken {
+				s.adopt(fd)
+			}
+			return
+		}
+	}
+	s.listener.Close()
+}
+
+// adopt serves a connection taken from the queue by hand, as Serve would.
+func (s *Server) adopt(fd int) {
+	f := os.NewFile(uintptr(fd), "")
+	conn, err := net.FileConn(f)
+	f.Close()
+	if err != nil {
+		return
+	}
+	select {
+	case s.room <- struct{}{}:
+		go s.serve(conn)
+	default:
+		conn.Close()
+	}
+}
 
 // Stop closes the listener, and every connection after its last write; it waits for these up to limit.
 func (s *Server) Stop(limit time.Duration) {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -52,6 +52,8 @@
 	Listen        string // the platform's front
 	Desk          string // the uwsgi front
 	Dir           string // its ledger's
+	Admin         string // the operators' door
+	Tmp           string // its $TMPDIR: a twin shares it
 	program, home string
 	cmd           *exec.Cmd
 	log           *tail
@@ -61,13 +63,35 @@
 // NewBox writes a box's files under home. operator is the text of its operator's file beyond the uwsgi front;
 // $DIR in it is the ledger's directory.
 func NewBox(program, home, name string, site *Site, operator string) (*Box, error) {
-	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), log: &tail{}}
+	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), log: &tail{}}
 	var err error
 	if b.Listen, err = FreeAddr(); err != nil {
 		return nil, err
 	}
+	return b, b.write(site, operator)
+}
+
+// Twin is the next process of box b, as a replacement starts it: the same name and clients' address, the same
+// $TMPDIR, another door, uwsgi front and site under home.
+func (b *Box) Twin(home string, site *Site) (*Box, error) {
+	t := &Box{Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, log: &tail{}}
+	return t, t.write(site, "")
+}
+
+// write gives the box its other addresses and writes its files.
+func (b *Box) write(site *Site, operator string) error {
+	name, home := b.Name, b.home
+	var err error
 	if b.Desk, err = FreeAddr(); err != nil {
-		return nil, err
+		return err
+	}
+	if b.Admin, err = FreeAddr(); err != nil {
+		return err
+	}
+	for _, dir := range []string{b.home, b.Tmp} {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
 	}
 	var classes, tenants []map[string]any
 	for i, c := range Classes {
@@ -87,15 +111,15 @@
 				"Below": "tier", "ClassCalls": []bool{true, true, true}, "HangupSeen": true, "Preemption": "drop"},
 			"Safety": map[string]any{"FallMultiple": 8, "FallUs": 1500000, "DrainGraceUs": 500000, "AnswerSlackUs": 80000}}})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	operator = fmt.Sprintf("[uwsgi]\nlisten = %q\n", b.Desk) + strings.ReplaceAll(operator, "$DIR", b.Dir)
 	for name, text := range map[string][]byte{"config.json": config, "operator.toml": []byte(operator)} {
 		if err := os.WriteFile(filepath.Join(home, name), text, 0o600); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return b, nil
+	return nil
 }
 
 // Operator is the path of its operator's file.
@@ -119,6 +143,7 @@
 func (b *Box) Start() error {
 	b.cmd = exec.Command(b.program, "--config", filepath.Join(b.home, "config.json"), "--operator", b.Operator())
 	b.cmd.Stderr = b.log
+	b.cmd.Env = append(os.Environ(), "BALANCER_ADMIN="+b.Admin, "TMPDIR="+b.Tmp)
 	up := b.log.wait("worker pool up")
 	if err := b.cmd.Start(); err != nil {
 		return err
@@ -145,6 +170,12 @@
 	<-b.ended
 }
 
+// Term sends SIGTERM, and gives a channel closed when the process has ended.
+func (b *Box) Term() <-chan struct{} {
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	return b.ended
+}
+
 // Stop drains it, and gives its exit code.
 func (b *Box) Stop() (int, error) {
 	b.cmd.Process.Signal(syscall.SIGTERM)
