Write the start file whole or not at all; bad admin addresses exit 2 in a test

A process that read the start file while the next one wrote it could find it empty, and take a handoff for a notice to drain. The file is now written beside and renamed. The test of bad settings covers a bad admin in config.json and a bad BALANCER_ADMIN: one line, exit 2.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -222,7 +222,7 @@
 		defer door.Close()
 	}
 	started := filepath.Join(os.TempDir(), handoff.FileName(cfg.Name))
-	if err := os.WriteFile(started, handoff.Record(os.Getpid()), 0o600); err != nil {
+	if err := writeStart(started); err != nil {
 		log.Warn("start file", "err", err)
 	}
 	go workers.Keep(ctx)
@@ -255,6 +255,16 @@
 	return nil
 }
 
+// writeStart names this process in the start file, whole or not at all: a process that reads it meanwhile
+// sees the one before or this one.
+func writeStart(path string) error {
+	next := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err := os.WriteFile(next, handoff.Record(os.Getpid()), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
 func leave(c *core.Core, front *sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
 	file, _ := os.ReadFile(started)
--- a/cmd/larchscale/main_test.go
+++ b/cmd/larchscale/main_test.go
@@ -28,6 +28,7 @@
 		"no seed":     `{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:1","stop_ms":1}`,
 		"no classes":  good + `{}}`,
 		"bad figure":  good + `{"RequestClasses":[{"Name":"a","AimUs":-1}]}}`,
+		"bad admin":   `{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:1","admin":"127.0.0.1:x","seed":"1","stop_ms":1}`,
 	} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -43,6 +44,18 @@
 	if code := run(nil, func(string) string { return "" }, &out); code != 2 {
 		t.Errorf("no path: exit %d", code)
 	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(path, []byte(good+`{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1,"Advert":"level"}}}`), 0o600)
+	for name, env := range map[string]map[string]string{
+		"bad BALANCER_ADMIN": {"BALANCER_ADMIN": "nowhere"},
+		"admin without port": {"BALANCER_ADMIN": "127.0.0.1"},
+	} {
+		out.Reset()
+		code := run([]string{"-config", path}, func(k string) string { return env[k] }, &out)
+		if code != 2 || strings.Count(out.String(), "\n") != 1 {
+			t.Errorf("%s: exit %d, %q", name, code, out.String())
+		}
+	}
 }
 
 // SIGHUP moves the links to the addresses that the file has now; one that cannot be is one log line, and the
