Catch signals from the first step; a SIGTERM before the pool is up ends well

signal.Notify was called only once serve began: a SIGTERM during the reading of the settings or the opening of the ledger took the default action and killed the process. Notify is now the first step of run. A test sends SIGTERM with no worker pool answering: exit 0 within 2 s, stop_ms being 4 s.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -87,6 +87,9 @@
 		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
+	signals := make(chan os.Signal, 8) // from the first step: a SIGTERM during start-up drains once it can
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	f, code, err := parse(args, env, out)
 	if err != nil {
 		return bad(err)
@@ -112,7 +115,7 @@
 	}
 	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
-	if err := serve(f.Config, cfg, own, books, log); err != nil {
+	if err := serve(f.Config, cfg, own, books, signals, log); err != nil {
 		<-closeLedger(books, log)
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
@@ -141,12 +144,9 @@
 
 // serve wires the parts together and returns when the core has answered all after SIGTERM. SIGHUP moves the
 // links to the addresses in the file as it is then; all else lives on.
-func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, log *slog.Logger) error {
+func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, signals <-chan os.Signal, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	listener, err := sock.Listen(cfg.Listen)
 	if err != nil {
 		return err
--- a/cmd/larchscale/main_test.go
+++ b/cmd/larchscale/main_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"larchscale/internal/keeper"
 	"larchscale/internal/scenario"
@@ -147,3 +148,32 @@
 		}
 	}
 }
+
+// A SIGTERM before the worker pool is up ends the program well, at once.
+func TestSIGTERMBeforeThePoolIsUp(t *testing.T) {
+	front, pool := scenario.Listen(t), scenario.Listen(t)
+	front.Close()
+	pool.Close() // nobody answers there
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"pool":%q,"seed":"1","stop_ms":4000,"settings":`+
+		`{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1,"Advert":"level"}}}`, front.Addr, pool.Addr)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code := make(chan int)
+	log, out := io.Pipe()
+	go func() { code <- run([]string{"-config", path}, func(string) string { return "" }, out) }()
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "msg=started") {
+	}
+	go io.Copy(io.Discard, log)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	select {
+	case c := <-code:
+		if c != 0 {
+			t.Errorf("exit %d", c)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the program did not end within 2 s of SIGTERM; stop_ms is 4 s")
+	}
+}
