Count the door's connections against the descriptors; the uwsgi front hands off too

The door holds up to 32 connections that the clients' front did not leave room for: its slots are now among the others that Limits.Conns subtracts. The uwsgi front listened without SO_REUSEPORT, so a second process with an operator's file could not bind it; it now opens like the clients' front and is shut with it in a handoff. Listen takes tcp, as net.Listen did before.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -164,6 +164,9 @@
 	if len(own.UWSGI.Below) > 0 {
 		others += own.UWSGI.MaxCalls
 	}
+	if doors != nil {
+		others += admin.MaxConns
+	}
 	conns := cfg.Limits.Conns(others)
 	cfg.SetConns(conns)
 	c := core.New(cfg.Site, log)
@@ -207,7 +210,7 @@
 	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
-		desks, err := net.Listen("tcp", own.UWSGI.Listen)
+		desks, err := sock.Listen(own.UWSGI.Listen)
 		if err != nil {
 			return err
 		}
@@ -230,7 +233,7 @@
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
-				leave(c, fronts[0], listener, started, &cfg.Site, log)
+				leave(c, fronts, listener, started, &cfg.Site, log)
 				continue
 			}
 			next, err := cfg.Reload(path)
@@ -266,7 +269,7 @@
 }
 
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
-func leave(c *core.Core, front *sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
+func leave(c *core.Core, fronts []*sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
 	file, _ := os.ReadFile(started)
 	next := handoff.Successor(os.Getpid(), file, func(pid int) bool { return syscall.Kill(pid, 0) == nil })
 	if next == 0 {
@@ -283,7 +286,9 @@
 	if err := sock.Steer(l, 1); err != nil {
 		log.Warn("handing off", "err", err)
 	}
-	front.Shut()
+	for _, f := range fronts {
+		f.Shut()
+	}
 }
 
 // closeLedger has the last entries written, while the fronts write their last answers.
--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -22,7 +22,7 @@
 		}
 		return err
 	}}
-	l, err := lc.Listen(context.Background(), "tcp4", addr)
+	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
