--- a/cmd/measure/ops.go
+++ b/cmd/measure/ops.go
@@ -7,8 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"larchscale/internal/standin"
@@ -48,8 +46,8 @@
 	if _, err := until(old.Admin, "/healthcheck", http.StatusOK, 6*time.Second); err != nil {
 		return err
 	}
-	l := startLoad(old.Listen, c.Callers)
-	defer l.stop()
+	l := standin.NewChurn(old.Listen, c.Callers)
+	defer l.Stop()
 
 	took, err := healthTimes(old.Admin, c.Load)
 	if err != nil {
@@ -73,7 +71,7 @@
 	if _, err := until(next.Admin, "/healthcheck", http.StatusOK, 6*time.Second); err != nil {
 		return fmt.Errorf("the new process: %w", err)
 	}
-	before := l.counts()
+	before := l.Tally()
 	sent := time.Now()
 	select {
 	case <-old.Term():
@@ -82,9 +80,9 @@
 	}
 	r.most("old process gone after SIGTERM", ms(time.Since(sent)), "ms", 3700)
 	time.Sleep(time.Second)
-	after := l.stop()
-	r.row("requests over the handoff", float64(after.sent-before.sent), "count")
-	r.most("unheard over the handoff", float64(after.unheard-before.unheard), "count", 2)
+	after := l.Stop()
+	r.row("requests over the handoff", float64(after.Sent-before.Sent), "count")
+	r.most("unheard over the handoff", float64(after.Unheard-before.Unheard), "count", 2)
 	return nil
 }
 
@@ -135,7 +133,7 @@
 }
 
 // drainTimes calls the drain and its end, and measures how soon health follows; requests go on meanwhile.
-func drainTimes(r *report, addr string, l *load) error {
+func drainTimes(r *report, addr string, l *standin.Churn) error {
 	for _, step := range []struct {
 		path, name string
 		want       int
@@ -151,66 +149,10 @@
 		}
 		r.most(step.name, ms(time.Since(began)), "ms", step.bound)
 		if step.want == http.StatusServiceUnavailable {
-			before := l.counts()
+			before := l.Tally()
 			time.Sleep(500 * time.Millisecond)
-			r.least("served in 0.5 s of drain", float64(l.counts().served-before.served), "count", 1)
+			r.least("served in 0.5 s of drain", float64(l.Tally().Served-before.Served), "count", 1)
 		}
 	}
 	return nil
 }
-
-// load is callers that each send a request on a new connection, one after the other.
-type load struct {
-	sent, served, unheard atomic.Int64
-	done                  chan struct{}
-	wg                    sync.WaitGroup
-}
-
-type tally struct{ sent, served, unheard int64 }
-
-func startLoad(addr string, callers int) *load {
-	l := &load{done: make(chan struct{})}
-	for i := range callers {
-		l.wg.Add(1)
-		go func() {
-			defer l.wg.Done()
-			s := standin.NewStream(fmt.Sprintf("c%d", i), 1)
-			for {
-				select {
-				case <-l.done:
-					return
-				default:
-				}
-				req := s.Next()
-				req.Class, req.Token = standin.Classes[0], "" // repeatable: a handoff may run it on either process
-				l.sent.Add(1)
-				line, err := standin.DialLine(addr)
-				if err != nil {
-					l.unheard.Add(1)
-					continue
-				}
-				switch line.Do(req).End {
-				case "served":
-					l.served.Add(1)
-				case "lost":
-					l.unheard.Add(1)
-				}
-				line.Close()
-			}
-		}()
-	}
-	return l
-}
-
-func (l *load) counts() tally { return tally{l.sent.Load(), l.served.Load(), l.unheard.Load()} }
-
-// stop ends the callers once, and gives what they saw.
-func (l *load) stop() tally {
-	select {
-	case <-l.done:
-	default:
-		close(l.done)
-	}
-	l.wg.Wait()
-	return l.counts()
-}
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -38,12 +38,17 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		select {
-		case s.room <- struct{}{}:
-			go s.serve(conn)
-		default:
-			conn.Close()
-		}
+		s.take(conn)
+	}
+}
+
+// take serves conn where there is room, and closes it unseen where there is none.
+func (s *Server) take(conn net.Conn) {
+	select {
+	case s.room <- struct{}{}:
+		go s.serve(conn)
+	default:
+		conn.Close()
 	}
 }
 
@@ -101,12 +106,7 @@
 	if err != nil {
 		return
 	}
-	select {
-	case s.room <- struct{}{}:
-		go s.serve(conn)
-	default:
-		conn.Close()
-	}
+	s.take(conn)
 }
 
 // Stop closes the listener, and every connection after its last write; it waits for these up to limit.
--- a/internal/standin/handoff_test.go
+++ b/internal/standin/handoff_test.go
@@ -1,11 +1,8 @@
 package standin_test
 
 import (
-	"fmt"
 	"net/http"
 	"path/filepath"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,35 +48,8 @@
 	defer old.Kill()
 	healthy(t, old)
 
-	var sent, unheard atomic.Int64
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 4 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s := standin.NewStream(fmt.Sprintf("c%d", i), 1)
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				r := s.Next()
-				r.Class, r.Token = standin.Classes[0], ""
-				sent.Add(1)
-				line, err := standin.DialLine(old.Listen)
-				if err != nil {
-					unheard.Add(1)
-					continue
-				}
-				if line.Do(r).End == "lost" {
-					unheard.Add(1)
-				}
-				line.Close()
-			}
-		}()
-	}
+	churn := standin.NewChurn(old.Listen, 4)
+	defer churn.Stop()
 
 	next, err := old.Twin(filepath.Join(t.TempDir(), "next"), sites[1])
 	if err != nil {
@@ -90,7 +60,7 @@
 	}
 	defer next.Kill()
 	healthy(t, next)
-	before := sent.Load()
+	before := churn.Tally()
 	began := time.Now()
 	select {
 	case <-old.Term():
@@ -99,11 +69,10 @@
 	}
 	took := time.Since(began)
 	time.Sleep(500 * time.Millisecond)
-	close(stop)
-	wg.Wait()
-	if n := unheard.Load(); n > 2 || sent.Load()-before < 50 {
-		t.Fatalf("%d of %d requests unheard, %d over the handoff; old gone after %v\nold: %s", n, sent.Load(),
-			sent.Load()-before, took, old.Log())
+	after := churn.Stop()
+	if n := after.Unheard; n > 2 || after.Sent-before.Sent < 50 {
+		t.Fatalf("%d of %d requests unheard, %d over the handoff; old gone after %v\nold: %s", n, after.Sent,
+			after.Sent-before.Sent, took, old.Log())
 	}
 	if code, _ := old.Stop(); code != 0 {
 		t.Errorf("the old process ended with %d", code)
