--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,4 @@
 	go test -run '^$$' -fuzz FuzzApply -fuzztime 10s ./internal/ledger
 	go test -run '^$$' -fuzz FuzzPeers -fuzztime 10s ./internal/ledger
 	go test -run '^$$' -fuzz FuzzOutage -fuzztime 10s ./internal/keeper
+	go test -run '^$$' -fuzz FuzzSuccessor -fuzztime 10s ./internal/handoff
