--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,9 +45,6 @@
 // GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
 func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
 
-// KeyFiles bounds the bytes of keys in $TMPDIR, which counts as memory: a sixteenth of it.
-func (l *Limits) KeyFiles() int64 { return int64(l.MemoryMB) << 20 / 16 }
-
 // Budget bounds what waits to be written to the clients of one front. A balancer has 32 answers open at
 // most, each under 6 KB; two of them always find room.
 func (l *Limits) Budget() *sock.Budget {
