Drop what nothing reads: the time of a figures copy and Door.Held; say how a drain reaches the loop

The package comment of admin said the door never sends to the loop, though a drain is a Hold event sent from a goroutine of the door's own. Behaviour unchanged.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,7 +5,8 @@
 //	PUT /healthcheck/fail  200; health answers 503 from now on: the platform sends the balancers away
 //	PUT /healthcheck/ok    200; health answers as the process stands again
 //
-// The door reads only what the core loop publishes; it never sends to the loop nor waits on it.
+// The door reads only what the core loop publishes, and never waits on the loop: a drain reaches it as a Hold
+// event, sent by a goroutine of the door's own.
 package admin
 
 import (
@@ -69,9 +70,6 @@
 	return d
 }
 
-// Held tells that a drain was called and not taken back.
-func (d *Door) Held() bool { return d.held.Load() }
-
 // Serve answers on l until Close.
 func (d *Door) Serve(l net.Listener) error {
 	err := d.server.Serve(&bounded{Listener: l, room: MaxConns})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,7 +133,7 @@
 	c.report.do = c.reported
 	c.overdueAt.do = c.sweepOverdue
 	c.figs.publish.do = c.published
-	c.figs.init(len(site.Classes), c.start)
+	c.figs.init(len(site.Classes))
 	return c
 }
 
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -11,13 +11,12 @@
 // Figures are the counts of one process since its start, by class in the order of Site.Classes. The loop
 // publishes a copy; readers get it by Core.Figures and never touch the loop's own.
 type Figures struct {
-	At     time.Time // when the copy was made
-	OK     []uint64  // served
-	Shed   []uint64  // refused, never ran
-	Errors []uint64  // failed, timed out, conflicts, invalid
-	Tries  []uint64  // runs handed to the worker pool
-	Active int       // requests taken and not yet ended
-	Serves bool      // the worker pool is up and no notice to leave has come
+	OK     []uint64 // served
+	Shed   []uint64 // refused, never ran
+	Errors []uint64 // failed, timed out, conflicts, invalid
+	Tries  []uint64 // runs handed to the worker pool
+	Active int      // requests taken and not yet ended
+	Serves bool     // the worker pool is up and no notice to leave has come
 }
 
 // figures is the loop's side: its counts, and the copy that others read.
@@ -27,15 +26,15 @@
 	publish deadline
 }
 
-func (f *figures) init(classes int, now time.Time) {
+func (f *figures) init(classes int) {
 	f.counts = Figures{OK: make([]uint64, classes), Shed: make([]uint64, classes),
 		Errors: make([]uint64, classes), Tries: make([]uint64, classes)}
-	f.show(now, 0)
+	f.show(0)
 }
 
-func (f *figures) show(now time.Time, active int) {
+func (f *figures) show(active int) {
 	n := f.counts
-	n.At, n.Active = now, active
+	n.Active = active
 	n.OK, n.Shed = append([]uint64(nil), n.OK...), append([]uint64(nil), n.Shed...)
 	n.Errors, n.Tries = append([]uint64(nil), n.Errors...), append([]uint64(nil), n.Tries...)
 	f.shown.Store(&n)
@@ -70,5 +69,5 @@
 
 func (c *Core) published() {
 	c.figs.counts.Serves = c.ctl != nil && !c.leaving && !c.over
-	c.figs.show(c.start.Add(c.now), len(c.byHandle))
+	c.figs.show(len(c.byHandle))
 }
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -11,12 +11,8 @@
 	"larchscale/internal/scenario"
 )
 
-// figuresOf is what a reader outside the loop sees, without the time of the copy.
-func figuresOf(w *scenario.World) core.Figures {
-	f := *w.Core.Figures()
-	f.At = time.Time{}
-	return f
-}
+// figuresOf is what a reader outside the loop sees.
+func figuresOf(w *scenario.World) core.Figures { return *w.Core.Figures() }
 
 // The figures count each final answer under its class and each run handed to the worker pool, and a reader
 // sees them within publishEach of the change, without asking the loop.
