--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -123,6 +123,8 @@
 func (g *rig) Run(handle, _ string, _ []byte)                   { g.pool <- handle }
 func (g *rig) Stop(string)                                      {}
 func (g *rig) Supply(string, []byte)                            {}
+func (g *rig) Pass(string, uint64)                              {}
+func (g *rig) Verify(string)                                    {}
 func (g *rig) Poll(string)                                      {}
 func (g *rig) Call(string, string, time.Duration, bool, []byte) {}
 func (g *rig) Abandon(string)                                   {}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -180,10 +180,9 @@
 
 func site(s *wire.Settings, seed uint64) core.Site {
 	out := core.Site{Control: settings.Config(s, seed), Gauges: s.FamilyInfo.OwnStats}
-	for i, k := range s.RequestClasses {
+	out.Control.KeyMemory = 0 // on sockets keys lie in this process's memory, not in the site's
+	for _, k := range s.RequestClasses {
 		out.Classes = append(out.Classes, k.Name)
-		out.Control.KeyMemory = 0            // on sockets keys lie in this process's memory, not in the site's
-		out.Control.Classes[i].SkipWorth = 0 // the worker pool has no command that leaves out a call
 	}
 	for _, t := range s.Tenants {
 		out.Tenants = append(out.Tenants, t.Name)
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -49,7 +49,11 @@
 	Run(handle, class string, body []byte)
 	Stop(handle string)
 	Supply(handle string, body []byte)
+	// Pass has a run go on without the call that a notice asked for.
+	Pass(handle string, notice uint64)
 	Poll(ticket string)
+	// Verify asks for the work of a deep health check.
+	Verify(ticket string)
 }
 
 // Caller makes calls below. Its methods must not block; each Call ends with one CallEnded, unless it was
@@ -160,8 +164,9 @@
 	Arrived time.Time     // at the machine
 	Budget  time.Duration // the caller waits so long from Arrived; 0 = not told
 	Rank    float64
-	Memory  float64 // kilobytes while held
-	Token   string  // keyed classes
+	Memory  float64       // kilobytes while held
+	Work    time.Duration // to expect on one core, a rough hint; 0 = not told
+	Token   string        // keyed classes
 	Subject uint64
 	Retry   bool
 	Body    []byte
@@ -190,10 +195,11 @@
 		Session Session
 		Handle  string
 	}
-	// Check asks for the health.
+	// Check asks for the health; a deep one also whether work is getting done.
 	Check struct {
 		Session Session
 		Reply   Reply
+		Deep    bool
 	}
 )
 
@@ -218,8 +224,14 @@
 	// PoolBlocked tells that a run waits for a call.
 	PoolBlocked struct {
 		Handle string
+		Notice uint64 // its number
 		Body   []byte
 	}
+	// PoolVerified tells how the work of a deep health check ended.
+	PoolVerified struct {
+		Ticket string
+		OK     bool
+	}
 	// PoolPolled brings the gauges.
 	PoolPolled struct {
 		Ticket  string
@@ -267,6 +279,7 @@
 func (PoolFinished) event() {}
 func (PoolBlocked) event()  {}
 func (PoolPolled) event()   {}
+func (PoolVerified) event() {}
 func (CallEnded) event()    {}
 func (Claimed) event()      {}
 func (Booked) event()       {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	bookedNow bool       // in this turn
 
 	figs figures
+	deep deep
 
 	level     float64
 	up        bool
@@ -102,25 +103,26 @@
 // request is one try. It moves to answered once, in book.go.
 type request struct {
 	Incoming
-	id       uint32
-	arrived  time.Duration
-	due      time.Duration
-	session  *session
-	reply    Reply
-	state    state
-	ran      bool
-	answered bool
-	entry    *entry // the key it owns or repeats
-	patience deadline
-	began    time.Duration // of the call in hand
-	callBody []byte
-	resend   func()        // repeats its last command on a new link to the worker pool
-	sent     time.Duration // when that was given
-	spawns   int           // commands to run it that were sent
-	doubtful bool          // that may not have come
-	begins   bool          // that asks for its run
-	stopping bool          // it was told to stop, and no end has come
-	use      use
+	id         uint32
+	arrived    time.Duration
+	due        time.Duration
+	session    *session
+	reply      Reply
+	state      state
+	ran        bool
+	answered   bool
+	entry      *entry // the key it owns or repeats
+	patience   deadline
+	began      time.Duration // of the call in hand
+	callBody   []byte
+	callNotice uint64        // that asked for it
+	resend     func()        // repeats its last command on a new link to the worker pool
+	sent       time.Duration // when that was given
+	spawns     int           // commands to run it that were sent
+	doubtful   bool          // that may not have come
+	begins     bool          // that asks for its run
+	stopping   bool          // it was told to stop, and no end has come
+	use        use
 }
 
 // New makes a core; its loop starts with Run.
@@ -132,6 +134,8 @@
 	c.wake.do = c.woken
 	c.report.do = c.reported
 	c.overdueAt.do = c.sweepOverdue
+	c.deep.proved = -1
+	c.deep.expiry.do = func() { c.judge(false) }
 	c.figs.publish.do = c.published
 	c.figs.init(len(site.Classes))
 	return c
@@ -260,6 +264,8 @@
 		c.finished(e)
 	case PoolBlocked:
 		c.blocked(e)
+	case PoolVerified:
+		c.verified(e)
 	case PoolPolled:
 		c.gauges(e)
 	case CallEnded:
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -87,15 +87,6 @@
 	return x, true
 }
 
-func (c *Core) check(e Check) {
-	x, ok := c.use(e.Session)
-	if !ok {
-		return
-	}
-	e.Reply.Answer(Answer{Kind: Checked, Up: c.up && !c.shut && !c.held, Hint: c.level})
-	c.rest(x)
-}
-
 func (c *Core) arrive(e Arrive) {
 	x, ok := c.use(e.Session)
 	if !ok {
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -16,7 +16,7 @@
 	}
 	r.resend = nil
 	r.state = blocked
-	r.callBody = e.Body
+	r.callBody, r.callNotice = e.Body, e.Notice
 	c.ctl.AtCall(c.now, r.id)
 }
 
@@ -32,6 +32,17 @@
 	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, once, r.callBody)
 }
 
+// skip has a run go on without the call that it waits for. The command names that call's notice, so that a copy
+// after a broken link is never taken for a word on the next call.
+func (c *Core) skip(r *request) {
+	if r.state != blocked || r.answered {
+		return
+	}
+	r.state = running
+	notice := r.callNotice
+	c.command(r, func() { c.runner.Pass(r.Handle, notice) })
+}
+
 // abandon gives up the call in hand.
 func (c *Core) abandon(r *request) {
 	c.late.drop(&r.patience)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -126,7 +126,7 @@
 	if repeats != 0 && r.entry.owner != nil {
 		repeats = r.entry.owner.id
 	}
-	c.ctl.Request(c.now, control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory,
+	c.ctl.Request(c.now, control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory, Work: r.Work,
 		Left: max(r.due-c.now, time.Millisecond), Waited: c.now - r.arrived, Caller: r.Caller, Subject: r.Subject,
 		Repeat: repeats, Retry: r.Retry})
 }
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -21,6 +21,7 @@
 	doRefuse
 	doFail
 	doCall
+	doSkip
 	doReplay
 	doLevel
 	doHealth
@@ -43,6 +44,7 @@
 func (h hand) note(a act)         { h.c.acts = append(h.c.acts, a) }
 func (h hand) Run(id uint32)      { h.note(act{verb: doRun, id: id}) }
 func (h hand) Stop(id uint32)     { h.note(act{verb: doStop, id: id}) }
+func (h hand) Skip(id uint32)     { h.note(act{verb: doSkip, id: id}) }
 func (h hand) Fail(id uint32)     { h.note(act{verb: doFail, id: id}) }
 func (h hand) Replay(id uint32)   { h.note(act{verb: doReplay, id: id}) }
 func (h hand) SetLevel(x float64) { h.note(act{verb: doLevel, x: x}) }
@@ -54,9 +56,6 @@
 	h.note(act{verb: doCall, id: id, span: patience})
 }
 
-// Skip is never asked for: no class of a Site may leave out a call.
-func (h hand) Skip(uint32) {}
-
 // Keep and Forget book the controller's memory. The table of keys has its own, longer terms: an entry
 // stands from admission on and goes with a try that never ran.
 func (h hand) Keep(uint32, time.Duration) {}
@@ -106,6 +105,8 @@
 		c.fail(r)
 	case doCall:
 		c.call(r, a.span)
+	case doSkip:
+		c.skip(r)
 	case doReplay:
 		c.replay(r)
 	}
@@ -208,7 +209,7 @@
 	c.log.Warn("worker pool restarted", "open", len(c.byID))
 	ids := slices.Sorted(maps.Keys(c.byID)) // the owner of a key comes before its repeats
 	for _, id := range ids {
-		if r := c.byID[id]; r != nil && r.ran && (r.state != held || r.entry != nil) {
+		if r := c.byID[id]; r != nil && r.ran && (r.state != held || c.site.Control.Classes[r.Class].Effect != control.Safe) {
 			c.finished(PoolFinished{Handle: r.Handle, End: control.Errored})
 		}
 	}
@@ -282,6 +283,7 @@
 	r.runEnded(c.now, e.Took)
 	switch e.End {
 	case control.OK:
+		c.deep.proved = c.now
 		c.answer(r, Answer{Kind: Served, Body: e.Body})
 	case control.Stopped:
 		if !r.answered { // it was stopped by the controller and is held again
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -153,7 +153,7 @@
 	switch m.method {
 	case "status":
 		s.asked = true
-		f.core.Send(core.Check{Session: s, Reply: reply{s, m.id}})
+		f.core.Send(core.Check{Session: s, Reply: reply{s, m.id}, Deep: m.deep})
 	case "withdraw":
 		m.req.Handle = s.withdraw(m.ref, m.req.Handle)
 		f.core.Send(core.Withdraw{Session: s, Handle: m.req.Handle})
--- a/internal/jsonrpc/parse.go
+++ b/internal/jsonrpc/parse.go
@@ -47,6 +47,7 @@
 	method string
 	req    core.Incoming
 	ref    string // withdraw: the id of the request, as it was written
+	deep   bool   // status: whether work is getting done
 }
 
 // parse reads one line. The message's id is good whenever it is not empty.
@@ -81,6 +82,7 @@
 	m.method = method.Str
 	switch m.method {
 	case "status":
+		m.deep = params.Get("full").Type == gjson.True
 		return m, nil
 	case "withdraw": // balancers send a notification with the id in params; a rid is taken too
 		m.req.Handle, m.ref = params.Get("rid").Str, params.Get("id").Raw
@@ -109,7 +111,7 @@
 
 // request reads the params of a request.
 func request(q *core.Incoming, params gjson.Result, site *core.Site) *fault {
-	var peer, stamp, budget, mem, prio, acct, bytes gjson.Result
+	var peer, stamp, budget, mem, est, prio, acct, bytes gjson.Result
 	q.Tenant = -1
 	params.ForEach(func(k, v gjson.Result) bool {
 		switch k.Str {
@@ -126,6 +128,8 @@
 			budget = v
 		case "mem":
 			mem = v
+		case "est":
+			est = v
 		case "prio":
 			prio = v
 		case "token":
@@ -152,6 +156,8 @@
 		return bad("budget")
 	case mem.Type != gjson.Number || !(mem.Num > 0 && mem.Num < maxHeld):
 		return bad("mem")
+	case est.Exists() && (est.Type != gjson.Number || !(est.Num >= 0 && est.Num < maxWait)):
+		return bad("est")
 	case prio.Type != gjson.Number || !(prio.Num >= 0 && prio.Num < 1):
 		return bad("prio")
 	case bytes.Type != gjson.String:
@@ -169,6 +175,7 @@
 		q.Budget = max(time.Duration(budget.Num*float64(time.Millisecond)), time.Millisecond)
 	}
 	q.Memory, q.Rank, q.Caller = mem.Num, prio.Num, uint32(peer.Num)
+	q.Work = time.Duration(est.Num * float64(time.Millisecond))
 	return nil
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -193,13 +193,15 @@
 		l.sink(core.PoolBound{Cold: fate == "chilly", Age: lasted})
 	case "polled":
 		l.sink(core.PoolPolled{Ticket: ticket, Figures: figures})
+	case "verified":
+		l.sink(core.PoolVerified{Ticket: ticket, OK: fate == "complete"})
 	case "finished", "blocked":
 		body, err := base64.StdEncoding.DecodeString(arg)
 		if err != nil {
 			return fmt.Errorf("%w: %w", errNotice, err)
 		}
 		if event == "blocked" {
-			l.sink(core.PoolBlocked{Handle: handle, Body: body})
+			l.sink(core.PoolBlocked{Handle: handle, Notice: cursor, Body: body})
 		} else {
 			l.sink(core.PoolFinished{Handle: handle, End: end(fate), Took: lasted, Body: body})
 		}
@@ -242,6 +244,16 @@
 // Supply gives a run the reply that it waits for.
 func (l *Link) Supply(handle string, body []byte) { l.send(command("supply", handle), arg(body)) }
 
+// Pass has a run go on without the call that a notice asked for.
+func (l *Link) Pass(handle string, notice uint64) {
+	l.send(command("pass", handle), []byte(`,"cursor":`+strconv.FormatUint(notice, 10)+"}\n"))
+}
+
+// Verify asks for the work of a deep health check.
+func (l *Link) Verify(ticket string) {
+	l.send([]byte(`{"event":"verify","ticket":"` + ticket + "\"}\n"))
+}
+
 // Poll asks for the gauges.
 func (l *Link) Poll(ticket string) {
 	l.send([]byte(`{"event":"poll","ticket":"` + ticket + "\"}\n"))
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -40,11 +40,17 @@
 	p.Expect(`^{"event":"supply","handle":"a","arg":""}$`)
 	l.Stop("a")
 	p.Expect(`^{"event":"suspend","handle":"a"}$`)
+	l.Pass("a", 1)
+	p.Expect(`^{"event":"pass","handle":"a","cursor":1}$`)
+	l.Verify("v1")
+	p.Expect(`^{"event":"verify","ticket":"v1"}$`)
 	l.Poll("7")
 	p.Expect(`^{"event":"poll","ticket":"7"}$`)
 	p.Send(`{"event":"blocked","cursor":1,"handle":"a","arg":"AP8i"}`, "\n", `{"event":"chatter","cursor":2,"fate":"hm"}`, "\n",
-		`{"event":"polled","ticket":"7","figures":[0.5,3]}`, "\n", `{"event":"unknown","fate":"spawn","handle":"x"}`, "\n")
-	expect(core.PoolBlocked{Handle: "a", Body: []byte{0, 255, '"'}}, core.PoolPolled{Ticket: "7", Figures: []float64{0.5, 3}},
+		`{"event":"polled","ticket":"7","figures":[0.5,3]}`, "\n", `{"event":"verified","ticket":"v1","fate":"complete"}`, "\n",
+		`{"event":"verified","ticket":"v2","fate":"error"}`, "\n", `{"event":"unknown","fate":"spawn","handle":"x"}`, "\n")
+	expect(core.PoolBlocked{Handle: "a", Notice: 1, Body: []byte{0, 255, '"'}}, core.PoolPolled{Ticket: "7", Figures: []float64{0.5, 3}},
+		core.PoolVerified{Ticket: "v1", OK: true}, core.PoolVerified{Ticket: "v2"},
 		core.PoolUnknown{Command: "spawn", Handle: "x"})
 	p.Send(`{"event":"finished","cursor":3,`) // a notice in pieces that breaks off: it comes again
 	p.Close()
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -253,6 +253,9 @@
 func (r runner) Stop(h string)                { r.w.note("stop %s", h) }
 func (r runner) Supply(h string, body []byte) { r.w.note("supply %s %s", h, body) }
 
+func (r runner) Pass(h string, notice uint64) { r.w.note("pass %s %d", h, notice) }
+func (r runner) Verify(ticket string)         { r.w.note("verify %s", ticket) }
+
 // Poll is answered with idle gauges, after what the test has sent already, and not recorded.
 func (r runner) Poll(ticket string) {
 	time.AfterFunc(100*time.Microsecond, func() {
