--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := settings.Check(s); err != nil {
+		return nil, err
+	}
 	c.Site = site(s, seed)
 	c.Site.Stop = time.Duration(stop * float64(time.Millisecond))
 	if len(c.Site.Classes) == 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -18,7 +18,7 @@
 
 const platform = `{"name":"n3","listen":"127.0.0.4:6565","pool":"127.1.0.1:6100","lookup":"127.2.0.1:2379","index":"127.1.0.2:7700",
  "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0},"settings":{"Tenants":[{"Name":"north"}],
- "RequestClasses":[{"Name":"book","Effect":"by_key","AimUs":1,"GiveUpUs":2,"MemorySpanUs":3}],"FamilyInfo":{"ClassSkipWorth":[0.5],"Cpus":6,"Below":"tier"}}}`
+ "RequestClasses":[{"Name":"book","Effect":"by_key","AimUs":1,"GiveUpUs":2,"MemorySpanUs":3}],"FamilyInfo":{"ClassCalls":[true],"ClassSkipWorth":[0.5],"Cpus":6,"Below":"tier"}}}`
 
 func TestParse(t *testing.T) {
 	c, err := Parse([]byte(platform))
@@ -34,6 +34,28 @@
 	}
 }
 
+// Settings that cannot be are one line that names the class and the setting; what only looks odd is taken.
+func TestSettingsThatCannotBe(t *testing.T) {
+	for name, x := range map[string]struct{ classes, family, want string }{
+		"an unknown effect":                 {`{"Name":"a","Effect":"sometimes"}`, `{}`, `"a": Effect is "sometimes"`},
+		"a key without a window":            {`{"Name":"a","Effect":"by_key"}`, `{}`, `"a": MemorySpanUs`},
+		"a skip worth without a call":       {`{"Name":"a"}`, `{"ClassCalls":[false],"ClassSkipWorth":[0.6]}`, `"a": ClassSkipWorth without`},
+		"a class that calls but is unknown": {`{"Name":"a"}`, `{"ClassCalls":[false,true]}`, `ClassCalls has 2 entries for 1 classes`},
+		"a call with nothing below":         {`{"Name":"a"}`, `{"Below":"none","ClassCalls":[true]}`, `"a": ClassCalls`},
+		"two classes of one name":           {`{"Name":"a"},{"Name":"a"}`, `{}`, `RequestClasses[1] "a": Name`},
+		"a window that means nothing":       {`{"Name":"a","Effect":"once","MemorySpanUs":5000000}`, `{}`, ""},
+	} {
+		_, err := Parse([]byte(`{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:2","seed":"1","stop_ms":100,"settings":{"RequestClasses":[` +
+			x.classes + `],"FamilyInfo":` + x.family + `}}`))
+		switch {
+		case x.want == "" && err != nil:
+			t.Errorf("%s: %v", name, err)
+		case x.want != "" && (err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%s: %v, want %q", name, err, x.want)
+		}
+	}
+}
+
 // The operator's file: what it leaves out keeps its default, what it cannot be is one line, and the one in
 // deploy/ is good and says what the defaults are.
 func TestOperator(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,9 @@
 package settings
 
 import (
+	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	"larchscale/control"
@@ -65,6 +67,47 @@
 	return c
 }
 
+// Check tells what of s cannot be, naming the setting. A window on a class that is not keyed is no fault: the platform
+// sends one for every class.
+func Check(s *wire.Settings) error {
+	f := &s.FamilyInfo
+	for _, n := range []struct {
+		key string
+		len int
+	}{{"ClassCalls", len(f.ClassCalls)}, {"ClassSkipWorth", len(f.ClassSkipWorth)}} {
+		if n.len > len(s.RequestClasses) {
+			return fmt.Errorf("settings: FamilyInfo.%s has %d entries for %d classes", n.key, n.len, len(s.RequestClasses))
+		}
+	}
+	names := map[string]bool{}
+	for i, k := range s.RequestClasses {
+		bad := func(what string, value any) error {
+			return fmt.Errorf("settings: RequestClasses[%d] %q: %s is %v", i, k.Name, what, value)
+		}
+		switch k.Effect {
+		case "repeatable", "once", "":
+		case "by_key":
+			if !(k.MemorySpanUs > 0) { // guards against a write that runs again as soon as it has ended
+				return bad("MemorySpanUs of a by_key class", k.MemorySpanUs)
+			}
+		default: // guards against a write that is taken for safe
+			return bad("Effect", strconv.Quote(k.Effect))
+		}
+		if k.Name == "" || names[k.Name] {
+			return bad("Name", "missing, or another class's too")
+		}
+		names[k.Name] = true
+		calls := i < len(f.ClassCalls) && f.ClassCalls[i]
+		if i < len(f.ClassSkipWorth) && f.ClassSkipWorth[i] > 0 && !calls {
+			return bad("ClassSkipWorth without ClassCalls", f.ClassSkipWorth[i])
+		}
+		if calls && f.Below == "none" {
+			return bad("ClassCalls with Below", "none")
+		}
+	}
+	return nil
+}
+
 // Gauges names the readings that came in the order of names; what is missing is unknown.
 func Gauges[F float32 | float64](names []string, values []F) control.Gauges {
 	g := control.Gauges{CoreUse: math.NaN(), OnCores: math.NaN(), Memory: math.NaN(), Conns: math.NaN()}
