Rank has a band for each worth, not for each class: who is over its part stays in its own

Request() pressed a request down within one of three bands (len(c.classes)): a booking of rank 0.51 fell to 0.49, under every other booking and among the others, and a status call of 0.49 could fall to a third at the most. Now by distinct worths.

--- a/control/control.go
+++ b/control/control.go
@@ -146,6 +146,7 @@
 	asked, quotas float64       // of all tenants
 	shortest      time.Duration // aim
 	least         float64       // worth
+	bands         float64       // of rank, one for each worth
 	all           map[uint32]*request
 	hold          line
 	stood         line // blocked, waiting for a call
@@ -200,25 +201,24 @@
 		shortest: math.MaxInt64, least: math.MaxFloat64, healthy: true, said: -1, reading: math.Inf(1)}
 	c.cfg.Cores = max(1, cfg.Cores)
 	c.cfg.RunFactor = max(1, cfg.RunFactor)
-	if cfg.Crowd <= 0 {
-		c.cfg.Crowd = 2
-	}
+	c.cfg.Crowd = cmp.Or(cfg.Crowd, 2)
 	if c.cfg.CallShare = cmp.Or(cfg.CallShare, 1); cfg.CallShare <= 0 && cfg.CallsTier {
 		c.cfg.CallShare = c.cfg.Crowd * float64(c.cfg.Cores) / callPart // only the crowd bounds the calls
 	}
 	if len(cfg.Classes) == 0 {
 		c.cfg.Classes = []Class{{Worth: 1}}
 	}
+	worths := map[float64]bool{}
 	for _, k := range c.cfg.Classes {
-		if k.Deadline <= 0 {
-			k.Deadline = time.Minute
-		}
+		k.Deadline = cmp.Or(k.Deadline, time.Minute)
 		if k.Aim <= 0 || k.Aim > k.Deadline {
 			k.Aim = k.Deadline
 		}
 		c.classes = append(c.classes, class{Class: k, below: newHeap(), passed: newHeap()})
+		worths[k.Worth] = true
 		c.shortest, c.least = min(c.shortest, k.Aim), min(c.least, max(k.Worth, 1e-9))
 	}
+	c.bands = float64(len(worths))
 	if cfg.Cold { // a cold worker cannot carry a full share: it starts tight and loosens as cores idle
 		c.cursor = int((1 - min(1, max(0, cfg.ColdFrom))) * (bins - 1))
 		for b := range c.rate {
@@ -275,8 +275,8 @@
 	if q.Tenant >= 0 && q.Tenant < len(c.tenants) {
 		t := &c.tenants[q.Tenant]
 		t.count++
-		k, user := math.Modf(r.Rank * float64(len(c.classes)))
-		r.Rank = (k + user*(1-t.over)) / float64(len(c.classes))
+		k, user := math.Modf(r.Rank * c.bands)
+		r.Rank = (k + user*(1-t.over)) / c.bands
 	}
 	b := min(int(r.Rank*bins), bins-1)
 	c.count[b]++
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1001,10 +1001,13 @@
 				}
 				id++
 				q := ask(id, 0)
-				q.Tenant, q.Rank = who, 0.5
+				q.Tenant, q.Rank = who, 0.49 // near the top of the lower of two worths
+				if id%2 == 0 {
+					q.Class, q.Rank = 1, 0.51
+				}
 				c.Request(now, q)
-				if r := c.all[id]; r != nil && (r.Rank < 1.0/3 || r.Rank > 0.5) {
-					t.Fatalf("%s: rank %v from 0.5, out of its class", k.name, r.Rank)
+				if r := c.all[id]; r != nil && (r.Rank > q.Rank || r.Rank >= 0.5 != (q.Class == 1) || k.over[who] && c.tenants[who].over > 0.5 && r.Rank > 0.3 && q.Class == 0) {
+					t.Fatalf("%s: rank %v from %v, out of its worth or not pressed down", k.name, r.Rank, q.Rank)
 				}
 				c.Gone(now, id)
 			}
