--- a/control/control.go
+++ b/control/control.go
@@ -720,7 +720,8 @@
 	for i := 0; i < len(c.stood.list); {
 		r := c.stood.list[i]
 		rest := time.Duration(0.5 * r.class.work.v * float64(time.Second))
-		late := c.now+time.Duration(c.callTime(r.class)*float64(time.Second))+rest > r.aim
+		wait := c.callTime(r.class) * (1 + float64(i)/c.callCap)
+		late := c.now+time.Duration(wait*float64(time.Second))+rest > r.aim
 		switch {
 		case r.answered:
 			i++
@@ -810,7 +811,7 @@
 		switch {
 		case c.cfg.Memory > 0 && c.mem+more > c.cfg.Memory*memoryPart:
 			return
-		case r.class.Calls && r.class.SkipWorth <= 0 && float64(len(c.stood.list)) > c.callCap+1,
+		case r.class.Calls && r.class.SkipWorth <= 0 && float64(c.stood.place(r)) > c.callCap+1,
 			r.ran && r.class.Effect != Safe:
 			i++
 			continue
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -841,6 +841,35 @@
 	}
 }
 
+// With what is below slow by itself, the worthiest still get their calls: those that stand behind a request there do
+// not keep it from starting, and where a poorer answer pays, the line before a call counts for leaving it out.
+func TestTheLineAtTheCallsBelow(t *testing.T) {
+	cfg := plain()
+	cfg.Cores, cfg.CallShare = 4, 4
+	cfg.Classes[1].Calls, cfg.Classes[1].Effect = true, Unsafe
+	cfg.Classes[2].SkipWorth = 0.6
+	c, w := begin(t, cfg)
+	now := callsOf(c, 2, 10, 200*ms, 0)
+	for id := uint32(101); id <= 116; id++ { // 2 places for 16 calls of 200 ms, within a second
+		c.Request(now, ask(id, 2))
+		c.Decide(now)
+		c.AtCall(now, id)
+		c.Decide(now)
+	}
+	if has(w.skipped, 103) || !has(w.skipped, 115) {
+		t.Errorf("left out %v: only those that would wait too long", w.skipped)
+	}
+	w.skipped, w.ran = nil, nil
+	for _, id := range []uint32{110, 111, 112, 113, 114, 115, 116} {
+		c.Done(now, id, ms, OK)
+	}
+	c.Request(now, ask(200, 1))
+	c.Decide(now)
+	if !has(w.ran, 200) {
+		t.Errorf("ran %v: the worthier goes before all that stand", w.ran)
+	}
+}
+
 // A window in which nothing was read does not end on busy cores: a machine so slow that it reads a few a second
 // does not invite its callers between two of them.
 func TestAWindowThatReadNothingIsNotCalm(t *testing.T) {
