--- a/internal/fleet/takeout/next.go
+++ b/internal/fleet/takeout/next.go
@@ -24,6 +24,7 @@
 	Self    string // the leader
 	Silent  int64  // ms without a report after which a box counts as missing
 	Reports map[string]Report
+	Voters  map[string]bool // who can lead; nil = all
 }
 
 // heard gives a box's report; false = it is silent, or the report is of another process than the log's.
@@ -141,7 +142,7 @@
 	fit := func(name string) bool {
 		b := s.Box(name)
 		r, ok := v.heard(b)
-		return name != v.Self && ok && r.Warm && b.Phase == In && !r.Failing
+		return name != v.Self && (v.Voters == nil || v.Voters[name]) && ok && r.Warm && b.Phase == In && !r.Failing
 	}
 	for i := range s.Boxes {
 		if n := s.Boxes[i].Name; fit(n) && !slices.Contains(p.Boxes, n) {
