--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
 	go test -timeout 900s -count=1 ./internal/keeper -run Faults -rapid.checks=700
+	go test -timeout 1200s -count=1 ./internal/fleet/agree -seeds 5000
 
 race:
 	go test -timeout 600s -race -count=3 ./...
