Split the link between boxes from what the ledger says over it

internal/link has the listener, the mutual TLS and the clients that internal/peers had to itself, so that the fleet's messages can share one port and one set of certificates.

--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,229 @@
+// Package link is the way from box to box: one listener on which boxes that may talk serve each other over HTTP, and
+// a client for each of them. Between machines both sides show certificates, whose name is the box's. It knows nothing
+// of what is said.
+package link
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"larchscale/internal/export"
+)
+
+// Options say where a box listens for others, and which there are.
+type Options struct {
+	Listen string   `toml:"listen"`
+	Boxes  []string `toml:"boxes"` // "name=host:port"
+	CA     string   `toml:"ca"`
+	Cert   string   `toml:"cert"`
+	Key    string   `toml:"key"`
+}
+
+const (
+	maxBoxes  = 64
+	MaxAnswer = 1 << 20 // bytes that are read of one
+	maxHead   = 8 << 10
+	// Within is how long a box has for one request, and for its answer.
+	Within = 5 * time.Second
+)
+
+// ErrAnswer is a box that answers with something else than asked for.
+var ErrAnswer = errors.New("not an answer")
+
+// Check finds what cannot be, naming the keys as those of a table.
+func (o *Options) Check(table string) error {
+	if o.Listen == "" {
+		if len(o.Boxes) > 0 {
+			return fmt.Errorf("%s.boxes needs %s.listen", table, table)
+		}
+		return nil
+	}
+	if len(o.Boxes) > maxBoxes {
+		return fmt.Errorf("%s: %d boxes, %d at most", table, len(o.Boxes), maxBoxes)
+	}
+	bare := 0
+	addrs := []string{o.Listen}
+	for _, b := range o.Boxes {
+		name, addr, ok := strings.Cut(b, "=")
+		if !ok || name == "" {
+			return fmt.Errorf("%s.boxes: %q is no name=host:port", table, b)
+		}
+		addrs = append(addrs, addr)
+	}
+	for _, a := range addrs {
+		host, port, err := net.SplitHostPort(a)
+		ip := net.ParseIP(host)
+		if _, bad := strconv.ParseUint(port, 10, 16); err != nil || bad != nil || ip == nil {
+			return fmt.Errorf("%s: %q is no address", table, a)
+		}
+		if ip.IsLoopback() {
+			bare++
+		}
+	}
+	switch set := o.CA != "" && o.Cert != "" && o.Key != ""; {
+	case !set && o.CA+o.Cert+o.Key != "":
+		return fmt.Errorf("%s: ca, cert and key go together", table)
+	case !set && bare < len(addrs):
+		return fmt.Errorf("%s: only mutual TLS leaves the machine: set ca, cert and key", table)
+	case set:
+		if _, err := o.tls(); err != nil {
+			return fmt.Errorf("%s.%w", table, err)
+		}
+	}
+	return nil
+}
+
+// tls gives the configuration of both sides; nil = without.
+func (o *Options) tls() (*tls.Config, error) {
+	if o.CA == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(o.CA)
+	if err != nil {
+		return nil, fmt.Errorf("ca: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("ca: no certificate in %s", o.CA)
+	}
+	p, err := export.LoadPair(o.Cert, o.Key)
+	if err != nil {
+		return nil, fmt.Errorf("cert: %w", err)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.Get() },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.Get() }}, nil
+}
+
+// Link is one box's side.
+type Link struct {
+	opt Options
+	tls *tls.Config
+	log *slog.Logger
+}
+
+// New makes a link.
+func New(opt Options, log *slog.Logger) (*Link, error) {
+	c, err := opt.tls()
+	if err != nil {
+		return nil, err
+	}
+	return &Link{opt, c, log}, nil
+}
+
+// Listen opens the port on which other boxes ask.
+func (l *Link) Listen() (net.Listener, error) {
+	in, err := net.Listen("tcp", l.opt.Listen)
+	if err == nil && l.tls != nil {
+		in = tls.NewListener(in, l.tls)
+	}
+	return in, err
+}
+
+// Serve answers on in until ctx ends. The connections open at a time are bounded.
+func (l *Link) Serve(ctx context.Context, in net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
+		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	s.Serve(&limited{Listener: in, free: make(chan struct{}, 2*maxBoxes)})
+}
+
+// limited bounds the connections that are open at a time; more are closed at once.
+type limited struct {
+	net.Listener
+	free chan struct{}
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &limitedConn{Conn: c, free: l.free}, nil
+		default:
+			c.Close()
+		}
+	}
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.free })
+	return c.Conn.Close()
+}
+
+// Client asks one box, on one connection.
+type Client struct {
+	http *http.Client
+	base url.URL
+}
+
+// Dial makes a client for a box: its certificate is its own, wherever it listens. Nothing is sent yet.
+func (l *Link) Dial(name, addr string) *Client {
+	t := &http.Transport{MaxConnsPerHost: 1, MaxResponseHeaderBytes: maxHead, Proxy: nil}
+	out := &Client{base: url.URL{Scheme: "http", Host: addr}, http: &http.Client{Transport: t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	if l.tls != nil {
+		out.base.Scheme = "https"
+		t.TLSClientConfig = l.tls.Clone()
+		t.TLSClientConfig.ServerName = name
+	}
+	return out
+}
+
+// Close closes the client's connection once it is idle.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get asks for path and reads the answer, within its bound.
+func (c *Client) Get(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	return c.ask(ctx, http.MethodGet, path, query, nil)
+}
+
+// Post sends a body to path and reads the answer, within its bound.
+func (c *Client) Post(ctx context.Context, path string, body []byte) ([]byte, error) {
+	return c.ask(ctx, http.MethodPost, path, nil, body)
+}
+
+func (c *Client) ask(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
+	u := c.base
+	u.Path, u.RawQuery = path, query.Encode()
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > MaxAnswer || res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %d, %d bytes: %w", path, res.StatusCode, len(text), ErrAnswer)
+	}
+	return text, nil
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
+	"larchscale/internal/link"
 	"larchscale/internal/scenario/certs"
 	"larchscale/internal/simfs"
 )
@@ -116,7 +117,7 @@
 			signer = otherCA
 		}
 		cert, key, _ := certs.New(t, dir, name, signer)
-		return Options{CA: caFile, Cert: cert, Key: key}
+		return Options{Options: link.Options{CA: caFile, Cert: cert, Key: key}}
 	}
 	list := []*box{newBox(t, "n1", 1), newBox(t, "n2", 20), newBox(t, "n3", 300), newBox(t, "n4", 4000)}
 	for _, b := range list {
@@ -181,7 +182,7 @@
 		case "redirect":
 			http.Redirect(w, r, "http://"+n2.addr+r.URL.Path, http.StatusFound)
 		case "large":
-			w.Write(make([]byte, maxAnswer+2))
+			w.Write(make([]byte, link.MaxAnswer+2))
 		case "empty":
 		case "cut":
 			panic(http.ErrAbortHandler)
@@ -195,7 +196,7 @@
 	})}
 	go s.Serve(l)
 	defer s.Close()
-	n1.join(t, "127.0.0.1:0", Options{Boxes: []string{"n2=" + n2.addr, "n3=" + l.Addr().String()}})
+	n1.join(t, "127.0.0.1:0", Options{Options: link.Options{Boxes: []string{"n2=" + n2.addr, "n3=" + l.Addr().String()}}})
 	for _, how := range []string{"garbage", "redirect", "large", "empty", "cut", "n2's"} {
 		mode.Store(how)
 		n1.peers.Round(t.Context())
@@ -203,7 +204,7 @@
 			t.Errorf("%s: %d requests", how, n)
 		}
 	}
-	st, err := Statement(t.Context(), Options{Listen: n1.addr}, "n1", "2026-11-15")
+	st, err := Statement(t.Context(), Options{Options: link.Options{Listen: n1.addr}}, "n1", "2026-11-15")
 	if err != nil || st.Total.Used[ledger.Requests] != 21 || !slices.Contains(st.Why, "n3 has not closed the period") {
 		t.Errorf("%+v, %v", st, err)
 	}
--- a/internal/standin/box_test.go
+++ b/internal/standin/box_test.go
@@ -16,6 +16,7 @@
 
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
+	"larchscale/internal/link"
 	"larchscale/internal/peers"
 	"larchscale/internal/standin"
 	"larchscale/internal/wal"
@@ -220,7 +221,7 @@
 	for _, name := range []string{"n1", "n2"} {
 		var s ledger.Statement
 		for end := time.Now().Add(10 * time.Second); s.Total.Used[ledger.Requests] != 400; time.Sleep(20 * time.Millisecond) {
-			if s, err = peers.Statement(t.Context(), peers.Options{Listen: addrs[name]}, name, period); time.Now().After(end) {
+			if s, err = peers.Statement(t.Context(), peers.Options{Options: link.Options{Listen: addrs[name]}}, name, period); time.Now().After(end) {
 				t.Fatalf("%s: %+v, %v", name, s.Total, err)
 			}
 		}
