--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -232,27 +232,23 @@
 	if x == nil || w.now-b.asked < 15 {
 		return
 	}
-	say := func(p takeout.Phase) {
-		b.asked = w.now
-		b.node.Propose(uint64(w.now), &takeout.Entry{Kind: takeout.Step, Box: b.name, Incarnation: b.inc, Phase: p})
-	}
+	a := takeout.Agent(&s.Work, b.name, takeout.Local{Incarnation: b.inc, Warm: w.now-b.since > 20, Held: int64(b.drained) * tickMs, DrainFor: 2000}, int64(w.now)*tickMs)
 	switch {
-	case x.Incarnation != b.inc:
-		say(takeout.Returning)
-	case x.Phase == takeout.Granted:
-		say(takeout.Draining)
-	case x.Phase == takeout.Draining && b.drained == 0:
+	case a.Hold && b.drained == 0:
 		b.drained = w.now
 		w.note("%s drains", b.name)
-	case x.Phase == takeout.Draining && w.now-b.drained > 20:
-		say(takeout.Out)
-	case x.Phase == takeout.Out: // staff end the process and work on the machine
+	case !a.Hold:
+		b.drained = 0
+	}
+	if a.Speak {
+		b.asked = w.now
+		b.node.Propose(uint64(w.now), &takeout.Entry{Kind: takeout.Step, Box: b.name, Incarnation: b.inc, Phase: a.Say})
+	}
+	if x.Phase == takeout.Out && x.Incarnation == b.inc { // staff end the process and work on the machine
 		w.note("%s is worked on", b.name)
 		w.kill(b, false)
 		b.worked = true
 		b.down = w.now + 30
-	case x.Phase == takeout.Returning && w.now-b.since > 20:
-		say(takeout.In)
 	}
 }
 
