--- /dev/null
+++ b/internal/fleet/driver/http.go
@@ -0,0 +1,152 @@
+package driver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/takeout"
+)
+
+// maxBody bounds what another box or an operator sends at once.
+const maxBody = agree.MaxFrame + 1<<10
+
+// maxNote bounds a report, a knock and a command.
+const maxNote = 64 << 10
+
+// Word is an operator's command as it is sent: found, or an entry.
+type Word struct {
+	Found bool
+	Entry takeout.Entry
+}
+
+// Answer is what became of it.
+type Answer struct {
+	Error string // "" = it is done
+}
+
+// Handler serves the other boxes, and the operators of this one.
+//
+//	POST /fleet/messages  the sender, then raft's messages, each behind its length
+//	POST /fleet/report    how a box stands
+//	POST /fleet/knock     a box that wants to be let in
+//	GET  /fleet/state     Status as JSON
+//	POST /fleet/command   a Word as JSON; the answer comes once it is agreed, or after 10 s
+func (d *Driver) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fleet/messages", func(w http.ResponseWriter, r *http.Request) {
+		list, err := frames(r.Body, maxBody)
+		var from agree.Member
+		if err == nil && len(list) == 0 {
+			err = errors.New("nobody's")
+		}
+		if err == nil {
+			err = cbor.Unmarshal(list[0], &from)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !d.enter(func() { d.receive(from, list[1:]) }) {
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("POST /fleet/report", func(w http.ResponseWriter, r *http.Request) {
+		var x said
+		if err := note64(r, &x); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		d.answer(w, func() error { return d.take(x) })
+	})
+	mux.HandleFunc("POST /fleet/knock", func(w http.ResponseWriter, r *http.Request) {
+		var m agree.Member
+		if err := note64(r, &m); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		d.answer(w, func() error { return d.letIn(m) })
+	})
+	mux.HandleFunc("GET /fleet/state", func(w http.ResponseWriter, r *http.Request) {
+		got := make(chan Status, 1)
+		if d.enter(func() { got <- d.status() }) {
+			select {
+			case s := <-got:
+				json.NewEncoder(w).Encode(s)
+				return
+			case <-d.done:
+			case <-r.Context().Done():
+			}
+		}
+		http.Error(w, "this box takes no part in the fleet now", http.StatusServiceUnavailable)
+	})
+	mux.HandleFunc("POST /fleet/command", d.commanded)
+	return mux
+}
+
+// note64 reads a small body.
+func note64(r *http.Request, v any) error {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxNote+1))
+	if err != nil {
+		return err
+	}
+	if len(b) > maxNote {
+		return errors.New("too large")
+	}
+	return cbor.Unmarshal(b, v)
+}
+
+// answer has f run on the loop, and tells how it ended.
+func (d *Driver) answer(w http.ResponseWriter, f func() error) {
+	got := make(chan error, 1)
+	err := errors.New("not now")
+	if d.enter(func() { got <- f() }) {
+		select {
+		case err = <-got:
+		case <-d.done:
+		}
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (d *Driver) commanded(w http.ResponseWriter, r *http.Request) {
+	var word Word
+	in := json.NewDecoder(io.LimitReader(r.Body, maxNote))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&word); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	got := make(chan error, 1)
+	err := errors.New("this box takes no part in the fleet now")
+	if d.enter(func() {
+		if word.Found {
+			got <- d.found()
+			return
+		}
+		d.command(word.Entry, got)
+	}) {
+		late := time.NewTimer(outcome)
+		defer late.Stop()
+		select {
+		case err = <-got:
+		case <-d.done:
+		case <-late.C: // it may take hold yet: given again it has no second effect
+			err = errors.New("not agreed within 10 s: a majority may be out of reach; it may still take hold")
+		case <-r.Context().Done():
+			return
+		}
+	}
+	a := Answer{}
+	if err != nil {
+		a.Error = err.Error()
+	}
+	json.NewEncoder(w).Encode(a)
+}
