Wire the fleet into the program: [fleet], larchctl fleet, and five real processes taken out

The core gains three published figures (use, warm at, keys wanted until) and knows no fleet; admin.Holder lets the operators' door and a grant hold a box each for itself. [ledger.peers] is the way between boxes, with or without a ledger. larchctl fleet found, status, take-out, pause, resume, replan, cancel, back, write-off. docs/fleet.md.

Test: five real processes in three zones with requests flowing, one out at a time, each once, health bad while out, the leader killed with SIGKILL while the first is out, nothing unheard of what was read. Seen while it was written: a box that callers go on calling by name never gets out, as something is always open; the page says so.

--- a/cmd/larchctl/main.go
+++ b/cmd/larchctl/main.go
@@ -38,6 +38,7 @@
 		Check checkCmd `cmd:"" help:"Check an operator's file."`
 	} `cmd:"" help:"Settings."`
 	Ledger ledgerCmd `cmd:"" help:"The ledger of use."`
+	Fleet  outCmd    `cmd:"" help:"Taking boxes out for work."`
 	Dev    devCmd    `cmd:"" help:"Try the real program on this machine, beside stand-ins on loopback."`
 }
 
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -29,7 +29,6 @@
 	"larchscale/internal/jsonrpc"
 	"larchscale/internal/keeper"
 	"larchscale/internal/logs"
-	"larchscale/internal/peers"
 	"larchscale/internal/pool"
 	"larchscale/internal/sock"
 	"larchscale/internal/store"
@@ -195,18 +194,16 @@
 			}
 			go e.Run(ctx)
 		}
-		if own.Ledger.Peers.Listen != "" {
-			others, err := peers.New(own.Ledger.Peers, cfg.Name, books, log)
-			if err != nil {
-				return err
-			}
-			asked, err := others.Listen()
-			if err != nil {
-				return err
-			}
-			go others.Serve(ctx, asked)
-			go others.Run(ctx)
+	}
+	holder := admin.NewHolder(c.Send)
+	defer holder.Close()
+	if own.Ledger.Peers.Listen != "" {
+		fleet, err := joinOthers(ctx, cfg, own, books, c.Figures, holder, log)
+		if err != nil {
+			return err
 		}
+		defer func() { <-fleet }()
+		defer stop() // its last words are written before the process ends
 	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
@@ -220,7 +217,7 @@
 		go f.Serve()
 	}
 	if doors != nil {
-		door := admin.New(cfg.Site.Classes, c.Figures, c.Send, log)
+		door := admin.New(cfg.Site.Classes, c.Figures, holder, log)
 		go door.Serve(doors)
 		defer door.Close()
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -37,27 +37,14 @@
 type Door struct {
 	classes []string
 	figures func() *core.Figures
-	held    atomic.Bool
-	moved   chan struct{} // held changed since it was last told
-	stop    chan struct{}
+	holder  *Holder
 	log     *slog.Logger
 	server  *http.Server
 }
 
-// New makes a door for the figures of classes, in the order of Site.Classes. A drain or its end is handed to
-// tell, from a goroutine of the door's own, the last one first: the calls never wait for it.
-func New(classes []string, figures func() *core.Figures, tell func(core.Event), log *slog.Logger) *Door {
-	d := &Door{classes: classes, figures: figures, log: log, moved: make(chan struct{}, 1), stop: make(chan struct{})}
-	go func() {
-		for {
-			select {
-			case <-d.moved:
-				tell(core.Hold{On: d.held.Load()})
-			case <-d.stop:
-				return
-			}
-		}
-	}()
+// New makes a door for the figures of classes, in the order of Site.Classes. A drain or its end goes to holder.
+func New(classes []string, figures func() *core.Figures, holder *Holder, log *slog.Logger) *Door {
+	d := &Door{classes: classes, figures: figures, log: log, holder: holder}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthcheck", d.health)
 	mux.HandleFunc("/healthcheck/fail", d.hold(true))
@@ -81,10 +68,7 @@
 }
 
 // Close stops the door and the calls in hand.
-func (d *Door) Close() error {
-	close(d.stop)
-	return d.server.Close()
-}
+func (d *Door) Close() error { return d.server.Close() }
 
 func only(method string, w http.ResponseWriter, r *http.Request) bool {
 	if r.Method == method {
@@ -100,7 +84,7 @@
 		return
 	}
 	switch {
-	case d.held.Load():
+	case d.holder.Held():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case !d.figures().Serves:
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
@@ -114,12 +98,8 @@
 		if !only(http.MethodPut, w, r) {
 			return
 		}
-		if d.held.Swap(held) != held {
+		if d.holder.Hold(ByOperator, held) {
 			d.log.Info("health held", "held", held)
-			select {
-			case d.moved <- struct{}{}:
-			default:
-			}
 		}
 		w.Write([]byte("ok\n"))
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -26,7 +26,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := admin.New([]string{"quote", "book"}, f.Load, tell, slog.New(slog.DiscardHandler))
+	h := admin.NewHolder(tell)
+	t.Cleanup(h.Close)
+	d := admin.New([]string{"quote", "book"}, f.Load, h, slog.New(slog.DiscardHandler))
 	go d.Serve(l)
 	t.Cleanup(func() { d.Close() })
 	return l.Addr().String()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,6 +10,7 @@
 
 	"larchscale/internal/core"
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/driver"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -68,7 +69,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults()}
 		if path != "" {
 			want.UWSGI.Listen, want.UWSGI.Below, want.Ledger.Peers.Boxes = "127.0.0.4:6566", []string{}, []string{}
 		}
@@ -101,6 +102,11 @@
 		"peer's name":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['127.0.0.1:2']",
 		"peers plain":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['n2=10.0.0.2:2']",
 		"no listener":  "[ledger]\ndir = 'x'\n[ledger.peers]\nboxes = ['n2=127.0.0.1:2']",
+		"voters":       "[fleet]\nvoters = 2",
+		"silence":      "[fleet]\nsilent_ms = 10",
+		"no zone":      "[fleet]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
+		"no way":       "[fleet]\ndir = 'x'\nzone = 'a'",
+		"one place":    "[fleet]\ndir = 'x'\nzone = 'a'\n[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
 		"half a pair":  "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
 		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
 	} {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,7 @@
 	"github.com/BurntSushi/toml"
 
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/driver"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -18,9 +19,10 @@
 
 // Operator is the operator's own file, deploy/operator.toml or one like it.
 type Operator struct {
-	UWSGI  uwsgi.Options `toml:"uwsgi"`
-	Store  store.Options `toml:"store"`
-	Ledger Ledger        `toml:"ledger"`
+	UWSGI  uwsgi.Options  `toml:"uwsgi"`
+	Store  store.Options  `toml:"store"`
+	Ledger Ledger         `toml:"ledger"`
+	Fleet  driver.Options `toml:"fleet"`
 }
 
 // Ledger is the table of that name.
@@ -33,7 +35,7 @@
 // LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
 // it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults()}
 	if path == "" {
 		return o, nil
 	}
@@ -69,12 +71,18 @@
 			return err
 		}
 	}
-	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check()); err != nil {
+	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check()); err != nil {
 		return err
 	}
 	switch {
-	case o.Ledger.Collector.URL+o.Ledger.Peers.Listen != "" && o.Ledger.Dir == "":
-		return errors.New("ledger.collector and ledger.peers need ledger.dir")
+	case o.Ledger.Collector.URL != "" && o.Ledger.Dir == "":
+		return errors.New("ledger.collector needs ledger.dir")
+	case o.Ledger.Peers.Listen != "" && o.Ledger.Dir == "" && o.Fleet.Dir == "":
+		return errors.New("ledger.peers needs ledger.dir or fleet.dir")
+	case o.Fleet.Dir != "" && o.Ledger.Peers.Listen == "":
+		return errors.New("fleet.dir needs ledger.peers.listen, the boxes' way to each other")
+	case o.Fleet.Dir != "" && o.Fleet.Dir == o.Ledger.Dir:
+		return errors.New("fleet.dir is ledger.dir; each needs a directory of its own")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	now      time.Duration // since start, of this turn
 	ctl      *control.Controller
 	poolAt   time.Duration // when the worker pool started
+	warmAt   time.Duration // when it is warm at the latest
 	acts     []act         // what the controller asked for in this turn
 	again    []func()      // what this turn's actions have to tell the controller
 	late     deadlines
@@ -57,7 +58,9 @@
 	byHandle map[string]*request
 	sessions map[Session]*session
 	table    table
-	recent   recent // handles of late
+	// until then the newest of its keys may be asked for again
+	keyedUntil time.Duration
+	recent     recent // handles of late
 
 	unwritten []*request // results that wait for their entries, by ticket
 	overdueAt deadline   // the first of them waits no longer
@@ -301,7 +304,12 @@
 	if e.Ticket == c.resync {
 		c.resume()
 	}
-	c.ctl.Tick(c.now, gaugesOf(c.site.Gauges, e.Figures))
+	g := gaugesOf(c.site.Gauges, e.Figures)
+	c.figs.counts.Use = -1
+	if g.CoreUse >= 0 {
+		c.figs.counts.Use = g.CoreUse
+	}
+	c.ctl.Tick(c.now, g)
 }
 
 // reported tells the directory where this server stands, over and over.
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -19,7 +19,10 @@
 	// Calls below now: in hand, and runs that wait to make one. Lost counts those that nobody answered in time.
 	Calls, Waiting int
 	Lost           uint64
-	Serves         bool // the worker pool is up and no notice to leave has come
+	Use            float64   // share of the worker pool's cores in use, as it last said; negative = unknown
+	WarmAt         time.Time // the worker pool is warm from then on; zero = it is not up
+	KeyedUntil     time.Time // until then a repeat may ask for a result that this process has
+	Serves         bool      // the worker pool is up and no notice to leave has come
 }
 
 // figures is the loop's side: its counts, and the copy that others read.
@@ -72,6 +75,12 @@
 
 func (c *Core) published() {
 	c.figs.counts.Serves = c.ctl != nil && !c.leaving && !c.over
+	if c.ctl != nil {
+		c.figs.counts.WarmAt = c.start.Add(c.warmAt)
+	}
+	if c.keyedUntil > 0 {
+		c.figs.counts.KeyedUntil = c.start.Add(c.keyedUntil)
+	}
 	c.figs.counts.Calls, c.figs.counts.Waiting = 0, 0
 	for _, r := range c.byID {
 		switch r.state {
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -21,7 +21,10 @@
 		w.Send(w.Ask("a", "quote", ""))
 		w.Expect(ms, "run a quote body")
 		time.Sleep(100 * ms)
-		want := core.Figures{OK: []uint64{0, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 0}, Tries: []uint64{1, 0}, Active: 1, Serves: true}
+		want := core.Figures{OK: []uint64{0, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 0}, Tries: []uint64{1, 0}, Active: 1, Serves: true, WarmAt: figuresOf(w).WarmAt}
+		if up := want.WarmAt; up.IsZero() || up.After(time.Now()) {
+			t.Fatalf("a warm pool is warm at %v", up)
+		}
 		if d := cmp.Diff(want, figuresOf(w)); d != "" {
 			t.Fatalf("with one run open (-want +got):\n%s", d)
 		}
@@ -32,7 +35,10 @@
 		w.Send(finished("b", control.Errored, ""))
 		w.Expect(ms, "failed b")
 		time.Sleep(100 * ms)
-		want = core.Figures{OK: []uint64{1, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 1}, Tries: []uint64{1, 1}, Serves: true}
+		want = core.Figures{OK: []uint64{1, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 1}, Tries: []uint64{1, 1}, Use: 0.1, Serves: true, WarmAt: want.WarmAt, KeyedUntil: figuresOf(w).KeyedUntil}
+		if d := time.Until(want.KeyedUntil); d < 20*time.Second || d > 23*time.Second { // the window from t0, and its margin
+			t.Fatalf("the key of a run is wanted for %v", d)
+		}
 		if d := cmp.Diff(want, figuresOf(w)); d != "" {
 			t.Fatalf("after a result and a failed run (-want +got):\n%s", d)
 		}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -204,6 +204,7 @@
 	e.ran = true
 	e.until = max(e.until, r.arrived+c.site.Control.Classes[r.Class].Window+windowMargin)
 	c.late.set(&e.expiry, e.until)
+	c.keyedUntil = max(c.keyedUntil, e.until)
 }
 
 // expire forgets a key whose window is over, unless a run of it still goes on.
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -195,7 +195,10 @@
 		c.over = true
 		return
 	}
-	c.ctl, c.poolAt = ctl, at
+	c.ctl, c.poolAt, c.warmAt = ctl, at, at
+	if cold {
+		c.warmAt += cfg.ColdFor
+	}
 	c.changed()
 	c.log.Info("worker pool up", "cold", cold, "age_ms", (c.now - at).Milliseconds())
 	if c.leaving {
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -37,6 +37,19 @@
 // String is the phase as operators read it.
 func (p Phase) String() string { return phases[p] }
 
+// MarshalText writes a phase as operators read it.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText reads it back.
+func (p *Phase) UnmarshalText(text []byte) error {
+	i := slices.Index(phases[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("phase %q: %w", text, ErrUnknown)
+	}
+	*p = Phase(i)
+	return nil
+}
+
 // Box is what is agreed of one box.
 type Box struct {
 	Name        string
@@ -70,6 +83,19 @@
 // String is the state as operators read it.
 func (s PlanState) String() string { return planStates[s] }
 
+// MarshalText writes a state as operators read it.
+func (s PlanState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads it back.
+func (s *PlanState) UnmarshalText(text []byte) error {
+	i := slices.Index(planStates[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("state %q: %w", text, ErrUnknown)
+	}
+	*s = PlanState(i)
+	return nil
+}
+
 func (s PlanState) over() bool { return s >= Done }
 
 // Place is one box in the order of a plan.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -59,21 +58,11 @@
 	silent map[string]bool // who did not answer the last time
 }
 
-// New makes the peers of box self.
-func New(opt Options, self string, book Book, log *slog.Logger) (*Peers, error) {
-	l, err := link.New(opt.Options, log)
-	if err != nil {
-		return nil, fmt.Errorf("ledger.peers.%w", err)
-	}
-	return &Peers{opt: opt, self: self, book: book, log: log, link: l, table: ledger.NewPeers(self), silent: map[string]bool{}}, nil
+// New makes the peers of box self, which serve whatever comes to them over l.
+func New(opt Options, self string, book Book, l *link.Link, log *slog.Logger) *Peers {
+	return &Peers{opt: opt, self: self, book: book, log: log, link: l, table: ledger.NewPeers(self), silent: map[string]bool{}}
 }
 
-// Listen opens the port on which peers ask.
-func (p *Peers) Listen() (net.Listener, error) { return p.link.Listen() }
-
-// Serve answers peers on l until ctx ends.
-func (p *Peers) Serve(ctx context.Context, l net.Listener) { p.link.Serve(ctx, l, p) }
-
 // ServeHTTP answers /digests, /state?start=MS and /statement?period=NAME.
 func (p *Peers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	digests, states, err := p.book.PeriodStates(r.Context())
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -76,18 +76,19 @@
 func (b *box) join(t *testing.T, listen string, o Options) {
 	t.Helper()
 	o.Listen, o.EveryMs = listen, 1000
-	var err error
-	if b.peers, err = New(o, b.name, b.books, quiet); err != nil {
+	way, err := link.New(o.Options, quiet)
+	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := b.peers.Listen()
+	b.peers = New(o, b.name, b.books, way, quiet)
+	l, err := way.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.addr = l.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
-	go b.peers.Serve(ctx, l)
+	go way.Serve(ctx, l, b.peers)
 	t.Cleanup(stop)
 }
 
