Share keyed claims in TMPDIR between the processes of a replacement, a name a process

The owner is now drawn by each process (store.Owner), for the Redis store too. The store is in the program again where Redis is not.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -178,7 +178,15 @@
 	}
 	var keys core.Store
 	if own.Store.Redis != "" {
-		db := store.New(own.Store, cfg.Owner(), cfg.Site.Classes, c.Send, log)
+		db := store.New(own.Store, store.Owner(cfg.Name), cfg.Site.Classes, c.Send, log)
+		go db.Run(ctx)
+		keys = db
+	} else { // the processes of a replacement share $TMPDIR: a write that ran in one is not run by the other
+		dir := filepath.Join(os.TempDir(), "larchscale-"+cfg.Name+"-keys")
+		db, err := store.OpenFiles(dir, store.Owner(cfg.Name), cfg.Site.Classes, cfg.Limits.KeyFiles(), c.Send, log)
+		if err != nil {
+			return err
+		}
 		go db.Run(ctx)
 		keys = db
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,9 @@
 // GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
 func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
 
+// KeyFiles bounds the bytes of keys in $TMPDIR, which counts as memory: a sixteenth of it.
+func (l *Limits) KeyFiles() int64 { return int64(l.MemoryMB) << 20 / 16 }
+
 // Budget bounds what waits to be written to the clients of one front. A balancer has 32 answers open at
 // most, each under 6 KB; two of them always find room.
 func (l *Limits) Budget() *sock.Budget {
@@ -56,9 +59,6 @@
 	return max(16, l.Sockets-spareSockets-l.Calls-others)
 }
 
-// Owner names this start of this server in the shared store: its seed is new with each start.
-func (c *Config) Owner() string { return fmt.Sprintf("%s-%016x", c.Name, c.Site.Control.Seed) }
-
 // Load reads config.json.
 func Load(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"hash/maphash"
 	"log/slog"
+	"math/rand/v2"
+	"os"
 	"time"
 
 	"github.com/redis/go-redis/v9"
@@ -41,10 +43,16 @@
 	sumLen     = 64
 )
 
+// Owner names one process of a server in its claims. The platform's settings do not do: the processes of a
+// replacement are started with the same, and each would take the other's claims for its own.
+func Owner(server string) string {
+	return fmt.Sprintf("%s-%d-%016x", server, os.Getpid(), rand.Uint64())
+}
+
 // Redis is a core.Store.
 type Redis struct {
 	opt   Options
-	owner string // of this start of this server: an earlier life may have run what it claimed
+	owner string // of this process: another of the same server may have run what it claimed
 	class []string
 	sink  func(core.Event)
 	log   *slog.Logger
