Free a withdrawn try's key at once, so that a claim's answer in the same turn runs nothing

With the key store in, a keyed write ran twice at one box: client's TestAnswersLost (2,000 writes, 20 cut connections) failed in 2 of 8 runs, never with the store off. A trace of the core: "route, claimed won, run, release (ran true)" within one turn, then the next try found no entry and ran too. A try withdrawn while it waited for the store had its entry dropped only after the turn (book.go drop: c.again), and the store's answer in the same turn (route.go claimed) entered its owner, which was gone, as a new request. The Redis store has the same path.

release drops the entry at once and only tells the waiting tries after the turn; a repeat that is replayed after its entry was released is routed anew. Ruled out: the store's files (FIFO of claims and releases), expiry, the table's bound. New case in TestTheSharedStore seen to fail ("run b" before "release k"); TestATryCrossesTheWithdrawalOfAnother holds the same for tries that are held.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -85,7 +85,7 @@
 		case !e.ran && was == claiming && e.phase == asking && len(e.waiters) > 0:
 			e.owner, e.waiters = e.waiters[0], e.waiters[1:] // the store's answer is still to come
 		case !e.ran:
-			c.again = append(c.again, func() { c.release(e) })
+			c.release(e)
 		default: // stopped for good after it had begun
 			c.conclude(e, false, nil)
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -316,6 +316,24 @@
 	})
 }
 
+// A try that comes in the turn in which the one before it is withdrawn, held and not run, runs, once.
+func TestATryCrossesTheWithdrawalOfAnother(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("x", "quote", ""), w.Ask("y", "quote", ""))
+		w.Expect(ms, "run x quote body", "run y quote body") // the cores are taken
+		w.Send(w.Ask("a", "book", "k"))
+		w.Expect(ms)
+		w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"}, w.Ask("b", "book", "k"))
+		w.Expect(ms)
+		w.Send(finished("x", control.OK, "x"))
+		w.Expect(ms, "served x x", "run b book body")
+		w.Send(w.Ask("d", "book", "k"))
+		w.Expect(ms)
+		w.Send(finished("b", control.OK, "b"))
+		w.Expect(ms, "served b b", "served d b")
+	})
+}
+
 // Idle connections are closed; what crosses the close is not run.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	play(t, false, func(w *scenario.World) {
@@ -372,6 +390,12 @@
 			w.Send(claimed(core.ClaimWon, ""))
 			w.Expect(ms, "release k")
 		},
+		"won as they are withdrawn": func(w *scenario.World) { // all in one turn: nothing runs, and the next try asks anew
+			w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"}, core.Withdraw{Session: w.Session("c"), Handle: "b"}, claimed(core.ClaimWon, ""))
+			w.Expect(ms, "release k")
+			w.Send(w.Ask("d", "book", "k"))
+			w.Expect(ms, "claim k")
+		},
 		"asked for by nobody": func(w *scenario.World) {
 			w.Send(core.Withdraw{Session: w.Session("c"), Handle: "a"}, core.Withdraw{Session: w.Session("c"), Handle: "b"})
 			w.Expect(ms)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -134,9 +134,12 @@
 // replay serves a repeat with the result of the try it repeats, now or once that is over.
 func (c *Core) replay(r *request) {
 	r.state = replaying
-	if e := r.entry; e.phase == open {
+	switch e := r.entry; {
+	case e.phase == open && e.owner == nil: // released since
+		c.again = append(c.again, func() { c.anew(r) })
+	case e.phase == open:
 		e.waiters = append(e.waiters, r)
-	} else {
+	default:
 		c.share(r)
 	}
 }
@@ -177,8 +180,9 @@
 	}
 }
 
-// release drops the key of a try that ended without having run. The tries that waited for it never ran
-// either: the next of them takes its place, as if it came only now.
+// release drops the key of a try that ended without having run, at once: an answer of the store or a try that comes in
+// the same turn must not find it with an owner that is gone. The tries that waited for it never ran either: the next
+// of them takes its place, as if it came only now.
 func (c *Core) release(e *entry) {
 	c.late.drop(&e.expiry)
 	c.table.drop(e)
@@ -187,14 +191,21 @@
 	}
 	waiters := e.waiters
 	e.waiters, e.owner = nil, nil
-	for _, r := range waiters {
-		if r.state == replaying {
-			delete(c.byID, r.id)
-			c.ctl.Done(c.now, r.id, 0, control.Errored)
-		}
-		if r.state != ended {
-			c.routeKeyed(r)
+	c.again = append(c.again, func() {
+		for _, r := range waiters {
+			c.anew(r)
 		}
+	})
+}
+
+// anew routes a try whose entry was released.
+func (c *Core) anew(r *request) {
+	if r.state == replaying {
+		delete(c.byID, r.id)
+		c.ctl.Done(c.now, r.id, 0, control.Errored)
+	}
+	if r.state != ended {
+		c.routeKeyed(r)
 	}
 }
 
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -269,7 +269,7 @@
 	r.ran = false
 	if e := r.entry; e != nil && e.owner == r {
 		e.ran = false
-		c.again = append(c.again, func() { c.release(e) })
+		c.release(e)
 	}
 }
 
