Fleets of seven processes under faults: relays for each directed pair, scripts, staff

standin/faultnet: a relay for each directed pair of processes that refuses, holds back, delays, throttles or cuts, and scripts of 40 such steps and of killed, stopped, wiped processes, drawn from a seed and printable. standin.Fleet: real processes, balancer, staff, and a watch that counts by its own clock who is away. Tests: seven mishaps in the middle of plans, a whole plan beside another operator's with requests flowing (0 unheard), 5 scripts.

FreeAddr gave ports twice among 196.

--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -87,7 +87,8 @@
 type Driver struct {
 	opt   Options
 	self  agree.Member
-	boxes []string // "name=host:port", who to knock at
+	boxes []string          // "name=host:port", who to knock at
+	ways  map[string]string // by name, how this box reaches others; who is not in it is reached where the log says
 	link  *link.Link
 	body  Body
 	log   *slog.Logger
@@ -104,7 +105,9 @@
 	reports  map[string]takeout.Report
 	lines    map[uint64]*line // to the members
 	heldAt   time.Time
+	said     takeout.Phase // what was last proposed, and when
 	saidAt   int
+	stood    takeout.Report // as last told
 	token    uint64
 	waiting  map[uint64]pending
 	leader   agree.Member // who sent last, for a box that does not know the members yet
@@ -124,8 +127,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	d := &Driver{opt: opt, self: agree.Member{Name: name, Zone: opt.Zone, Addr: addr}, boxes: boxes, link: l, body: body, log: log, lock: lock,
-		in: make(chan func(), maxQueue), done: make(chan struct{}), reports: map[string]takeout.Report{}, lines: map[uint64]*line{}, waiting: map[uint64]pending{}}
+	ways := map[string]string{}
+	for _, b := range boxes {
+		if other, way, ok := strings.Cut(b, "="); ok {
+			ways[other] = way
+		}
+	}
+	d := &Driver{opt: opt, self: agree.Member{Name: name, Zone: opt.Zone, Addr: addr}, boxes: boxes, ways: ways, link: l, body: body, log: log, lock: lock,
+		in: make(chan func(), maxQueue), done: make(chan struct{}), reports: map[string]takeout.Report{}, lines: map[uint64]*line{}, waiting: map[uint64]pending{}, knocks: rand.IntN(max(1, len(boxes)))}
 	if err := d.open(); err != nil {
 		lock.Close()
 		return nil, err
@@ -259,6 +268,9 @@
 	if d.ticks%actEach != 0 || member == nil {
 		return
 	}
+	if _, r := d.body.Look(); r.Warm != d.stood.Warm || r.Failing != d.stood.Failing { // somebody may wait for it
+		d.report(ctx, now)
+	}
 	d.agent(now)
 	if _, leads := d.node.Leads(); leads {
 		d.leadOn(now)
@@ -283,8 +295,8 @@
 		}
 		d.body.Hold(a.Hold)
 	}
-	if a.Speak && d.ticks-d.saidAt >= sayEach {
-		d.saidAt = d.ticks
+	if a.Speak && (a.Say != d.said || d.ticks-d.saidAt >= sayEach) {
+		d.said, d.saidAt = a.Say, d.ticks
 		d.propose(&takeout.Entry{Kind: takeout.Step, At: now.UnixMilli(), Box: d.self.Name, Incarnation: d.inc, Phase: a.Say}, nil)
 	}
 }
@@ -398,11 +410,15 @@
 		}
 		return nil
 	}
-	if l == nil || l.addr != m.Addr {
+	addr := m.Addr
+	if way, ok := d.ways[m.Name]; ok {
+		addr = way
+	}
+	if l == nil || l.addr != addr {
 		if l != nil {
 			l.close()
 		}
-		l = newLine(ctx, d, m.Name, m.Addr, id)
+		l = newLine(ctx, d, m.Name, addr, id)
 		d.lines[id] = l
 	}
 	return l
@@ -412,7 +428,7 @@
 func (d *Driver) report(ctx context.Context, now time.Time) {
 	_, r := d.body.Look()
 	r.Incarnation, r.Heard = d.inc, now.UnixMilli()
-	d.reports[d.self.Name] = r
+	d.reports[d.self.Name], d.stood = r, r
 	data, err := cbor.Marshal(said{d.self.ID, r})
 	if err != nil {
 		d.log.Error("fleet", "do", "report", "err", err)
@@ -449,7 +465,22 @@
 	}
 }
 
-// letIn is a box that knocks. Only the leader answers it.
+// knocked is a box that knocks. Only the leader lets it in; another passes it on, once.
+func (d *Driver) knocked(m agree.Member) error {
+	if _, leads := d.node.Leads(); leads {
+		return d.letIn(m)
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("knock: %w", err)
+	}
+	if l := d.lines[d.node.Leader()]; l != nil {
+		l.tell("/fleet/passed", data)
+	}
+	return agree.ErrNoLeader
+}
+
+// letIn takes what a leader may have been passed.
 func (d *Driver) letIn(m agree.Member) error {
 	s := d.node.State()
 	if _, leads := d.node.Leads(); !leads {
--- a/internal/fleet/driver/fleet_test.go
+++ b/internal/fleet/driver/fleet_test.go
@@ -1,150 +1,265 @@
-package standin_test
+package driver_test
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
-	"log/slog"
-	"net/http"
-	"path/filepath"
+	"os"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/takeout"
-	"larchscale/internal/link"
 	"larchscale/internal/standin"
+	"larchscale/internal/standin/faultnet"
 )
 
-// member is one real process of a fleet, with callers of its own.
-type member struct {
-	*standin.Box
-	zone, addr string
-	calls      *standin.Churn
+var (
+	scripts = flag.Uint64("scripts", 5, "how many fault scripts TestAPlanThroughAScriptOfFaults plays")
+	program string
+)
+
+// The real program is built once for all tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(standin.WithProgram(&program, m.Run))
 }
 
-// dial gives a client for the member, which is without certificates.
-func (m *member) dial() *link.Client {
-	l, _ := link.New(link.Options{}, slog.New(slog.DiscardHandler)) // nothing to load: no error
-	return l.Dial(m.Name, m.addr)
+// fleetTest is a fleet with staff that look after it.
+type fleetTest struct {
+	*testing.T
+	*standin.Fleet
+	mu     sync.Mutex
+	notes  []string
+	began  time.Time
+	finish func() *standin.Watch
 }
 
-func (m *member) state() (driver.Status, bool) {
-	c := m.dial()
-	defer c.Close()
-	s, err := driver.State(context.Background(), c)
-	return s, err == nil
+func (f *fleetTest) note(s string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notes = append(f.notes, fmt.Sprintf("%6.2f %s", time.Since(f.began).Seconds(), s))
 }
 
-func (m *member) command(t *testing.T, w driver.Word) {
-	t.Helper()
-	c := m.dial()
-	defer c.Close()
-	if err := driver.Say(t.Context(), c, w); err != nil {
-		t.Fatal(err)
+// fatal ends the test with all that happened and what each box says.
+func (f *fleetTest) fatal(format string, a ...any) {
+	f.Helper()
+	text := fmt.Sprintf(format, a...)
+	for _, m := range f.Members {
+		s, err := m.State()
+		text += fmt.Sprintf("\n%s: leader %q term %d index %d, %v, waits %v, boxes %v, plans %v", m.Name, s.Leader, s.Term, s.Index, err, s.Waits, s.Boxes, s.Plans)
+		text += "\n" + m.Log()[max(0, len(m.Log())-600):]
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Fatalf("%s\n%s", text, strings.Join(f.notes, "\n"))
 }
 
-// Five real processes in three zones, with requests flowing, are taken out for work by a plan: one at a time, each
-// once, and while it is out its health says no and nothing that it had read was lost. The leader is killed while the
-// first is out; it comes back with its disk, and the plan ends.
-func TestAFleetOfProgramsTakesItselfOut(t *testing.T) {
-	var all []*member
-	text := ""
-	for i := range 5 {
-		addr, err := standin.FreeAddr()
-		if err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, &member{zone: string(rune('a' + i%3)), addr: addr})
-		text += fmt.Sprintf("%q, ", fmt.Sprintf("n%d=%s", i+1, addr))
+func (f *fleetTest) must(err error) {
+	f.Helper()
+	if err != nil {
+		f.fatal("%v", err)
 	}
-	for i, m := range all {
-		site, err := standin.NewSite(time.Millisecond)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer site.Close()
-		home := t.TempDir()
-		m.Box, err = standin.NewBox(program, home, fmt.Sprintf("n%d", i+1), site, fmt.Sprintf("[ledger.peers]\nlisten = %q\nboxes = [%s]\n"+
-			"[fleet]\ndir = %q\nzone = %q\nvoters = 3\ndrain_ms = 400\n", m.addr, text, filepath.Join(home, "fleet"), m.zone))
-		if err == nil {
-			err = m.Start()
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer m.Kill()
-		m.calls = standin.NewChurn(m.Listen, 1)
-		defer func() { m.calls.Stop() }()
+}
+
+// ask has an operator at a box ask for a plan, until it is taken.
+func (f *fleetTest) ask(at string, p takeout.Plan) error {
+	p.By, p.Reason = "staff", "new disks"
+	slices.Sort(p.Boxes)
+	return standin.Until("plan "+p.ID+" is taken", 20*time.Second, func() bool {
+		return f.Member(at).Say(context.Background(), driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: p}}) == nil
+	})
+}
+
+// over waits for a plan's end, and holds it to what it is to be.
+func (f *fleetTest) over(id string) {
+	f.Helper()
+	p, err := f.Over(id, 60*time.Second)
+	f.must(err)
+	gone := slices.Clone(p.Gone)
+	if slices.Sort(gone); p.State != takeout.Done || !slices.Equal(gone, p.Boxes) {
+		f.fatal("plan %s is %s, gone %v of %v", id, p.State, p.Gone, p.Boxes)
 	}
-	all[0].command(t, driver.Word{Found: true})
-	until := func(what string, f func() bool) {
-		t.Helper()
-		for end := time.Now().Add(60 * time.Second); !f(); time.Sleep(20 * time.Millisecond) {
-			if time.Now().After(end) {
-				s, _ := all[1].state()
-				t.Fatalf("not %s: %+v\n%s", what, s, all[0].Log())
+}
+
+// holder waits for a box that drains or is out for a plan, as the log of a box that lives has it.
+func (f *fleetTest) holder(plan string, phases ...takeout.Phase) (name string) {
+	f.Helper()
+	f.must(standin.Until("a box of "+plan+" has its turn", 30*time.Second, func() bool {
+		for _, m := range f.Members {
+			s, err := m.State()
+			k := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Plan == plan && slices.Contains(phases, b.Phase) })
+			if err == nil && k >= 0 {
+				name = s.Boxes[k].Name
+				return true
 			}
 		}
+		return false
+	}))
+	return name
+}
+
+// newFleet starts seven real processes in three zones, with requests flowing and staff about.
+func newFleet(t *testing.T, drainMs int) *fleetTest {
+	t.Helper()
+	f := &fleetTest{T: t, began: time.Now()}
+	var err error
+	f.Fleet, err = standin.NewFleet(program, t.TempDir(), standin.FleetOptions{Boxes: 7, Zones: 3, Voters: 5, DrainMs: drainMs, SilentMs: 1500, Work: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
 	}
-	until("a fleet of five that are in", func() bool {
-		s, ok := all[4].state()
-		return ok && len(s.Members) == 5 && len(s.Boxes) == 5 && !slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In || b.Incarnation == 0 })
-	})
-	plan := takeout.Plan{ID: "disks", By: "staff", Reason: "new disks", Boxes: []string{"n1", "n2", "n3", "n4", "n5"}, Most: 1}
-	all[3].command(t, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: plan}})
-	worked := map[string]int{}
-	lost, sent := int64(0), int64(0)
-	until("done", func() bool {
-		out := 0
-		for _, m := range all {
-			s, ok := m.state()
-			if !ok {
-				continue
-			}
-			i := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Name == m.Name })
-			if i < 0 || s.Boxes[i].Phase != takeout.Out || s.Boxes[i].Incarnation != s.Incarnation {
-				if slices.ContainsFunc(s.Plans, func(p takeout.Plan) bool { return p.State == takeout.Done }) {
-					return true
-				}
-				continue
-			}
-			if out++; out > 1 {
-				t.Fatal("two are out at once")
-			}
-			if res, err := http.Get("http://" + m.Admin + "/healthcheck"); err != nil || res.StatusCode != http.StatusServiceUnavailable {
-				t.Fatalf("%s is out, and its health says %v, %v", m.Name, res, err)
-			}
-			tally := m.calls.Stop()
-			lost, sent = lost+tally.Unheard, sent+tally.Sent
-			if worked[m.Name]++; len(worked) == 1 {
-				for _, l := range all {
-					if l.Name == s.Leader && l != m {
-						l.Kill()
-						l.calls.Stop() // its callers hear of it
-						if err := l.Start(); err != nil {
-							t.Fatal(err)
-						}
-						l.calls = standin.NewChurn(l.Listen, 0)
-					}
-				}
-			}
-			if code, err := m.Stop(); code != 0 {
-				t.Fatalf("%s: %d, %v", m.Name, code, err)
+	t.Cleanup(f.Close)
+	f.must(f.Settle(30*time.Second, 5))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan *standin.Watch, 1)
+	go func() { done <- f.Staff(ctx, 100*time.Millisecond, f.note) }()
+	f.finish = func() *standin.Watch {
+		stop()
+		return <-done
+	}
+	return f
+}
+
+// end holds what staff saw to the bound.
+func (f *fleetTest) end(most int) {
+	f.Helper()
+	w := f.finish()
+	if w.Most > most || len(w.Faults) > 0 {
+		f.fatal("%d were away at once with a bound of %d; %v", w.Most, most, w.Faults)
+	}
+}
+
+// One plan after the other, each with a mishap in its middle; never more than one box is away by the fleet's word.
+func TestAFleetThroughMishaps(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 300)
+	few := []string{"n2", "n6"}
+	for _, x := range []struct {
+		name string
+		do   func(plan string)
+	}{
+		{"the leader dies between a grant and its hearing", func(plan string) {
+			f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
+			l := f.Leader()
+			l.Kill()
+			f.must(standin.Until("another leads", 4*time.Second, func() bool { n := f.Leader(); return n != nil && n != l }))
+			f.must(l.Start())
+		}},
+		{"the one that drains dies", func(plan string) {
+			m := f.Member(f.holder(plan, takeout.Granted, takeout.Draining))
+			m.Kill()
+			time.Sleep(2 * time.Second) // longer than silence
+			f.must(m.Start())
+		}},
+		{"the one that drains is stopped", func(plan string) {
+			m := f.Member(f.holder(plan, takeout.Granted, takeout.Draining))
+			m.Freeze(true)
+			time.Sleep(3 * time.Second)
+			m.Freeze(false)
+		}},
+		{"nothing from the one that drains is heard", func(plan string) {
+			n := f.holder(plan, takeout.Granted, takeout.Draining)
+			f.Net.Set(faultnet.Fault{Drop: true}, func(from, _ string) bool { return from == n })
+			time.Sleep(3 * time.Second)
+			f.Net.Heal()
+		}},
+		{"three are cut off from four", func(plan string) {
+			f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
+			f.must(faultnet.Script{{Do: "part", Who: []string{"n1", "n4", "n5"}}}.Play(t.Context(), f.Net, nil, func(faultnet.Step) {}))
+			time.Sleep(3 * time.Second)
+			f.Net.Heal()
+		}},
+		{"one comes back without its disk", func(plan string) {
+			f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
+			m := f.Member("n7")
+			f.must(m.Wipe())
+			f.must(m.Start())
+		}},
+		{"all start anew", func(plan string) {
+			f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
+			for _, m := range f.Members {
+				m.Kill()
 			}
-			if err := m.Start(); err != nil { // the work is done
-				t.Fatal(err)
+			for _, m := range f.Members {
+				f.must(m.Start())
 			}
+		}},
+	} {
+		began := time.Now()
+		f.note(x.name)
+		plan := strings.ReplaceAll(x.name, " ", "-")
+		f.must(f.ask("n3", takeout.Plan{ID: plan, Boxes: few, Most: 1}))
+		x.do(plan)
+		f.over(plan)
+		f.must(f.Settle(30*time.Second, 5))
+		t.Logf("%s: %.1f s", x.name, time.Since(began).Seconds())
+	}
+	f.end(1)
+}
+
+// Seven are taken out while requests flow: each once, no request that one had read is lost, and two operators' plans
+// that share boxes go one after the other.
+func TestAFleetIsTakenOutWholeWithNothingLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 400)
+	f.Call(4)
+	asked := make(chan error, 2)
+	for i, p := range []takeout.Plan{{ID: "disks", Boxes: f.Names(), Most: 1}, {ID: "cables", Boxes: []string{"n1", "n2"}, Most: 1}} {
+		go func() { asked <- f.ask([]string{"n1", "n6"}[i], p) }()
+	}
+	f.must(errors.Join(<-asked, <-asked))
+	f.over("disks")
+	f.over("cables")
+	f.end(1)
+	if c := f.Calls.Stop(); c.Unheard > 0 || c.Served < 1000 {
+		t.Errorf("%d of %d requests unheard, %d served", c.Unheard, c.Sent, c.Served)
+	}
+	for _, m := range f.Members {
+		want := 1
+		if m.Name == "n1" || m.Name == "n2" {
+			want = 2
 		}
-		return false
-	})
-	for _, m := range all {
-		if worked[m.Name] != 1 {
-			t.Errorf("%s was out %d times", m.Name, worked[m.Name])
+		if n := m.Works(); n != want {
+			t.Errorf("%s was worked on %d times, %d wanted", m.Name, n, want)
 		}
 	}
-	if lost > 0 || sent < 100 {
-		t.Errorf("%d of %d requests unheard", lost, sent)
+}
+
+// A plan goes through a script of faults, and ends once all is mended. A seed that fails prints its script.
+func TestAPlanThroughAScriptOfFaults(t *testing.T) {
+	for seed := range *scripts {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 300)
+			f.must(f.ask("n1", takeout.Plan{ID: "disks", Boxes: f.Names(), Most: 2}))
+			s := faultnet.Draw(seed+1, f.Names(), 40)
+			f.must(s.Play(t.Context(), f.Net, hands{f}, func(x faultnet.Step) { f.note(x.String()) }))
+			f.Net.Heal()
+			f.note("all is mended")
+			for _, m := range f.Members {
+				m.Freeze(false)
+				f.must(m.Start())
+			}
+			f.over("disks")
+			f.end(2)
+			for _, m := range f.Members {
+				if n := m.Works(); n > 1 {
+					f.fatal("%s was worked on %d times", m.Name, n)
+				}
+			}
+		})
 	}
 }
+
+// hands are a script's on the processes.
+type hands struct{ f *fleetTest }
+
+func (h hands) Kill(n string)        { h.f.Member(n).Kill() }
+func (h hands) Wipe(n string)        { h.f.must(h.f.Member(n).Wipe()) }
+func (h hands) Stop(n string)        { h.f.Member(n).Freeze(true) }
+func (h hands) Go(n string)          { h.f.Member(n).Freeze(false) }
+func (h hands) Start(n string) error { return h.f.Member(n).Start() }
--- a/internal/fleet/driver/http.go
+++ b/internal/fleet/driver/http.go
@@ -35,6 +35,7 @@
 //	POST /fleet/messages  the sender, then raft's messages, each behind its length
 //	POST /fleet/report    how a box stands
 //	POST /fleet/knock     a box that wants to be let in
+//	POST /fleet/passed    the same, at a box that may lead, by one that does not
 //	GET  /fleet/state     Status as JSON
 //	POST /fleet/command   a Word as JSON; the answer comes once it is agreed, or after 10 s
 func (d *Driver) Handler() http.Handler {
@@ -57,7 +58,8 @@
 		}
 	})
 	mux.HandleFunc("POST /fleet/report", noted(d, d.take))
-	mux.HandleFunc("POST /fleet/knock", noted(d, d.letIn))
+	mux.HandleFunc("POST /fleet/knock", noted(d, d.knocked))
+	mux.HandleFunc("POST /fleet/passed", noted(d, d.letIn))
 	mux.HandleFunc("GET /fleet/state", func(w http.ResponseWriter, r *http.Request) {
 		got := make(chan Status, 1)
 		if d.enter(func() { got <- d.status() }) {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -125,18 +125,24 @@
 // Operator is the path of its operator's file.
 func (b *Box) Operator() string { return filepath.Join(b.home, "operator.toml") }
 
+// given are the ports that FreeAddr has given in this process: who asks for many listens on none of them yet.
+var given sync.Map
+
 // FreeAddr gives an address of loopback that nobody listens on, below the ports that connections get: while a box is
-// down no connection takes its port.
+// down no connection takes its port. It gives none twice.
 func FreeAddr() (string, error) {
 	var err error
-	for range 100 {
+	for range 1000 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000))
+		if _, taken := given.LoadOrStore(addr, true); taken {
+			continue
+		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", addr); err == nil {
 			return addr, l.Close()
 		}
 	}
-	return "", err
+	return "", errors.Join(errors.New("no free address"), err)
 }
 
 // Start starts the process and returns once its pool is up.
@@ -170,6 +176,12 @@
 	<-b.ended
 }
 
+// Freeze stops the process where it is, and Thaw has it go on.
+func (b *Box) Freeze() { b.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw is after Freeze.
+func (b *Box) Thaw() { b.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Term sends SIGTERM, and gives a channel closed when the process has ended.
 func (b *Box) Term() <-chan struct{} {
 	b.cmd.Process.Signal(syscall.SIGTERM)
--- a/internal/standin/churn.go
+++ b/internal/standin/churn.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Churn is callers that each send one repeatable request a connection, each on a new one, one after the other,
@@ -20,15 +21,20 @@
 
 // NewChurn starts callers against addr.
 func NewChurn(addr string, callers int) *Churn {
+	return NewChurnAt(func(int) string { return addr }, callers)
+}
+
+// NewChurnAt starts callers that ask where to send before each request; "" = nowhere for now.
+func NewChurnAt(where func(caller int) string, callers int) *Churn {
 	c := &Churn{done: make(chan struct{})}
 	for i := range callers {
 		c.wg.Add(1)
-		go c.call(addr, NewStream(fmt.Sprintf("churn%d", i), 1))
+		go c.call(i, where, NewStream(fmt.Sprintf("churn%d", i), 1))
 	}
 	return c
 }
 
-func (c *Churn) call(addr string, s *Stream) {
+func (c *Churn) call(i int, where func(int) string, s *Stream) {
 	defer c.wg.Done()
 	for {
 		select {
@@ -36,6 +42,11 @@
 			return
 		default:
 		}
+		addr := where(i)
+		if addr == "" {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
 		r := s.Next()
 		r.Class, r.Token = Classes[0], ""
 		c.sent.Add(1)
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,434 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/link"
+	"larchscale/internal/standin/faultnet"
+)
+
+// FleetOptions say what a fleet of real processes is made of.
+type FleetOptions struct {
+	Boxes, Zones, Voters int
+	DrainMs, SilentMs    int
+	Work                 time.Duration // of a run
+	Peers                string        // further lines of each box's [ledger.peers]; %s = its name
+}
+
+// Fleet is real processes that settle among themselves who is taken out. What one says to another passes a relay of
+// Net; operators, balancers and staff reach each box directly.
+type Fleet struct {
+	Net     *faultnet.Net
+	Members []*Member
+	Calls   *Churn // of Call; nil = none
+	over    chan struct{}
+}
+
+// Member is one box of a fleet, on files that outlive its processes. Its methods may be called from several goroutines.
+type Member struct {
+	*Box
+	Zone, Addr string
+	Site       *Site
+
+	dir    string // the fleet's part of its disk
+	mu     sync.Mutex
+	up     bool
+	frozen bool
+	worked bool      // staff have it
+	since  time.Time // when its process was up
+	works  int
+}
+
+// NewFleet starts all processes of a fleet under home, and has the first found it.
+func NewFleet(program, home string, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{Net: faultnet.New(), over: make(chan struct{})}
+	if err := f.start(program, home, o); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(program, home string, o FleetOptions) (err error) {
+	for i := range o.Boxes {
+		m := &Member{Zone: string(rune('a' + i%o.Zones))}
+		if m.Addr, err = FreeAddr(); err != nil {
+			return err
+		}
+		m.Box = &Box{Name: fmt.Sprintf("n%d", i+1)}
+		f.Members = append(f.Members, m)
+	}
+	for _, m := range f.Members {
+		ways := ""
+		for _, to := range f.Members {
+			addr := m.Addr
+			if to != m {
+				if addr, err = f.Net.Relay(m.Name, to.Name, to.Addr); err != nil {
+					return err
+				}
+			}
+			ways += fmt.Sprintf("%q, ", to.Name+"="+addr)
+		}
+		if m.Site, err = NewSite(o.Work); err != nil {
+			return err
+		}
+		at := filepath.Join(home, m.Name)
+		m.dir = filepath.Join(at, "fleet")
+		peers := o.Peers
+		if peers != "" {
+			peers = fmt.Sprintf(peers, m.Name)
+		}
+		if m.Box, err = NewBox(program, at, m.Name, m.Site, fmt.Sprintf("[ledger.peers]\nlisten = %q\nboxes = [%s]\n%s"+
+			"[fleet]\ndir = %q\nzone = %q\nvoters = %d\ndrain_ms = %d\nsilent_ms = %d\n", m.Addr, ways, peers, m.dir, m.Zone, o.Voters, o.DrainMs, o.SilentMs)); err != nil {
+			return err
+		}
+		if err = m.Start(); err != nil {
+			return err
+		}
+	}
+	return f.Members[0].Say(context.Background(), driver.Word{Found: true})
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	close(f.over)
+	if f.Calls != nil {
+		f.Calls.Stop()
+	}
+	for _, m := range f.Members {
+		m.Kill()
+		if m.Site != nil {
+			m.Site.Close()
+		}
+	}
+	f.Net.Close()
+}
+
+// Member gives a box by its name.
+func (f *Fleet) Member(name string) *Member {
+	return f.Members[slices.IndexFunc(f.Members, func(m *Member) bool { return m.Name == name })]
+}
+
+// Names are all boxes' names, sorted.
+func (f *Fleet) Names() []string {
+	var out []string
+	for _, m := range f.Members {
+		out = append(out, m.Name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Call has callers send through a balancer that asks each door every 50 ms and sends to those that said yes.
+func (f *Fleet) Call(callers int) {
+	good := make([]atomic.Bool, len(f.Members))
+	for i, m := range f.Members {
+		go func() {
+			for c := time.NewTicker(50 * time.Millisecond); ; {
+				select {
+				case <-f.over:
+					c.Stop()
+					return
+				case <-c.C:
+					good[i].Store(door(m.Admin) == http.StatusOK)
+				}
+			}
+		}()
+	}
+	var turn atomic.Uint64
+	f.Calls = NewChurnAt(func(int) string {
+		for range f.Members {
+			if i := int(turn.Add(1) % uint64(len(f.Members))); good[i].Load() {
+				return f.Members[i].Listen
+			}
+		}
+		return ""
+	}, callers)
+}
+
+// ErrWait is what did not come to be in time.
+var ErrWait = errors.New("it does not come to be")
+
+// Until waits until done holds.
+func Until(what string, most time.Duration, done func() bool) error {
+	for end := time.Now().Add(most); !done(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s, within %s: %w", what, most, ErrWait)
+		}
+	}
+	return nil
+}
+
+// Settle waits until all boxes hold the same state, in which all are members and in, and so many vote.
+func (f *Fleet) Settle(most time.Duration, voters int) error {
+	return Until("all boxes are in", most, func() bool {
+		var first driver.Status
+		for i, m := range f.Members {
+			s, err := m.State()
+			if err != nil || s.Leader == "" || len(s.Members) != len(f.Members) {
+				return false
+			}
+			if i == 0 {
+				first = s
+			}
+			n := 0
+			for _, x := range s.Members {
+				if x.Voter {
+					n++
+				}
+			}
+			if n < voters || s.Index != first.Index || s.Digest != first.Digest || slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In || b.Incarnation == 0 }) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Over waits until all boxes hold the same state, in which a plan is over, and gives the plan.
+func (f *Fleet) Over(plan string, most time.Duration) (p takeout.Plan, err error) {
+	err = Until("plan "+plan+" is over everywhere", most, func() bool {
+		var first driver.Status
+		for i, m := range f.Members {
+			s, err := m.State()
+			if err != nil {
+				return false
+			}
+			if i == 0 {
+				first = s
+			}
+			k := slices.IndexFunc(s.Plans, func(x takeout.Plan) bool { return x.ID == plan && x.State >= takeout.Done })
+			if k < 0 || s.Index != first.Index || s.Digest != first.Digest || slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In }) {
+				return false
+			}
+			p = s.Plans[k]
+		}
+		return true
+	})
+	return p, err
+}
+
+// Leader is the box that leads as those that answer see it; nil = none says.
+func (f *Fleet) Leader() *Member {
+	var best driver.Status
+	for _, m := range f.Members {
+		if s, err := m.State(); err == nil && s.Leader != "" && s.Term >= best.Term {
+			best = s
+		}
+	}
+	if best.Leader == "" {
+		return nil
+	}
+	return f.Member(best.Leader)
+}
+
+// asks is how long an operator or staff wait for an answer.
+const asks = 12 * time.Second
+
+func (m *Member) client() *link.Client {
+	l, _ := link.New(link.Options{}, slog.New(slog.DiscardHandler)) // nothing to load: no error
+	return l.Dial(m.Name, m.Addr)
+}
+
+// State is how the fleet stands, as this box sees it.
+func (m *Member) State() (driver.Status, error) {
+	c := m.client()
+	defer c.Close()
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	return driver.State(ctx, c)
+}
+
+// Say sends an operator's word to this box.
+func (m *Member) Say(ctx context.Context, w driver.Word) error {
+	c := m.client()
+	defer c.Close()
+	ctx, stop := context.WithTimeout(ctx, asks)
+	defer stop()
+	return driver.Say(ctx, c, w)
+}
+
+// Start starts its process if it has none and staff do not work on it.
+func (m *Member) Start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worked {
+		return nil
+	}
+	return m.start()
+}
+
+func (m *Member) start() error {
+	if m.up {
+		return nil
+	}
+	err := m.Box.Start()
+	m.up, m.frozen, m.since = err == nil, false, time.Now()
+	return err
+}
+
+// Kill ends its process at once.
+func (m *Member) Kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kill()
+}
+
+func (m *Member) kill() {
+	if m.up {
+		m.Box.Kill()
+		m.up = false
+	}
+}
+
+// Wipe ends its process at once; what the fleet kept there is gone.
+func (m *Member) Wipe() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kill()
+	return os.RemoveAll(m.dir)
+}
+
+// Freeze stops its process where it is, or has it go on.
+func (m *Member) Freeze(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !m.up || m.frozen == on:
+		return
+	case on:
+		m.Box.Freeze()
+	default:
+		m.Box.Thaw()
+	}
+	m.frozen = on
+}
+
+// Works tells how often staff have worked on the machine.
+func (m *Member) Works() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.works
+}
+
+// away tells that the box does not take requests by the fleet's word: its door says no, or staff have it. A process
+// that is dead, stopped or hardly up is away by nobody's word.
+func (m *Member) away() bool {
+	m.mu.Lock()
+	up, worked := m.up && !m.frozen && time.Since(m.since) > time.Second, m.worked
+	m.mu.Unlock()
+	return worked || up && door(m.Admin) == http.StatusServiceUnavailable
+}
+
+// door is what a box's health says; 0 = nothing.
+func door(addr string) int {
+	c := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Get("http://" + addr + "/healthcheck")
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
+	return res.StatusCode
+}
+
+// Watch is what was seen of a fleet from outside.
+type Watch struct {
+	Most   int      // boxes that were away at a time
+	Faults []string // what must not be seen
+}
+
+// Staff looks at all boxes until ctx ends, as from outside: it counts who is away, ends the process of a box that is
+// out, works on its machine for so long and starts it again. note tells of each.
+func (f *Fleet) Staff(ctx context.Context, work time.Duration, note func(string)) *Watch {
+	w := &Watch{}
+	var busy sync.WaitGroup
+	for ; ctx.Err() == nil; time.Sleep(40 * time.Millisecond) {
+		away := make([]bool, len(f.Members))
+		var looks sync.WaitGroup
+		for i, m := range f.Members {
+			looks.Add(1)
+			go func() {
+				defer looks.Done()
+				away[i] = m.away()
+			}()
+		}
+		looks.Wait()
+		n := 0
+		for i, m := range f.Members {
+			if !away[i] {
+				continue
+			}
+			n++
+			s, err := m.State()
+			k := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Name == m.Name })
+			if err != nil || k < 0 || s.Boxes[k].Incarnation != s.Incarnation {
+				continue
+			}
+			switch phase := s.Boxes[k].Phase; {
+			case phase == takeout.Out && m.take():
+				note(m.Name + " is out")
+				busy.Add(1)
+				go func() {
+					defer busy.Done()
+					if err := m.work(work); err != nil {
+						note(m.Name + ": " + err.Error())
+					}
+				}()
+			case s.Self.Hold && phase != takeout.Draining && phase != takeout.Out:
+				w.Faults = append(w.Faults, m.Name+" drains, and the log has it "+phase.String())
+			}
+		}
+		w.Most = max(w.Most, n)
+	}
+	busy.Wait()
+	return w
+}
+
+// take has staff come to a box; false = they are there, or its process is not.
+func (m *Member) take() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.worked || !m.up || m.frozen {
+		return false
+	}
+	m.worked = true
+	m.works++
+	return true
+}
+
+// work ends the process, and starts it after so long.
+func (m *Member) work(d time.Duration) error {
+	m.mu.Lock()
+	var err error
+	if m.up {
+		if m.frozen {
+			m.Box.Thaw()
+			m.frozen = false
+		}
+		var code int
+		if code, err = m.Box.Stop(); code != 0 && err == nil {
+			err = fmt.Errorf("it ended with %d", code)
+		}
+		m.up = false
+	}
+	m.mu.Unlock()
+	time.Sleep(d)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.worked = false
+	return errors.Join(err, m.start())
+}
