Fleet: members, plan and watch at larchctl, fleet figures on /stats, boxes written off for good

The door's /stats tells fleet.leader, known, term, index, members, voters, out, silent, plans, phase. The link takes 300 boxes, and its descriptors count against the clients'.

--- a/cmd/larchctl/fleet.go
+++ b/cmd/larchctl/fleet.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"slices"
 	"strings"
 	"time"
 
+	"larchscale/internal/fleet/agree"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/link"
@@ -17,6 +21,9 @@
 // outCmd are the commands of the fleet. Each asks the box whose operator's file is named.
 type outCmd struct {
 	Status   standCmd    `cmd:"" help:"How the fleet stands, as this box sees it. Exit code 3 if no leader is known."`
+	Members  membersCmd  `cmd:"" help:"Who is a member, of which zone, who votes, and who is heard of."`
+	Plan     planCmd     `cmd:"" help:"What a plan would do, its order and what it waits for; nothing is changed."`
+	Watch    watchCmd    `cmd:"" help:"Show in place how a plan goes on, until it is over. Exit code 1 if it did not end as done."`
 	Found    foundCmd    `cmd:"" help:"Begin a fleet with this box, once; the others knock by themselves."`
 	TakeOut  takeOutCmd  `cmd:"" help:"Take boxes out for work, one after the other."`
 	Pause    pauseCmd    `cmd:"" help:"Grant nothing more of a plan until it is resumed."`
@@ -137,13 +144,18 @@
 	Name    string `arg:"" help:"The box."`
 	By      string `help:"Who says so." required:""`
 	Reason  string `help:"Why." required:""`
+	ForGood bool   `help:"It is a member no longer, and leaves all plans; a voter is replaced."`
 }
 
 func (c *writeOffCmd) Run(con *console) error {
+	if c.ForGood {
+		return c.entry(con, takeout.Entry{Kind: takeout.Leave, Box: c.Name, By: c.By, Why: c.Reason}, "box "+c.Name+" is a member no longer")
+	}
 	return c.entry(con, takeout.Entry{Kind: takeout.WriteOff, Box: c.Name, By: c.By, Why: c.Reason}, "box "+c.Name+" is written off")
 }
 
-type takeOutCmd struct {
+// which are the boxes of a plan, and its bounds.
+type which struct {
 	atFleet `embed:""`
 	Plan    string        `arg:"" help:"A name for the plan; given again with the same words it has no second effect."`
 	Boxes   []string      `help:"Boxes by name." xor:"which" required:""`
@@ -156,11 +168,7 @@
 	Reason  string        `help:"What for." required:""`
 }
 
-func (c *takeOutCmd) Run(con *console) error {
-	s, err := c.state()
-	if err != nil {
-		return err
-	}
+func (c *which) plan(s driver.Status) (takeout.Plan, error) {
 	p := takeout.Plan{ID: c.Plan, By: c.By, Reason: c.Reason, Boxes: c.Boxes, Most: c.Most, Floor: c.Floor}
 	if c.Within > 0 {
 		p.Deadline = time.Now().Add(c.Within).UnixMilli()
@@ -171,12 +179,164 @@
 		}
 	}
 	if len(p.Boxes) == 0 {
-		return badInput{fmt.Errorf("zone %q has no boxes", c.Zone)}
+		return p, badInput{fmt.Errorf("zone %q has no boxes", c.Zone)}
 	}
 	slices.Sort(p.Boxes)
+	return p, nil
+}
+
+type takeOutCmd struct {
+	which `embed:""`
+}
+
+func (c *takeOutCmd) Run(con *console) error {
+	s, err := c.state()
+	if err != nil {
+		return err
+	}
+	p, err := c.plan(s)
+	if err != nil {
+		return err
+	}
 	return c.entry(con, takeout.Entry{Kind: takeout.Propose, Plan: p}, "plan "+c.Plan+" takes out "+strings.Join(p.Boxes, ", "))
 }
 
+type membersCmd struct {
+	atFleet `embed:""`
+}
+
+func (c *membersCmd) Run(con *console) error {
+	s, err := c.state()
+	if err != nil {
+		return err
+	}
+	return con.whole(s.Leader != "", s.Members, func(w io.Writer) {
+		rows := [][]string{{"zone", "box", "id", "at", "part", "heard"}}
+		slices.SortStableFunc(s.Members, func(a, b agree.Member) int {
+			return cmp.Or(strings.Compare(a.Zone, b.Zone), strings.Compare(a.Name, b.Name))
+		})
+		for _, m := range s.Members {
+			part, heard := "learner", "-"
+			if m.Voter {
+				part = "voter"
+			}
+			if m.Name == s.Leader {
+				part = "leader"
+			}
+			if r, ok := s.Reports[m.Name]; ok {
+				heard = time.Since(time.UnixMilli(r.Heard)).Round(100 * time.Millisecond).String()
+			}
+			rows = append(rows, []string{m.Zone, m.Name, fmt.Sprintf("%x", m.ID), m.Addr, part, heard})
+		}
+		table(w, rows)
+	})
+}
+
+// planCmd tries a plan on a copy of the state, with the reports that the box has: those of a voter are whole.
+type planCmd struct {
+	which `embed:""`
+}
+
+func (c *planCmd) Run(con *console) error {
+	s, err := c.state()
+	if err != nil {
+		return err
+	}
+	p, err := c.plan(s)
+	if err != nil {
+		return err
+	}
+	would, err := driver.Would(s, p, time.Now())
+	if err != nil {
+		return badInput{err}
+	}
+	return con.print(would, func(w io.Writer) {
+		for i, x := range would.Order {
+			fmt.Fprintf(w, "  %d. %s: %s\n", i+1, x.Box, x.Why)
+		}
+		for _, x := range would.Waits {
+			fmt.Fprintln(w, strings.TrimSpace("would wait: "+x.Box)+": "+x.Why)
+		}
+		if len(would.Waits) == 0 && len(would.Order) > 0 {
+			fmt.Fprintln(w, "the first could go now")
+		}
+	})
+}
+
+type watchCmd struct {
+	ofPlan `embed:""`
+	Every  time.Duration `default:"1s" help:"How often."`
+	For    time.Duration `default:"0" help:"Give up after; 0 = never."`
+}
+
+func (c *watchCmd) Run(con *console) error {
+	began := time.Now()
+	for shown := (screen{}); ; time.Sleep(max(100*time.Millisecond, c.Every)) {
+		s, err := c.state()
+		if c.For > 0 && time.Since(began) > c.For {
+			return errors.Join(fmt.Errorf("plan %s is not over after %s", c.Plan, c.For), err)
+		}
+		if err != nil { // the box may be the one that is out: its process comes back
+			continue
+		}
+		k := slices.IndexFunc(s.Plans, func(p takeout.Plan) bool { return p.ID == c.Plan })
+		if k < 0 {
+			return badInput{fmt.Errorf("plan %q: %w", c.Plan, takeout.ErrUnknown)}
+		}
+		p := s.Plans[k]
+		if !con.json {
+			shown.show(con.out, progress(s, p))
+		}
+		if p.State < takeout.Done {
+			continue
+		}
+		if con.json {
+			if err := con.print(p, nil); err != nil {
+				return err
+			}
+		}
+		if p.State != takeout.Done {
+			return fmt.Errorf("plan %s is %s: %d of %d boxes are done", p.ID, p.State, len(p.Gone), len(p.Boxes))
+		}
+		return nil
+	}
+}
+
+// screen shows lines in the place of the last ones; what is no terminal gets them below, when they changed.
+type screen struct{ last []string }
+
+func (s *screen) show(w io.Writer, lines []string) {
+	if slices.Equal(s.last, lines) {
+		return
+	}
+	if f, ok := w.(*os.File); ok && len(s.last) > 0 {
+		if st, err := f.Stat(); err == nil && st.Mode()&os.ModeCharDevice != 0 {
+			fmt.Fprintf(w, "\x1b[%dA\x1b[J", len(s.last))
+		}
+	}
+	s.last = lines
+	fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
+
+// progress is how a plan stands, a line each: the boxes that have their turn, what the next waits for.
+func progress(s driver.Status, p takeout.Plan) []string {
+	out := []string{fmt.Sprintf("plan %s: %s, %d of %d done", p.ID, p.State, len(p.Gone), len(p.Boxes))}
+	for _, b := range s.Boxes {
+		if b.Plan == p.ID {
+			out = append(out, fmt.Sprintf("  %s is %s", b.Name, b.Phase))
+		}
+	}
+	if len(p.Order) > 0 {
+		out = append(out, "  next is "+p.Order[0].Box)
+	}
+	for _, x := range s.Waits {
+		if x.Plan == p.ID {
+			out = append(out, strings.TrimSpace("  waits "+x.Box)+": "+x.Why)
+		}
+	}
+	return out
+}
+
 type standCmd struct {
 	atFleet `embed:""`
 }
--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -19,13 +19,13 @@
 )
 
 // joinOthers opens the way to the other boxes, and on it what this box has to say to them: the ledger's sums, its part
-// in the fleet. What it gives is closed once the fleet's part has ended, after ctx.
+// in the fleet. The channel is closed once the fleet's part has ended, after ctx; lines are its figures, nil = none.
 func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, figures func() *core.Figures,
-	holder *admin.Holder, log *slog.Logger) (<-chan struct{}, error) {
+	holder *admin.Holder, log *slog.Logger) (over <-chan struct{}, lines func() []byte, err error) {
 	way := own.Ledger.Peers.Options
 	l, err := link.New(way, log)
 	if err != nil {
-		return nil, fmt.Errorf("ledger.peers.%w", err)
+		return nil, nil, fmt.Errorf("ledger.peers.%w", err)
 	}
 	mux := http.NewServeMux()
 	ended := make(chan struct{})
@@ -37,9 +37,10 @@
 	if own.Fleet.Dir != "" {
 		d, err := driver.New(own.Fleet, cfg.Name, way.Listen, way.Boxes, l, &body{figures: figures, holder: holder, guess: guess(cfg)}, log)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		mux.Handle("/fleet/", d.Handler())
+		lines = d.Lines
 		go func() {
 			defer close(ended)
 			d.Run(ctx)
@@ -49,10 +50,10 @@
 	}
 	in, err := l.Listen()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	go l.Serve(ctx, in, mux)
-	return ended, nil
+	return ended, lines, nil
 }
 
 // guess is what a box may carry before it was busy enough to tell: its part of all quotas.
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -166,6 +166,7 @@
 	if doors != nil {
 		others += admin.MaxConns
 	}
+	others += own.Ledger.Peers.Sockets()
 	conns := cfg.Limits.Conns(others)
 	cfg.SetConns(conns)
 	c := core.New(cfg.Site, log)
@@ -205,12 +206,14 @@
 	}
 	holder := admin.NewHolder(c.Send)
 	defer holder.Close()
+	var figures func() []byte
 	if own.Ledger.Peers.Listen != "" {
-		fleet, err := joinOthers(ctx, cfg, own, books, c.Figures, holder, log)
+		fleet, lines, err := joinOthers(ctx, cfg, own, books, c.Figures, holder, log)
 		if err != nil {
 			return err
 		}
 		defer func() { <-fleet }()
+		figures = lines
 		defer stop() // its last words are written before the process ends
 	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
@@ -226,6 +229,7 @@
 	}
 	if doors != nil {
 		door := admin.New(cfg.Site.Classes, c.Figures, holder, log)
+		door.Also(figures)
 		go door.Serve(doors)
 		defer door.Close()
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -40,6 +40,7 @@
 	holder  *Holder
 	log     *slog.Logger
 	server  *http.Server
+	more    func() []byte // further figures; nil = none
 }
 
 // New makes a door for the figures of classes, in the order of Site.Classes. A drain or its end goes to holder.
@@ -111,8 +112,14 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Write(Lines(d.classes, d.figures()))
+	if d.more != nil {
+		w.Write(d.more())
+	}
 }
 
+// Also has the figures end with those that more gives, which is called from any goroutine. It is set before Serve.
+func (d *Door) Also(more func() []byte) { d.more = more }
+
 // Lines writes figures as the operators read them: svc.ok.C, svc.shed.C, svc.errors.C, svc.tries.C for each
 // class C, then svc.active and the calls below, one name=value a line.
 func Lines(classes []string, f *core.Figures) []byte {
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -155,6 +155,17 @@
 	return &Change{Promote, *best}
 }
 
+// Gone derives the change that takes a member out of the log's members which the agreed state has no longer; nil =
+// there is none but perhaps self, which leads and cannot take itself out.
+func (s *State) Gone(self uint64) *Change {
+	for _, m := range s.Members {
+		if m.ID != self && s.Work.Box(m.Name) == nil {
+			return &Change{Remove, m}
+		}
+	}
+	return nil
+}
+
 // command is a normal entry of the log.
 type command struct {
 	Proposer uint64 // raft's id
--- a/internal/fleet/driver/client.go
+++ b/internal/fleet/driver/client.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"time"
 
+	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/link"
 )
 
@@ -36,3 +39,29 @@
 	}
 	return nil
 }
+
+// Would tells what follows from a plan, were it asked for now: its order and what the first box would wait for, as
+// far as the asked box's reports go. Nothing is changed.
+func Would(s Status, p takeout.Plan, now time.Time) (d struct {
+	Order []takeout.Place
+	Waits []takeout.Wait
+}, err error) {
+	work := takeout.State{Index: s.Index, Boxes: slices.Clone(s.Boxes), Plans: slices.Clone(s.Plans)}
+	if err := work.Apply(s.Index+1, &takeout.Entry{Kind: takeout.Propose, Plan: p}); err != nil {
+		return d, err
+	}
+	v := takeout.View{Now: now.UnixMilli(), Self: s.Leader, Silent: int64(s.SilentMs), Reports: s.Reports}
+	for range 2 { // its order first, then the grant
+		next := takeout.Next(&work, v)
+		d.Waits = slices.DeleteFunc(next.Waits, func(w takeout.Wait) bool { return w.Plan != p.ID })
+		for i := range next.Entries {
+			if e := &next.Entries[i]; e.Kind == takeout.Arrange && e.Plan.ID == p.ID {
+				d.Order = e.Order
+				if err := work.Apply(work.Index+1, e); err != nil {
+					return d, err
+				}
+			}
+		}
+	}
+	return d, nil
+}
--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -115,6 +116,57 @@
 	knocks   int
 	last     takeout.Decision
 	act      takeout.Act
+	shown    atomic.Pointer[Figures]
+}
+
+// Figures are what the door tells of the fleet, as this box sees it.
+type Figures struct {
+	Leader  bool // this box leads
+	Known   bool // a leader is known: a majority hears each other
+	Term    uint64
+	Index   uint64 // of the last entry applied
+	Members int
+	Voters  int
+	Out     int // boxes that are not in, by the log
+	Silent  int // members whose reports are missing, as a voter knows
+	Plans   int // that are not over
+	Phase   takeout.Phase
+}
+
+// Lines writes the figures as the door's /stats does. It is safe from any goroutine.
+func (d *Driver) Lines() []byte {
+	f := d.shown.Load()
+	if f == nil {
+		return nil
+	}
+	bit := map[bool]int{true: 1}
+	return fmt.Appendf(nil, "fleet.leader=%d\nfleet.known=%d\nfleet.term=%d\nfleet.index=%d\nfleet.members=%d\nfleet.voters=%d\nfleet.out=%d\nfleet.silent=%d\nfleet.plans=%d\nfleet.phase=%d\n",
+		bit[f.Leader], bit[f.Known], f.Term, f.Index, f.Members, f.Voters, f.Out, f.Silent, f.Plans, f.Phase)
+}
+
+// show publishes the figures.
+func (d *Driver) show(now time.Time) {
+	s := d.node.State()
+	f := &Figures{Index: s.Work.Index, Members: len(s.Members), Out: s.Work.Away(), Known: d.node.Leader() != 0}
+	f.Term, f.Leader = d.node.Leads()
+	me := s.Member(d.self.ID)
+	for _, m := range s.Members {
+		if m.Voter {
+			f.Voters++
+		}
+		if me != nil && me.Voter && !d.heard(s, m.ID, now) {
+			f.Silent++
+		}
+	}
+	for i := range s.Work.Plans {
+		if s.Work.Plans[i].State < takeout.Done {
+			f.Plans++
+		}
+	}
+	if b := s.Work.Box(d.self.Name); b != nil {
+		f.Phase = b.Phase
+	}
+	d.shown.Store(f)
 }
 
 // New opens the fleet's log of a box. addr is where the others reach it.
@@ -265,7 +317,11 @@
 			}
 		}
 	}
-	if d.ticks%actEach != 0 || member == nil {
+	if d.ticks%actEach != 0 {
+		return
+	}
+	d.show(now)
+	if member == nil {
 		return
 	}
 	if _, r := d.body.Look(); r.Warm != d.stood.Warm || r.Failing != d.stood.Failing { // somebody may wait for it
@@ -308,6 +364,10 @@
 	for _, m := range s.Members {
 		v.Voters[m.Name] = m.Voter
 	}
+	if c := s.Gone(d.self.ID); c != nil {
+		d.change(c)
+		return
+	}
 	if c := s.Voters(d.opt.Voters, func(id uint64) bool { return d.heard(s, id, now) }); c != nil {
 		d.change(c)
 		return
@@ -529,13 +589,14 @@
 	Plans       []takeout.Plan
 	Waits       []takeout.Wait            // of the leader alone
 	Reports     map[string]takeout.Report // as far as they come here
+	SilentMs    int                       // after which a box without a report is silent
 }
 
 func (d *Driver) status() Status {
 	s := d.node.State()
 	term, leads := d.node.Leads()
 	out := Status{Box: d.self.Name, Incarnation: d.inc, Term: term, Index: s.Work.Index, Self: d.act, Members: slices.Clone(s.Members),
-		Boxes: slices.Clone(s.Work.Boxes), Plans: slices.Clone(s.Work.Plans), Reports: map[string]takeout.Report{}}
+		Boxes: slices.Clone(s.Work.Boxes), Plans: slices.Clone(s.Work.Plans), Reports: map[string]takeout.Report{}, SilentMs: d.opt.SilentMs}
 	out.Digest, _ = s.Digest()
 	if m := s.Member(d.node.Leader()); m != nil {
 		out.Leader = m.Name
--- a/internal/fleet/takeout/apply.go
+++ b/internal/fleet/takeout/apply.go
@@ -21,13 +21,14 @@
 	Replan                   // its order is derived anew
 	Expire                   // its deadline has passed
 	WriteOff                 // a box that is not back is counted no longer
+	Leave                    // a box is a member no longer: it is gone for good
 )
 
 // Entry is one entry of the log. Which fields count depends on Kind.
 type Entry struct {
 	Kind        Kind
 	At          int64  // of the proposer's clock
-	Box         string // Join, Grant, Step, WriteOff
+	Box         string // Join, Grant, Step, WriteOff, Leave
 	Zone        string // Join
 	Incarnation uint64 // Grant, Step: which process of the box
 	Phase       Phase  // Step: the one that it enters; In = it is warm again
@@ -50,6 +51,8 @@
 		return s.step(index, e)
 	case WriteOff:
 		return s.writeOff(index, e)
+	case Leave:
+		return s.leave(e)
 	}
 	p := s.Plan(e.Plan.ID)
 	if p == nil {
@@ -270,6 +273,30 @@
 	return nil
 }
 
+// leave takes a box out of the fleet, on an operator's word, and out of all plans. One that lives all the same comes
+// again as a new member.
+func (s *State) leave(e *Entry) error {
+	b := s.Box(e.Box)
+	switch {
+	case b == nil:
+		return fmt.Errorf("box %q: %w", e.Box, ErrUnknown)
+	case e.By == "" || e.Why == "" || len(e.By) > maxName || len(e.Why) > maxReason:
+		return fmt.Errorf("box %s is written off by somebody, for some reason: %w", b.Name, ErrInvalid)
+	case len(s.Boxes) == 1:
+		return fmt.Errorf("box %s is the last: %w", b.Name, ErrInvalid)
+	}
+	is := func(name string) bool { return name == e.Box }
+	for i := range s.Plans {
+		p := &s.Plans[i]
+		p.Boxes = slices.DeleteFunc(slices.Clone(p.Boxes), is)
+		p.Gone = slices.DeleteFunc(slices.Clone(p.Gone), is)
+		p.Order = slices.DeleteFunc(slices.Clone(p.Order), func(x Place) bool { return is(x.Box) })
+	}
+	s.Boxes = slices.DeleteFunc(s.Boxes, func(x Box) bool { return is(x.Name) })
+	s.settle()
+	return nil
+}
+
 // settle moves plans on by what the boxes have done: those that wait for no other begin, in the order in which they
 // were proposed, and those with nothing left are done.
 func (s *State) settle() {
--- a/internal/fleet/takeout/takeout_test.go
+++ b/internal/fleet/takeout/takeout_test.go
@@ -282,6 +282,31 @@
 	}
 }
 
+// A box that is gone for good leaves the fleet and all plans, which end without it; nothing of it counts any longer.
+func TestABoxThatIsGoneForGood(t *testing.T) {
+	s := fleet(6, 3)
+	propose(s, "p", []string{"a1", "b1"}, 1)
+	lead(t, s, calm(s))
+	s.Apply(s.Index+1, &Entry{Kind: Step, Box: "a1", Incarnation: 1, Phase: Draining})
+	if err := s.Apply(s.Index+1, &Entry{Kind: Leave, Box: "a1", By: "staff"}); !errors.Is(err, ErrInvalid) {
+		t.Errorf("without a reason: %v", err)
+	}
+	if err := s.Apply(s.Index+1, &Entry{Kind: Leave, Box: "a1", By: "staff", Why: "scrapped"}); err != nil || s.Box("a1") != nil || s.Away() != 0 {
+		t.Fatalf("%v, %+v, %d away", err, s.Box("a1"), s.Away())
+	}
+	v := calm(s)
+	if granted, d := lead(t, s, v); !slices.Equal(granted, []string{"b1"}) {
+		t.Fatalf("granted %v, waits %v", granted, d.Waits)
+	}
+	work(t, s, v, "b1")
+	if p := s.Plan("p"); p.State != Done || !slices.Equal(p.Gone, []string{"b1"}) {
+		t.Errorf("%+v", p)
+	}
+	if err := s.Apply(s.Index+1, &Entry{Kind: Join, Box: "a1", Zone: "a"}); err != nil || s.Box("a1").Phase != In {
+		t.Errorf("it comes again: %v", err)
+	}
+}
+
 // What an operator cannot ask for is one error that says what holds, and changes nothing; the same again is no error.
 func TestWhatCannotBeAsked(t *testing.T) {
 	s := fleet(3, 3)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,7 +34,8 @@
 }
 
 const (
-	maxBoxes  = 64
+	maxBoxes  = 300
+	spare     = 8       // connections of others than the boxes: operators
 	MaxAnswer = 1 << 20 // bytes that are read of one
 	maxHead   = 8 << 10
 	// Within is how long a box has for one request, and for its answer.
@@ -44,6 +45,18 @@
 // ErrAnswer is a box that answers with something else than asked for.
 var ErrAnswer = errors.New("not an answer")
 
+// conns bounds the connections that others have to this box: one each, one that ends while the next begins, and those
+// of operators.
+func (o *Options) conns() int { return 2*len(o.Boxes) + spare }
+
+// Sockets is how many descriptors the link may take, both ways; 0 = there is none.
+func (o *Options) Sockets() int {
+	if o.Listen == "" {
+		return 0
+	}
+	return 1 + o.conns() + len(o.Boxes)
+}
+
 // Check finds what cannot be, naming the keys as those of a table.
 func (o *Options) Check(table string) error {
 	if o.Listen == "" {
@@ -139,7 +152,7 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(&limited{Listener: in, free: make(chan struct{}, 2*maxBoxes)})
+	s.Serve(&limited{Listener: in, free: make(chan struct{}, l.opt.conns())})
 }
 
 // limited bounds the connections that are open at a time; more are closed at once.
