A box of a fleet can be replaced, and serves on without a part when its files are damaged

driver.Part opens the fleet's part when the process before it has left the directory and the address (a replacement ended at start with "in use" before), and with foreign, damaged or newer files names them and leaves the box serving; before, the process did not start.

--- a/cmd/larchctl/dev.go
+++ b/cmd/larchctl/dev.go
@@ -9,8 +9,11 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
+	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
 	"larchscale/internal/standin"
@@ -24,6 +27,8 @@
 	Desks    float64       `default:"0.25" help:"The part that comes by desks that speak uwsgi."`
 	Work     time.Duration `default:"3ms" help:"How long a run takes."`
 	Faults   float64       `default:"0.2" help:"The part of sendings that fails at the collector."`
+	Boxes    int           `default:"1" help:"With 3 to 30: a fleet of so many processes is taken through a plan while requests flow."`
+	Zones    int           `default:"3" help:"Of that fleet."`
 	Home     string        `help:"Keep the files here; without it they go at the end." placeholder:"DIR"`
 }
 
@@ -49,6 +54,9 @@
 	if c.Requests < 1 || c.Lines < 1 || c.Lines > 64 || c.Faults < 0 || c.Faults >= 1 {
 		return badInput{errors.New("--requests, --lines or --faults is out of bounds")}
 	}
+	if c.Boxes != 1 && (c.Boxes < 3 || c.Boxes > 30) || c.Zones < 1 || c.Zones > 26 {
+		return badInput{errors.New("--boxes is 1 or 3 to 30, --zones 1 to 26")}
+	}
 	if c.Home == "" {
 		dir, err := os.MkdirTemp("", "larchscale-dev-")
 		if err != nil {
@@ -59,6 +67,9 @@
 	} else if err := os.MkdirAll(c.Home, 0o750); err != nil {
 		return err
 	}
+	if c.Boxes > 1 {
+		return c.fleet(con)
+	}
 	t, err := c.trial()
 	if err != nil {
 		return err
@@ -66,6 +77,61 @@
 	return con.whole(len(t.Differs) == 0 && t.Statement.Complete, t, t.text)
 }
 
+// taken is what a fleet's trial showed.
+type taken struct {
+	Boxes   int      `json:"boxes"`
+	Seconds float64  `json:"seconds"`
+	Gone    []string `json:"gone"`
+	Most    int      `json:"most_away"`
+	Sent    int64    `json:"sent"`
+	Served  int64    `json:"served"`
+	Unheard int64    `json:"unheard"`
+}
+
+// fleet takes a fleet of real processes through a plan, one box at a time, with balancer, staff and requests.
+func (c *devCmd) fleet(con *console) error {
+	f, err := standin.NewFleet(c.Program, c.Home, standin.FleetOptions{Boxes: c.Boxes, Zones: c.Zones, Voters: 3, DrainMs: 300, SilentMs: 1500, Work: c.Work})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	const long = 30 * time.Second
+	if err := f.Settle(long, 3); err != nil {
+		return err
+	}
+	f.Call(c.Lines)
+	ctx, stop := context.WithCancel(context.Background())
+	seen := make(chan *standin.Watch, 1)
+	go func() {
+		seen <- f.Staff(ctx, 100*time.Millisecond, func(s string) {
+			if !con.json {
+				fmt.Fprintln(con.out, s)
+			}
+		})
+	}()
+	began := time.Now()
+	err = f.Members[0].Say(ctx, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose,
+		Plan: takeout.Plan{ID: "dev", By: "larchctl", Reason: "a trial", Boxes: f.Names(), Most: 1}}})
+	var plan takeout.Plan
+	if err == nil {
+		plan, err = f.Over("dev", time.Duration(c.Boxes)*10*time.Second)
+	}
+	stop()
+	watch := <-seen
+	if err != nil {
+		return err
+	}
+	sum := f.Calls.Stop()
+	t := taken{c.Boxes, time.Since(began).Seconds(), plan.Gone, watch.Most, sum.Sent, sum.Served, sum.Unheard}
+	return con.whole(t.Most <= 1 && t.Unheard == 0 && len(watch.Faults) == 0, t, func(w io.Writer) {
+		fmt.Fprintf(w, "%d boxes were taken out one by one in %.1f s: %s\n", t.Boxes, t.Seconds, strings.Join(t.Gone, ", "))
+		fmt.Fprintf(w, "%d requests meanwhile, %d served, %d unheard; %d away at once\n", t.Sent, t.Served, t.Unheard, t.Most)
+		for _, x := range watch.Faults {
+			fmt.Fprintln(w, x)
+		}
+	})
+}
+
 // trial runs the real program beside stand-ins, has it serve, drains it and reads its ledger.
 func (c *devCmd) trial() (*trial, error) {
 	site, err := standin.NewSite(c.Work)
--- a/cmd/larchctl/fleet.go
+++ b/cmd/larchctl/fleet.go
@@ -198,7 +198,13 @@
 	if err != nil {
 		return err
 	}
-	return c.entry(con, takeout.Entry{Kind: takeout.Propose, Plan: p}, "plan "+c.Plan+" takes out "+strings.Join(p.Boxes, ", "))
+	done := "plan " + c.Plan + " takes out " + strings.Join(p.Boxes, ", ")
+	if would, err := driver.Would(s, p, time.Now()); err == nil {
+		for _, x := range would.Waits {
+			done += "; for now it waits: " + strings.TrimSpace(x.Box+" "+x.Why)
+		}
+	}
+	return c.entry(con, takeout.Entry{Kind: takeout.Propose, Plan: p}, done)
 }
 
 type membersCmd struct {
--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"larchscale/internal/admin"
@@ -35,27 +37,52 @@
 		go others.Run(ctx)
 	}
 	if own.Fleet.Dir != "" {
-		d, err := driver.New(own.Fleet, cfg.Name, way.Listen, way.Boxes, l, &body{figures: figures, holder: holder, guess: guess(cfg)}, log)
-		if err != nil {
-			return nil, nil, err
-		}
-		mux.Handle("/fleet/", d.Handler())
-		lines = d.Lines
+		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
+		part := driver.NewPart(func() (*driver.Driver, error) {
+			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Boxes, l, body, log)
+		}, log)
+		mux.Handle("/fleet/", part)
+		lines = part.Lines
 		go func() {
 			defer close(ended)
-			d.Run(ctx)
+			part.Run(ctx)
 		}()
 	} else {
 		close(ended)
 	}
 	in, err := l.Listen()
-	if err != nil {
+	switch {
+	case err == nil:
+		go l.Serve(ctx, in, mux)
+	case errors.Is(err, syscall.EADDRINUSE): // by the process that this one replaces
+		go listenOn(ctx, l, mux, log)
+	default:
 		return nil, nil, err
 	}
-	go l.Serve(ctx, in, mux)
 	return ended, lines, nil
 }
 
+// listenOn opens the way to the other boxes once its address is free.
+func listenOn(ctx context.Context, l *link.Link, h http.Handler, log *slog.Logger) {
+	for waits := false; ctx.Err() == nil; waits = true {
+		in, err := l.Listen()
+		if err == nil {
+			l.Serve(ctx, in, h)
+			return
+		}
+		if !waits {
+			log.Warn("link", "do", "listen", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(listenEach):
+		}
+	}
+}
+
+// listenEach is how often an address that is in use is asked for again.
+const listenEach = 250 * time.Millisecond
+
 // guess is what a box may carry before it was busy enough to tell: its part of all quotas.
 func guess(cfg *config.Config) float64 {
 	sum := 0.0
--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -55,13 +55,31 @@
 	if err != nil {
 		return err
 	}
+	type counted struct {
+		messages, bytes, other float64
+		err                    error
+	}
+	count := make(chan counted, 1)
+	go func() {
+		var x counted
+		x.messages, x.bytes, x.other, x.err = c.large()
+		count <- x
+	}()
 	if err := c.plans(r, f); err != nil {
 		return err
 	}
 	if err := c.leader(r, f); err != nil {
 		return err
 	}
-	return c.large(r, perMessage)
+	x := <-count
+	if x.err != nil {
+		return x.err
+	}
+	r.row(fmt.Sprintf("messages at the leader of %d", c.Large), x.messages, "1/s")
+	r.most(fmt.Sprintf("bytes at the leader of %d", c.Large), x.bytes/1024, "KB/s", 1024)
+	r.most(fmt.Sprintf("CPU of the leader of %d, counted", c.Large), 100*x.messages*perMessage, "% of a core", 15)
+	r.most(fmt.Sprintf("CPU of another of %d, counted", c.Large), 100*x.other*perMessage, "% of a core", 1)
+	return nil
 }
 
 // plans measures the worth kept without a plan, with one, and, while a box is dead, with a plan and with two scripts
@@ -315,8 +333,9 @@
 	return perMessage, err
 }
 
-// large counts what a fleet of many boxes says in an hour's minute with nothing to do, and at the leader.
-func (c fleetCmd) large(r *report, perMessage float64) error {
+// large counts, for a fleet of many boxes with nothing to do, the messages and bytes a second at its leader, and the
+// messages at another box.
+func (c fleetCmd) large() (messages, bytes, another float64, err error) {
 	nodes := map[uint64]*agree.Node{}
 	var id uint64
 	add := func(found bool) (*agree.Node, error) {
@@ -333,13 +352,13 @@
 		return n, err
 	}
 	first, err := add(true)
-	if err != nil {
-		return err
+	if err == nil {
+		err = first.Campaign()
 	}
-	if err := first.Campaign(); err != nil {
-		return err
+	if err != nil {
+		return 0, 0, 0, err
 	}
-	messages, size := map[uint64]int{}, 0
+	counts, size := map[uint64]int{}, 0
 	settle := func() error {
 		for busy := true; busy; {
 			busy = false
@@ -349,8 +368,8 @@
 					return err
 				}
 				for _, m := range out.Messages {
-					messages[from]++
-					messages[m.To]++
+					counts[from]++
+					counts[m.To]++
 					if from == 1 || m.To == 1 {
 						size += len(m.Data) + headers
 					}
@@ -370,29 +389,29 @@
 	}
 	for i := 1; i <= c.Large; i++ {
 		if err := settle(); err != nil {
-			return err
+			return 0, 0, 0, err
 		}
 		if i == c.Large {
 			break
 		}
 		n, err := add(false)
 		if err != nil {
-			return err
+			return 0, 0, 0, err
 		}
 		m := agree.Member{ID: n.ID(), Name: fmt.Sprint("n", id), Zone: string(rune('a' + i%3)), Addr: fmt.Sprint("n", id)}
 		if err := first.Change(&agree.Change{Kind: agree.Admit, Member: m}); err != nil {
-			return err
+			return 0, 0, 0, err
 		}
 		if err := settle(); err != nil {
-			return err
+			return 0, 0, 0, err
 		}
 		if i < 5 {
 			if err := first.Change(&agree.Change{Kind: agree.Promote, Member: m}); err != nil {
-				return err
+				return 0, 0, 0, err
 			}
 		}
 	}
-	clear(messages)
+	clear(counts)
 	size = 0
 	const seconds = 10
 	for range 10 * seconds {
@@ -400,18 +419,12 @@
 			n.Tick()
 		}
 		if err := settle(); err != nil {
-			return err
+			return 0, 0, 0, err
 		}
 	}
 	reports := c.Large - 1 // a second, to each voter
-	leader := float64(messages[1])/seconds + float64(reports)
 	size += seconds * reports * (reportSize + headers)
-	other := float64(messages[uint64(c.Large)])/seconds + 5
-	r.row(fmt.Sprintf("messages at the leader of %d", c.Large), leader, "1/s")
-	r.most(fmt.Sprintf("bytes at the leader of %d", c.Large), float64(size)/seconds/1024, "KB/s", 1024)
-	r.most(fmt.Sprintf("CPU of the leader of %d, counted", c.Large), 100*leader*perMessage, "% of a core", 15)
-	r.most(fmt.Sprintf("CPU of another of %d, counted", c.Large), 100*other*perMessage, "% of a core", 1)
-	return nil
+	return float64(counts[1])/seconds + float64(reports), float64(size) / seconds, float64(counts[uint64(c.Large)])/seconds + 5, nil
 }
 
 const (
--- a/internal/fleet/driver/fleet_test.go
+++ b/internal/fleet/driver/fleet_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -181,6 +182,50 @@
 	f.end(1)
 }
 
+// A box of a fleet is replaced process by process: the new one serves while the old one drains, takes the fleet's part
+// once that has ended, and is in again. One whose files are damaged serves without a part, and says so.
+func TestABoxOfAFleetIsReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 300, "")
+	m := f.Members[1]
+	was, err := m.State()
+	f.must(err)
+	next, err := m.Twin(filepath.Join(t.TempDir(), "next"), m.Site)
+	f.must(err)
+	f.must(next.Start())
+	defer next.Kill()
+	select {
+	case <-m.Term():
+	case <-time.After(5 * time.Second):
+		f.fatal("the old process does not end")
+	}
+	f.must(standin.Until("the new process is in", 15*time.Second, func() bool {
+		s, err := m.State()
+		k := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Name == m.Name })
+		return err == nil && s.Incarnation > was.Incarnation && k >= 0 && s.Boxes[k].Incarnation == s.Incarnation && s.Boxes[k].Phase == takeout.In
+	}))
+
+	broken := f.Members[2]
+	broken.Kill()
+	list, err := filepath.Glob(filepath.Join(broken.FleetDir(), "*"))
+	f.must(err)
+	for _, name := range list {
+		if b, err := os.ReadFile(name); err == nil && len(b) > 100 {
+			b[len(b)/2] ^= 0xff
+			f.must(os.WriteFile(name, b, 0o600))
+		}
+	}
+	f.must(broken.Start())
+	f.must(standin.Until("it says so", 5*time.Second, func() bool { return strings.Contains(broken.Log(), "do=open") }))
+	l, err := standin.DialLine(broken.Listen)
+	f.must(err)
+	defer l.Close()
+	if seen := l.Do(standin.Request{Handle: "00000000000000c1", Stand: standin.Stands[0], Class: standin.Classes[0], Body: "q", Budget: 5 * time.Second}); seen.End != "served" {
+		f.fatal("a box without a part: %+v", seen)
+	}
+	f.end(1)
+}
+
 // One plan after the other, each with a mishap in its middle; never more than one box is away by the fleet's word.
 func TestAFleetThroughMishaps(t *testing.T) {
 	t.Parallel()
@@ -232,6 +277,20 @@
 			f.must(m.Wipe())
 			f.must(m.Start())
 		}},
+		{"the disk of one is full", func(plan string) {
+			f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
+			m := f.Member("n4")
+			f.must(m.FullDisk())
+			f.must(standin.Until("it takes no part any longer", 20*time.Second, func() bool { return strings.Contains(m.Log(), "do=keep") }))
+			l, err := standin.DialLine(m.Listen)
+			f.must(err)
+			defer l.Close()
+			if seen := l.Do(standin.Request{Handle: "00000000000000d1", Stand: standin.Stands[0], Class: standin.Classes[0], Body: "q", Budget: 5 * time.Second}); seen.End != "served" {
+				f.fatal("a box with a full disk: %+v", seen)
+			}
+			m.Kill()
+			f.must(m.Start())
+		}},
 		{"a certificate is replaced", func(plan string) {
 			n := f.holder(plan, takeout.Granted, takeout.Draining, takeout.Out)
 			certs.New(t, dir, n, ca)
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Stands and Classes are those of every box here; the second class is keyed.
@@ -55,6 +57,7 @@
 	Admin         string // the operators' door
 	Tmp           string // its $TMPDIR: a twin shares it
 	program, home string
+	operator      string // the text of its operator's file, as given
 	cmd           *exec.Cmd
 	log           *tail
 	ended         chan struct{}
@@ -75,12 +78,13 @@
 // $TMPDIR, another door, uwsgi front and site under home.
 func (b *Box) Twin(home string, site *Site) (*Box, error) {
 	t := &Box{Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, log: &tail{}}
-	return t, t.write(site, "")
+	return t, t.write(site, b.operator)
 }
 
 // write gives the box its other addresses and writes its files.
 func (b *Box) write(site *Site, operator string) error {
 	name, home := b.Name, b.home
+	b.operator = operator
 	var err error
 	if b.Desk, err = FreeAddr(); err != nil {
 		return err
@@ -179,6 +183,12 @@
 // Pid is the process's.
 func (b *Box) Pid() int { return b.cmd.Process.Pid }
 
+// FullDisk has every write of the process to a file fail, as on a full disk, until it ends.
+func (b *Box) FullDisk() error {
+	none := unix.Rlimit{Cur: 0, Max: 0}
+	return unix.Prlimit(b.Pid(), unix.RLIMIT_FSIZE, &none, nil)
+}
+
 // Freeze stops the process where it is, and Thaw has it go on.
 func (b *Box) Freeze() { b.cmd.Process.Signal(syscall.SIGSTOP) }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -329,6 +329,9 @@
 	m.frozen = on
 }
 
+// FleetDir is where it keeps the fleet's log.
+func (m *Member) FleetDir() string { return m.dir }
+
 // Works tells how often staff have worked on the machine.
 func (m *Member) Works() int {
 	m.mu.Lock()
