--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -104,7 +104,7 @@
 }
 
 // Look implements driver.Body.
-func (b *body) Look() (takeout.Local, takeout.Report) {
+func (b *body) Look() takeout.Report {
 	f, now := b.figures(), time.Now()
 	if now.Sub(b.read) >= time.Second/2 {
 		served := uint64(0)
@@ -115,9 +115,7 @@
 		b.load, b.most = b.meter.Read(now.UnixMilli(), served, f.Use, b.guess)
 	}
 	warm := !f.WarmAt.IsZero() && !now.Before(f.WarmAt)
-	wanted := f.KeyedUntil.UnixMilli()
-	return takeout.Local{Warm: warm, Open: f.Active, KeyedUntil: wanted},
-		takeout.Report{Warm: warm, Open: f.Active, KeyedUntil: wanted, Load: b.load, Capacity: b.most, Failing: !f.Serves}
+	return takeout.Report{Warm: warm, Open: f.Active, KeyedUntil: f.KeyedUntil.UnixMilli(), Load: b.load, Capacity: b.most, Failing: !f.Serves}
 }
 
 // Hold implements driver.Body.
--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -78,8 +78,8 @@
 
 // Body is the box as the driver sees it. Its methods must not block.
 type Body interface {
-	// Look tells how the box stands. What the driver knows itself (incarnation, held) is left out.
-	Look() (takeout.Local, takeout.Report)
+	// Look tells how the box stands. What the driver knows itself (its incarnation, when) is left out.
+	Look() takeout.Report
 	// Hold has its health say no, or lets it say what it says by itself.
 	Hold(on bool)
 }
@@ -119,56 +119,6 @@
 	shown    atomic.Pointer[Figures]
 }
 
-// Figures are what the door tells of the fleet, as this box sees it.
-type Figures struct {
-	Leader  bool // this box leads
-	Known   bool // a leader is known: a majority hears each other
-	Term    uint64
-	Index   uint64 // of the last entry applied
-	Members int
-	Voters  int
-	Out     int // boxes that are not in, by the log
-	Silent  int // members whose reports are missing, as a voter knows
-	Plans   int // that are not over
-	Phase   takeout.Phase
-}
-
-// Lines writes the figures as the door's /stats does. It is safe from any goroutine.
-func (d *Driver) Lines() []byte {
-	f := d.shown.Load()
-	if f == nil {
-		return nil
-	}
-	bit := map[bool]int{true: 1}
-	return fmt.Appendf(nil, "fleet.leader=%d\nfleet.known=%d\nfleet.term=%d\nfleet.index=%d\nfleet.members=%d\nfleet.voters=%d\nfleet.out=%d\nfleet.silent=%d\nfleet.plans=%d\nfleet.phase=%d\n",
-		bit[f.Leader], bit[f.Known], f.Term, f.Index, f.Members, f.Voters, f.Out, f.Silent, f.Plans, f.Phase)
-}
-
-// show publishes the figures.
-func (d *Driver) show(now time.Time) {
-	s := d.node.State()
-	f := &Figures{Index: s.Work.Index, Members: len(s.Members), Out: s.Work.Away(), Known: d.node.Leader() != 0}
-	f.Term, f.Leader = d.node.Leads()
-	me := s.Member(d.self.ID)
-	for _, m := range s.Members {
-		if m.Voter {
-			f.Voters++
-		}
-		if me != nil && me.Voter && !d.heard(s, m.ID, now) {
-			f.Silent++
-		}
-	}
-	for i := range s.Work.Plans {
-		if s.Work.Plans[i].State < takeout.Done {
-			f.Plans++
-		}
-	}
-	if b := s.Work.Box(d.self.Name); b != nil {
-		f.Phase = b.Phase
-	}
-	d.shown.Store(f)
-}
-
 // New opens the fleet's log of a box. addr is where the others reach it.
 func New(opt Options, name, addr string, boxes []string, l *link.Link, body Body, log *slog.Logger) (*Driver, error) {
 	dir := wal.Dir(opt.Dir)
@@ -324,7 +274,7 @@
 	if member == nil {
 		return
 	}
-	if _, r := d.body.Look(); r.Warm != d.stood.Warm || r.Failing != d.stood.Failing { // somebody may wait for it
+	if r := d.body.Look(); r.Warm != d.stood.Warm || r.Failing != d.stood.Failing { // somebody may wait for it
 		d.report(ctx, now)
 	}
 	d.agent(now)
@@ -335,8 +285,8 @@
 
 // agent does what the log says of this box.
 func (d *Driver) agent(now time.Time) {
-	local, _ := d.body.Look()
-	local.Incarnation, local.DrainFor = d.inc, int64(d.opt.DrainMs)
+	r := d.body.Look()
+	local := takeout.Local{Incarnation: d.inc, Warm: r.Warm, Open: r.Open, KeyedUntil: r.KeyedUntil, DrainFor: int64(d.opt.DrainMs)}
 	if !d.heldAt.IsZero() {
 		local.Held = d.heldAt.UnixMilli()
 	}
@@ -394,7 +344,7 @@
 		return true
 	}
 	r, ok := d.reports[m.Name]
-	return ok && now.UnixMilli()-r.Heard <= int64(d.opt.SilentMs)
+	return ok && r.Fresh(now.UnixMilli(), int64(d.opt.SilentMs))
 }
 
 func (d *Driver) change(c *agree.Change) {
@@ -486,7 +436,7 @@
 
 // report tells all voters how this box stands: the leader is one of them, and the next one too.
 func (d *Driver) report(ctx context.Context, now time.Time) {
-	_, r := d.body.Look()
+	r := d.body.Look()
 	r.Incarnation, r.Heard = d.inc, now.UnixMilli()
 	d.reports[d.self.Name], d.stood = r, r
 	data, err := cbor.Marshal(said{d.self.ID, r})
--- a/internal/fleet/takeout/next.go
+++ b/internal/fleet/takeout/next.go
@@ -18,6 +18,9 @@
 	KeyedUntil  int64
 }
 
+// Fresh tells that a report is no older than what makes a box silent.
+func (r Report) Fresh(now, silent int64) bool { return now-r.Heard <= silent }
+
 // View is what the leader knows beside the agreed state.
 type View struct {
 	Now     int64
@@ -30,7 +33,7 @@
 // heard gives a box's report; false = it is silent, or the report is of another process than the log's.
 func (v *View) heard(b *Box) (Report, bool) {
 	r, ok := v.Reports[b.Name]
-	return r, ok && v.Now-r.Heard <= v.Silent && (b.Incarnation == 0 || r.Incarnation == b.Incarnation)
+	return r, ok && r.Fresh(v.Now, v.Silent) && (b.Incarnation == 0 || r.Incarnation == b.Incarnation)
 }
 
 // Wait tells what a plan waits for.
