--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -61,7 +61,7 @@
 const (
 	tick            = 100 * time.Millisecond
 	reportEach      = 10 // ticks
-	actEach         = 3
+	actEach         = 2
 	sayEach         = 10               // a proposal that is not in the log yet is made again
 	maxQueue        = 1024             // of what came from outside
 	maxFrames       = 256              // waiting for one box
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-const perSecond = 5 // lines of one message; a flood of bad input must not fill the log
+const perSecond = 5 // lines of one message at one level; a flood of bad input must not fill the log
 
-// Handler passes on lines, but of one message only so many a second. The first line of the next second
+// Handler passes on lines, but of one message at one level only so many a second. The first line of the next second
 // tells how many were left out.
 type Handler struct {
 	slog.Handler
@@ -20,7 +20,13 @@
 
 type limits struct {
 	mu   sync.Mutex
-	seen map[string]*count
+	seen map[kind]*count
+}
+
+// kind is what shares a bound: an error has its place whatever its message says at lower levels.
+type kind struct {
+	level   slog.Level
+	message string
 }
 
 type count struct {
@@ -30,12 +36,12 @@
 
 // New writes to out.
 func New(out io.Writer) *Handler {
-	return &Handler{slog.NewTextHandler(out, nil), &limits{seen: map[string]*count{}}}
+	return &Handler{slog.NewTextHandler(out, nil), &limits{seen: map[kind]*count{}}}
 }
 
 // Handle writes a line, or counts it as left out.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
-	left, ok := h.shared.take(r.Message, r.Time)
+	left, ok := h.shared.take(kind{r.Level, r.Message}, r.Time)
 	if !ok {
 		return nil
 	}
@@ -45,15 +51,15 @@
 	return h.Handler.Handle(ctx, r)
 }
 
-// take asks for room for a line of a message, and tells how many had none before it. Messages are the
-// program's own constants, so that the map stays small.
-func (l *limits) take(message string, now time.Time) (left int, ok bool) {
+// take asks for room for a line of a kind, and tells how many had none before it. Messages are the program's own
+// constants, so that the map stays small.
+func (l *limits) take(k kind, now time.Time) (left int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.seen[message]
+	c := l.seen[k]
 	if c == nil {
 		c = &count{from: now}
-		l.seen[message] = c
+		l.seen[k] = c
 	}
 	if now.Sub(c.from) >= time.Second {
 		left = c.out
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -27,3 +27,16 @@
 		t.Error(got)
 	}
 }
+
+// An error is written also after a flood of its message at a lower level.
+func TestAnErrorHasItsPlace(t *testing.T) {
+	var out bytes.Buffer
+	h, at := New(&out), time.Unix(1000, 0)
+	for range 20 {
+		h.Handle(context.Background(), slog.NewRecord(at, slog.LevelInfo, "fleet", 0))
+	}
+	h.Handle(context.Background(), slog.NewRecord(at, slog.LevelError, "fleet", 0))
+	if text := out.String(); strings.Count(text, "level=INFO") != perSecond || !strings.Contains(text, "level=ERROR") {
+		t.Errorf("written:\n%s", text)
+	}
+}
