One piece each for what the fleet's change had written twice; staff end with their fleet

Read once more. takeout.State.Clone serves Would, a box's status (which holds a State now), the simulation and the tests; link.Options.Others reads "name=host:port" for the ledger's peers and the fleet; Fleet.Staff gives its finish and ends with Close (a test that failed left staff behind, who could start a process again), Fleet.same, Look, Propose and Health serve tests, larchctl dev and measure; larchctl plan and take-out share how they ask, status and members how they print; measure's programs share built.

--- a/cmd/larchctl/dev.go
+++ b/cmd/larchctl/dev.go
@@ -12,7 +12,6 @@
 	"strings"
 	"time"
 
-	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
@@ -95,29 +94,22 @@
 		return err
 	}
 	defer f.Close()
-	const long = 30 * time.Second
-	if err := f.Settle(long, 3); err != nil {
+	if err := f.Settle(30*time.Second, 3); err != nil {
 		return err
 	}
 	f.Call(c.Lines)
-	ctx, stop := context.WithCancel(context.Background())
-	seen := make(chan *standin.Watch, 1)
-	go func() {
-		seen <- f.Staff(ctx, 100*time.Millisecond, func(s string) {
-			if !con.json {
-				fmt.Fprintln(con.out, s)
-			}
-		})
-	}()
+	finish := f.Staff(100*time.Millisecond, func(s string) {
+		if !con.json {
+			fmt.Fprintln(con.out, s)
+		}
+	})
 	began := time.Now()
-	err = f.Members[0].Say(ctx, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose,
-		Plan: takeout.Plan{ID: "dev", By: "larchctl", Reason: "a trial", Boxes: f.Names(), Most: 1}}})
+	err = f.Members[0].Propose(context.Background(), takeout.Plan{ID: "dev", By: "larchctl", Reason: "a trial", Boxes: f.Names(), Most: 1})
 	var plan takeout.Plan
 	if err == nil {
 		plan, err = f.Over("dev", time.Duration(c.Boxes)*10*time.Second)
 	}
-	stop()
-	watch := <-seen
+	watch := finish()
 	if err != nil {
 		return err
 	}
--- a/cmd/larchctl/fleet.go
+++ b/cmd/larchctl/fleet.go
@@ -168,8 +168,12 @@
 	Reason  string        `help:"What for." required:""`
 }
 
-func (c *which) plan(s driver.Status) (takeout.Plan, error) {
-	p := takeout.Plan{ID: c.Plan, By: c.By, Reason: c.Reason, Boxes: c.Boxes, Most: c.Most, Floor: c.Floor}
+// plan asks how the fleet stands, and makes the plan of it.
+func (c *which) plan() (s driver.Status, p takeout.Plan, err error) {
+	if s, err = c.state(); err != nil {
+		return s, p, err
+	}
+	p = takeout.Plan{ID: c.Plan, By: c.By, Reason: c.Reason, Boxes: c.Boxes, Most: c.Most, Floor: c.Floor}
 	if c.Within > 0 {
 		p.Deadline = time.Now().Add(c.Within).UnixMilli()
 	}
@@ -179,10 +183,10 @@
 		}
 	}
 	if len(p.Boxes) == 0 {
-		return p, badInput{fmt.Errorf("zone %q has no boxes", c.Zone)}
+		return s, p, badInput{fmt.Errorf("zone %q has no boxes", c.Zone)}
 	}
 	slices.Sort(p.Boxes)
-	return p, nil
+	return s, p, nil
 }
 
 type takeOutCmd struct {
@@ -190,11 +194,7 @@
 }
 
 func (c *takeOutCmd) Run(con *console) error {
-	s, err := c.state()
-	if err != nil {
-		return err
-	}
-	p, err := c.plan(s)
+	s, p, err := c.plan()
 	if err != nil {
 		return err
 	}
@@ -230,7 +230,7 @@
 				part = "leader"
 			}
 			if r, ok := s.Reports[m.Name]; ok {
-				heard = time.Since(time.UnixMilli(r.Heard)).Round(100 * time.Millisecond).String()
+				heard = ago(r, time.Now())
 			}
 			rows = append(rows, []string{m.Zone, m.Name, fmt.Sprintf("%x", m.ID), m.Addr, part, heard})
 		}
@@ -244,11 +244,7 @@
 }
 
 func (c *planCmd) Run(con *console) error {
-	s, err := c.state()
-	if err != nil {
-		return err
-	}
-	p, err := c.plan(s)
+	s, p, err := c.plan()
 	if err != nil {
 		return err
 	}
@@ -257,9 +253,7 @@
 		return badInput{err}
 	}
 	return con.print(would, func(w io.Writer) {
-		for i, x := range would.Order {
-			fmt.Fprintf(w, "  %d. %s: %s\n", i+1, x.Box, x.Why)
-		}
+		places(w, would.Order)
 		for _, x := range would.Waits {
 			fmt.Fprintln(w, strings.TrimSpace("would wait: "+x.Box)+": "+x.Why)
 		}
@@ -285,13 +279,12 @@
 		if err != nil { // the box may be the one that is out: its process comes back
 			continue
 		}
-		k := slices.IndexFunc(s.Plans, func(p takeout.Plan) bool { return p.ID == c.Plan })
-		if k < 0 {
+		p := s.State.Plan(c.Plan)
+		if p == nil {
 			return badInput{fmt.Errorf("plan %q: %w", c.Plan, takeout.ErrUnknown)}
 		}
-		p := s.Plans[k]
 		if !con.json {
-			shown.show(con.out, progress(s, p))
+			shown.show(con.out, progress(s, *p))
 		}
 		if p.State < takeout.Done {
 			continue
@@ -355,6 +348,18 @@
 	return con.whole(s.Leader != "", s, func(w io.Writer) { fleetStatus(w, s, time.Now()) })
 }
 
+// ago tells how long ago a box was heard of.
+func ago(r takeout.Report, now time.Time) string {
+	return now.Sub(time.UnixMilli(r.Heard)).Round(100 * time.Millisecond).String()
+}
+
+// places writes an order.
+func places(w io.Writer, order []takeout.Place) {
+	for i, x := range order {
+		fmt.Fprintf(w, "  %d. %s: %s\n", i+1, x.Box, x.Why)
+	}
+}
+
 // fleetStatus writes how a fleet stands, by zone.
 func fleetStatus(w io.Writer, s driver.Status, now time.Time) {
 	leader := "no leader is known"
@@ -368,7 +373,7 @@
 		row := []string{b.Zone, b.Name, b.Phase.String(), name(b.Plan), "-", "-", "-", "-", b.WrittenOff}
 		if r, ok := s.Reports[b.Name]; ok {
 			row[4], row[5], row[6] = fmt.Sprintf("%.0f", r.Load), fmt.Sprintf("%.0f", r.Capacity), fmt.Sprint(r.Open)
-			row[7] = now.Sub(time.UnixMilli(r.Heard)).Round(100 * time.Millisecond).String()
+			row[7] = ago(r, now)
 			if !r.Warm {
 				row[8] = strings.TrimSpace("cold " + row[8])
 			}
@@ -378,9 +383,7 @@
 	table(w, rows)
 	for _, p := range s.Plans {
 		fmt.Fprintf(w, "plan %s by %s (%s): %s, %d of %d done, at most %d missing, floor %.2f\n", p.ID, p.By, p.Reason, p.State, len(p.Gone), len(p.Boxes), p.Most, p.Floor)
-		for i, x := range p.Order {
-			fmt.Fprintf(w, "  %d. %s: %s\n", i+1, x.Box, x.Why)
-		}
+		places(w, p.Order)
 	}
 	for _, x := range s.Waits {
 		fmt.Fprintln(w, strings.TrimSpace("waits: plan "+x.Plan+" "+x.Box)+": "+x.Why)
--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -39,7 +39,7 @@
 	if own.Fleet.Dir != "" {
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		part := driver.NewPart(func() (*driver.Driver, error) {
-			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Boxes, l, body, log)
+			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Others(), l, body, log)
 		}, log)
 		mux.Handle("/fleet/", part)
 		lines = part.Lines
--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -33,15 +33,11 @@
 // Run measures a plan over real processes beside scripts that know nothing, a change of leader, and what the fleet's
 // part costs a box.
 func (c fleetCmd) Run(r *report) error {
-	home, err := os.MkdirTemp("", "measure-fleet-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(home)
-	program, err := standin.Build(home)
+	home, program, clean, err := built()
 	if err != nil {
 		return err
 	}
+	defer clean()
 	f, err := standin.NewFleet(program, filepath.Join(home, "fleet"), standin.FleetOptions{Boxes: c.Boxes, Zones: 3, Voters: 3, DrainMs: 300,
 		SilentMs: 1500, Work: 2 * time.Millisecond})
 	if err != nil {
@@ -99,20 +95,18 @@
 	}
 	r.row("worth kept, no plan", calm, "share")
 
-	ctx, stop := context.WithCancel(context.Background())
-	seen := make(chan *standin.Watch, 1)
-	go func() { seen <- f.Staff(ctx, 100*time.Millisecond, func(string) {}) }()
+	ctx := context.Background()
+	quiet := func(string) {}
+	finish := f.Staff(100*time.Millisecond, quiet)
 	began := time.Now()
 	kept, err := share(func() error {
-		if err := f.Members[0].Say(ctx, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose,
-			Plan: takeout.Plan{ID: "disks", By: "measure", Reason: "measure", Boxes: f.Names(), Most: 1}}}); err != nil {
+		if err := f.Members[0].Propose(ctx, takeout.Plan{ID: "disks", By: "measure", Reason: "measure", Boxes: f.Names(), Most: 1}); err != nil {
 			return err
 		}
 		_, err := f.Over("disks", 45*time.Second)
 		return err
 	})
-	stop()
-	watch := <-seen
+	watch := finish()
 	if err != nil {
 		return err
 	}
@@ -122,14 +116,12 @@
 
 	sick := f.Members[len(f.Members)-1]
 	few := f.Members[:2] // of the scripts; the plan takes the first
-	ctx, stop = context.WithCancel(context.Background())
-	go func() { seen <- f.Staff(ctx, 100*time.Millisecond, func(string) {}) }()
+	finish = f.Staff(100*time.Millisecond, quiet)
 	missing := c.missing(f)
 	sick.Kill()
 	time.Sleep(2 * time.Second) // its silence is known
 	kept, err = share(func() error {
-		if err := f.Members[1].Say(ctx, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose,
-			Plan: takeout.Plan{ID: "again", By: "measure", Reason: "measure", Boxes: []string{few[0].Name}, Most: 1}}}); err != nil {
+		if err := f.Members[1].Propose(ctx, takeout.Plan{ID: "again", By: "measure", Reason: "measure", Boxes: []string{few[0].Name}, Most: 1}); err != nil {
 			return err
 		}
 		time.Sleep(2 * time.Second) // it holds
@@ -139,8 +131,7 @@
 		_, err := f.Over("again", 30*time.Second)
 		return err
 	})
-	stop()
-	<-seen
+	finish()
 	if err != nil {
 		return err
 	}
@@ -176,19 +167,12 @@
 				return
 			case <-time.After(50 * time.Millisecond):
 			}
-			var mu sync.Mutex
-			var looks sync.WaitGroup
 			n := 0
-			for _, m := range f.Members {
-				looks.Go(func() {
-					if code, err := call(http.MethodGet, m.Admin, "/healthcheck"); err != nil || code != http.StatusOK {
-						mu.Lock()
-						defer mu.Unlock()
-						n++
-					}
-				})
+			for _, gone := range f.Look(func(m *standin.Member) bool { return standin.Health(m.Admin) != http.StatusOK }) {
+				if gone {
+					n++
+				}
 			}
-			looks.Wait()
 			most = max(most, n)
 		}
 	}()
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"larchscale/internal/standin"
 )
 
 type cli struct {
@@ -31,6 +33,17 @@
 	}
 }
 
+// built makes a directory with the real program in it, until clean is called.
+func built() (home, program string, clean func(), err error) {
+	if home, err = os.MkdirTemp("", "larchscale-measure-"); err != nil {
+		return "", "", nil, err
+	}
+	if program, err = standin.Build(home); err != nil {
+		os.RemoveAll(home)
+	}
+	return home, program, func() { os.RemoveAll(home) }, err
+}
+
 // report prints rows and notes whether one is past its bound.
 type report struct{ past bool }
 
--- a/cmd/measure/ops.go
+++ b/cmd/measure/ops.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -19,15 +18,11 @@
 
 // Run measures the operators' door, its drain and a handoff between two real processes on one address.
 func (c opsCmd) Run(r *report) error {
-	home, err := os.MkdirTemp("", "measure-ops-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(home)
-	program, err := standin.Build(home)
+	home, program, clean, err := built()
 	if err != nil {
 		return err
 	}
+	defer clean()
 	sites := [2]*standin.Site{}
 	for i := range sites {
 		if sites[i], err = standin.NewSite(5 * time.Millisecond); err != nil {
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -112,14 +112,6 @@
 		}
 		history = append(history, porcupine.Operation{ClientId: len(history), Input: o.entry, Call: o.call, Output: o.err, Return: ret})
 	}
-	copied := func(s takeout.State) takeout.State {
-		s.Boxes, s.Plans = slices.Clone(s.Boxes), slices.Clone(s.Plans)
-		for i := range s.Plans {
-			p := &s.Plans[i]
-			p.Boxes, p.Gone, p.Order = slices.Clone(p.Boxes), slices.Clone(p.Gone), slices.Clone(p.Order)
-		}
-		return s
-	}
 	model := porcupine.Model{
 		Init: func() any { return w.from },
 		Step: func(state, input, output any) (bool, any) {
@@ -128,7 +120,7 @@
 			if errors.Is(err, ErrStale) {
 				return true, was
 			}
-			s, e := copied(was), input.(takeout.Entry)
+			s, e := was.Clone(), input.(takeout.Entry)
 			got := s.Apply(0, &e)
 			if s.Index = 0; got != nil {
 				s = was
@@ -529,8 +521,7 @@
 func history(t *testing.T, seed uint64, n, some int) {
 	w := newWorld(t, seed, n, 3)
 	w.until("all in", 3000+100*n, w.ready)
-	w.from, w.since = w.boxes[0].node.State().Work, len(w.ops)
-	w.from.Boxes, w.from.Plans = slices.Clone(w.from.Boxes), nil
+	w.from, w.since = w.boxes[0].node.State().Work.Clone(), len(w.ops)
 	at := w.rnd.IntN(n)
 	plan := takeout.Plan{ID: "disks", By: "staff", Reason: "new disks", Most: most, Floor: 0.1}
 	for _, b := range w.boxes[:cmp.Or(some, n)] {
--- a/internal/fleet/driver/client.go
+++ b/internal/fleet/driver/client.go
@@ -46,7 +46,7 @@
 	Order []takeout.Place
 	Waits []takeout.Wait
 }, err error) {
-	work := takeout.State{Index: s.Index, Boxes: slices.Clone(s.Boxes), Plans: slices.Clone(s.Plans)}
+	work := s.State.Clone()
 	if err := work.Apply(s.Index+1, &takeout.Entry{Kind: takeout.Propose, Plan: p}); err != nil {
 		return d, err
 	}
--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -88,7 +88,7 @@
 type Driver struct {
 	opt   Options
 	self  agree.Member
-	boxes []string          // "name=host:port", who to knock at
+	boxes []link.Box        // who to knock at
 	ways  map[string]string // by name, how this box reaches others; who is not in it is reached where the log says
 	link  *link.Link
 	body  Body
@@ -120,7 +120,7 @@
 }
 
 // New opens the fleet's log of a box. addr is where the others reach it.
-func New(opt Options, name, addr string, boxes []string, l *link.Link, body Body, log *slog.Logger) (*Driver, error) {
+func New(opt Options, name, addr string, boxes []link.Box, l *link.Link, body Body, log *slog.Logger) (*Driver, error) {
 	dir := wal.Dir(opt.Dir)
 	if err := dir.Make(); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
@@ -131,9 +131,7 @@
 	}
 	ways := map[string]string{}
 	for _, b := range boxes {
-		if other, way, ok := strings.Cut(b, "="); ok {
-			ways[other] = way
-		}
+		ways[b.Name] = b.Addr
 	}
 	d := &Driver{opt: opt, self: agree.Member{Name: name, Zone: opt.Zone, Addr: addr}, boxes: boxes, ways: ways, link: l, body: body, log: log, lock: lock,
 		in: make(chan func(), maxQueue), done: make(chan struct{}), reports: map[string]takeout.Report{}, lines: map[uint64]*line{}, waiting: map[uint64]pending{}, knocks: rand.IntN(max(1, len(boxes)))}
@@ -337,10 +335,11 @@
 // heard tells that a member's reports are new.
 func (d *Driver) heard(s *agree.State, id uint64, now time.Time) bool {
 	m := s.Member(id)
-	if m == nil {
-		return false
-	}
-	if id == d.self.ID {
+	return m != nil && d.fresh(m, now)
+}
+
+func (d *Driver) fresh(m *agree.Member, now time.Time) bool {
+	if m.ID == d.self.ID {
 		return true
 	}
 	r, ok := d.reports[m.Name]
@@ -457,11 +456,11 @@
 		return
 	}
 	d.knocks++
-	name, addr, _ := strings.Cut(d.boxes[d.knocks%len(d.boxes)], "=")
+	b := d.boxes[d.knocks%len(d.boxes)]
 	if d.knocking != nil {
 		d.knocking.close()
 	}
-	d.knocking = newLine(ctx, d, name, addr, 0)
+	d.knocking = newLine(ctx, d, b.Name, b.Addr, 0)
 	d.knocking.tell("/fleet/knock", d.hello)
 }
 
@@ -531,22 +530,20 @@
 	Incarnation uint64
 	Leader      string
 	Term        uint64
-	Index       uint64
 	Digest      uint64
 	Self        takeout.Act
 	Members     []agree.Member
-	Boxes       []takeout.Box
-	Plans       []takeout.Plan
-	Waits       []takeout.Wait            // of the leader alone
-	Reports     map[string]takeout.Report // as far as they come here
-	SilentMs    int                       // after which a box without a report is silent
+	takeout.State
+	Waits    []takeout.Wait            // of the leader alone
+	Reports  map[string]takeout.Report // as far as they come here
+	SilentMs int                       // after which a box without a report is silent
 }
 
 func (d *Driver) status() Status {
 	s := d.node.State()
 	term, leads := d.node.Leads()
-	out := Status{Box: d.self.Name, Incarnation: d.inc, Term: term, Index: s.Work.Index, Self: d.act, Members: slices.Clone(s.Members),
-		Boxes: slices.Clone(s.Work.Boxes), Plans: slices.Clone(s.Work.Plans), Reports: map[string]takeout.Report{}, SilentMs: d.opt.SilentMs}
+	out := Status{Box: d.self.Name, Incarnation: d.inc, Term: term, Self: d.act, Members: slices.Clone(s.Members),
+		State: s.Work.Clone(), Reports: map[string]takeout.Report{}, SilentMs: d.opt.SilentMs}
 	out.Digest, _ = s.Digest()
 	if m := s.Member(d.node.Leader()); m != nil {
 		out.Leader = m.Name
--- a/internal/fleet/driver/driver_test.go
+++ b/internal/fleet/driver/driver_test.go
@@ -46,7 +46,7 @@
 	b.link = l
 	o := Defaults()
 	o.Dir, o.Zone, o.DrainMs = b.dir, b.zone, 300
-	d, err := New(o, b.name, b.addr, b.others, l, &b.body, log)
+	d, err := New(o, b.name, b.addr, (&link.Options{Boxes: b.others}).Others(), l, &b.body, log)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/fleet/driver/figures.go
+++ b/internal/fleet/driver/figures.go
@@ -42,7 +42,7 @@
 		if m.Voter {
 			f.Voters++
 		}
-		if me != nil && me.Voter && !d.heard(s, m.ID, now) {
+		if me != nil && me.Voter && !d.fresh(&m, now) {
 			f.Silent++
 		}
 	}
--- a/internal/fleet/driver/fleet_test.go
+++ b/internal/fleet/driver/fleet_test.go
@@ -21,6 +21,7 @@
 )
 
 var (
+	script  = flag.String("script", "", "a file with the script to play in the place of those drawn")
 	scripts = flag.Uint64("scripts", 5, "how many fault scripts TestAPlanThroughAScriptOfFaults plays")
 	program string
 )
@@ -73,7 +74,7 @@
 	p.By, p.Reason = "staff", "new disks"
 	slices.Sort(p.Boxes)
 	return standin.Until("plan "+p.ID+" is taken", 20*time.Second, func() bool {
-		return f.Member(at).Say(context.Background(), driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: p}}) == nil
+		return f.Member(at).Propose(context.Background(), p) == nil
 	})
 }
 
@@ -117,13 +118,7 @@
 	}
 	t.Cleanup(f.Close)
 	f.must(f.Settle(30*time.Second, 5))
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan *standin.Watch, 1)
-	go func() { done <- f.Staff(ctx, 100*time.Millisecond, f.note) }()
-	f.finish = func() *standin.Watch {
-		stop()
-		return <-done
-	}
+	f.finish = f.Staff(100*time.Millisecond, f.note)
 	return f
 }
 
@@ -201,8 +196,8 @@
 	}
 	f.must(standin.Until("the new process is in", 15*time.Second, func() bool {
 		s, err := m.State()
-		k := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Name == m.Name })
-		return err == nil && s.Incarnation > was.Incarnation && k >= 0 && s.Boxes[k].Incarnation == s.Incarnation && s.Boxes[k].Phase == takeout.In
+		b := s.State.Box(m.Name)
+		return err == nil && s.Incarnation > was.Incarnation && b != nil && b.Incarnation == s.Incarnation && b.Phase == takeout.In
 	}))
 
 	broken := f.Members[2]
@@ -352,7 +347,8 @@
 	}
 }
 
-// A plan goes through a script of faults, and ends once all is mended. A seed that fails prints its script.
+// A plan goes through a script of faults, and ends once all is mended. A seed that fails prints its script, which
+// -script FILE plays again.
 func TestAPlanThroughAScriptOfFaults(t *testing.T) {
 	for seed := range *scripts {
 		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
@@ -360,6 +356,17 @@
 			f := newFleet(t, 300, "")
 			f.must(f.ask("n1", takeout.Plan{ID: "disks", Boxes: f.Names(), Most: 2}))
 			s := faultnet.Draw(seed+1, f.Names(), 40)
+			if *script != "" {
+				text, err := os.ReadFile(*script)
+				f.must(err)
+				s, err = faultnet.Parse(string(text))
+				f.must(err)
+			}
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("the script:\n%s", s)
+				}
+			})
 			f.must(s.Play(t.Context(), f.Net, hands{f}, func(x faultnet.Step) { f.note(x.String()) }))
 			f.Net.Heal()
 			f.note("all is mended")
--- a/internal/fleet/driver/http.go
+++ b/internal/fleet/driver/http.go
@@ -19,6 +19,9 @@
 // maxNote bounds a report, a knock and a command.
 const maxNote = 64 << 10
 
+// noPart is what a box says whose part in the fleet has ended, or not begun.
+const noPart = "this box takes no part in the fleet now"
+
 // Word is an operator's command as it is sent: found, or an entry.
 type Word struct {
 	Found bool
@@ -71,7 +74,7 @@
 			case <-r.Context().Done():
 			}
 		}
-		http.Error(w, "this box takes no part in the fleet now", http.StatusServiceUnavailable)
+		http.Error(w, noPart, http.StatusServiceUnavailable)
 	})
 	mux.HandleFunc("POST /fleet/command", d.commanded)
 	return mux
@@ -115,7 +118,7 @@
 		return
 	}
 	got := make(chan error, 1)
-	err := errors.New("this box takes no part in the fleet now")
+	err := errors.New(noPart)
 	if d.enter(func() {
 		if word.Found {
 			got <- d.found()
--- a/internal/fleet/driver/part.go
+++ b/internal/fleet/driver/part.go
@@ -63,7 +63,7 @@
 		s.handler.ServeHTTP(w, r)
 		return
 	}
-	http.Error(w, "this box takes no part in the fleet now", http.StatusServiceUnavailable)
+	http.Error(w, noPart, http.StatusServiceUnavailable)
 }
 
 // Lines are the figures of the fleet for the door.
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -135,6 +135,16 @@
 	ErrOver    = errors.New("the plan is over")
 )
 
+// Clone gives a state that shares nothing with this one.
+func (s *State) Clone() State {
+	out := State{s.Index, slices.Clone(s.Boxes), slices.Clone(s.Plans)}
+	for i := range out.Plans {
+		p := &out.Plans[i]
+		p.Boxes, p.Gone, p.Order = slices.Clone(p.Boxes), slices.Clone(p.Gone), slices.Clone(p.Order)
+	}
+	return out
+}
+
 // Box gives a box by its name; nil = unknown.
 func (s *State) Box(name string) *Box {
 	i, ok := slices.BinarySearchFunc(s.Boxes, name, func(b Box, n string) int { return compare(b.Name, n) })
--- a/internal/fleet/takeout/takeout_test.go
+++ b/internal/fleet/takeout/takeout_test.go
@@ -163,8 +163,7 @@
 		for _, e := range Next(s, v).Entries { // the order is there
 			s.Apply(s.Index+1, &e)
 		}
-		before := *s
-		before.Boxes, before.Plans = slices.Clone(s.Boxes), slices.Clone(s.Plans)
+		before := s.Clone()
 		k.set(s, &v)
 		granted, d := lead(t, s, v)
 		if len(granted) > 0 || len(d.Waits) != 1 || !strings.Contains(d.Waits[0].Why, k.why) {
@@ -416,7 +415,7 @@
 						apply(e)
 					}
 				}
-				c := State{Index: s.Index, Boxes: slices.Clone(s.Boxes), Plans: slices.Clone(s.Plans)}
+				c := s.Clone()
 				old = &c
 			case 6, 7, 8, 9:
 				b := s.Box(pick())
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -45,6 +45,18 @@
 // ErrAnswer is a box that answers with something else than asked for.
 var ErrAnswer = errors.New("not an answer")
 
+// Box is another box, and how it is reached.
+type Box struct{ Name, Addr string }
+
+// Others are the boxes that the options name.
+func (o *Options) Others() []Box {
+	out := make([]Box, len(o.Boxes))
+	for i, b := range o.Boxes {
+		out[i].Name, out[i].Addr, _ = strings.Cut(b, "=")
+	}
+	return out
+}
+
 // conns bounds the connections that others have to this box: one each, one that ends while the next begins, and those
 // of operators.
 func (o *Options) conns() int { return 2*len(o.Boxes) + spare }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -98,9 +97,8 @@
 }
 
 func (p *Peers) boxes() (names []string) {
-	for _, b := range p.opt.Boxes {
-		name, _, _ := strings.Cut(b, "=")
-		names = append(names, name)
+	for _, b := range p.opt.Others() {
+		names = append(names, b.Name)
 	}
 	return names
 }
@@ -120,16 +118,15 @@
 // Round asks each peer once, all at a time.
 func (p *Peers) Round(ctx context.Context) {
 	var all sync.WaitGroup
-	for _, b := range p.opt.Boxes {
-		name, addr, _ := strings.Cut(b, "=")
+	for _, b := range p.opt.Others() {
 		all.Go(func() {
-			err := p.ask(ctx, name, addr)
+			err := p.ask(ctx, b.Name, b.Addr)
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			if err != nil && !p.silent[name] && ctx.Err() == nil {
-				p.log.Warn("ledger", "do", "peers", "peer", name, "err", err)
+			if err != nil && !p.silent[b.Name] && ctx.Err() == nil {
+				p.log.Warn("ledger", "do", "peers", "peer", b.Name, "err", err)
 			}
-			p.silent[name] = err != nil
+			p.silent[b.Name] = err != nil
 		})
 	}
 	all.Wait()
--- a/internal/standin/faultnet/script.go
+++ b/internal/standin/faultnet/script.go
@@ -84,7 +84,7 @@
 	add := func(do string, who ...string) {
 		out = append(out, Step{time.Duration(50+r.IntN(450)) * time.Millisecond, do, who})
 	}
-	any := func(of map[string]bool) string {
+	pick := func(of map[string]bool) string {
 		var list []string
 		for n := range of {
 			list = append(list, n)
@@ -109,11 +109,11 @@
 		case k < 7:
 			add("heal")
 		case k == 7 && len(down) > 0:
-			n := any(down)
+			n := pick(down)
 			delete(down, n)
 			add("start", n)
 		case k == 8 && len(stopped) > 0:
-			n := any(stopped)
+			n := pick(stopped)
 			delete(stopped, n)
 			add("go", n)
 		case down[a] || stopped[a] || len(down)+len(stopped) >= 2:
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -35,6 +35,7 @@
 	Members []*Member
 	Calls   *Churn // of Call; nil = none
 	over    chan struct{}
+	dismiss func() *Watch // ends the staff's watch; nil = there are none
 }
 
 // Member is one box of a fleet, on files that outlive its processes. Its methods may be called from several goroutines.
@@ -107,6 +108,9 @@
 
 // Close ends all processes.
 func (f *Fleet) Close() {
+	if f.dismiss != nil {
+		f.dismiss()
+	}
 	close(f.over)
 	if f.Calls != nil {
 		f.Calls.Stop()
@@ -146,7 +150,7 @@
 					c.Stop()
 					return
 				case <-c.C:
-					good[i].Store(door(m.Admin) == http.StatusOK)
+					good[i].Store(Health(m.Admin) == http.StatusOK)
 				}
 			}
 		}()
@@ -178,48 +182,45 @@
 // Settle waits until all boxes hold the same state, in which all are members and in, and so many vote.
 func (f *Fleet) Settle(most time.Duration, voters int) error {
 	return Until("all boxes are in", most, func() bool {
-		var first driver.Status
-		for i, m := range f.Members {
-			s, err := m.State()
-			if err != nil || s.Leader == "" || len(s.Members) != len(f.Members) {
-				return false
-			}
-			if i == 0 {
-				first = s
-			}
+		return f.same(func(s driver.Status) bool {
 			n := 0
 			for _, x := range s.Members {
 				if x.Voter {
 					n++
 				}
 			}
-			if n < voters || s.Index != first.Index || s.Digest != first.Digest || slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In || b.Incarnation == 0 }) {
-				return false
-			}
-		}
-		return true
+			return s.Leader != "" && len(s.Members) == len(f.Members) && n >= voters &&
+				!slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In || b.Incarnation == 0 })
+		})
 	})
 }
 
+// same tells that all boxes hold one state, for which ok holds.
+func (f *Fleet) same(ok func(driver.Status) bool) bool {
+	var first driver.Status
+	for i, m := range f.Members {
+		s, err := m.State()
+		if i == 0 {
+			first = s
+		}
+		if err != nil || s.Index != first.Index || s.Digest != first.Digest || !ok(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // Over waits until all boxes hold the same state, in which a plan is over, and gives the plan.
 func (f *Fleet) Over(plan string, most time.Duration) (p takeout.Plan, err error) {
 	err = Until("plan "+plan+" is over everywhere", most, func() bool {
-		var first driver.Status
-		for i, m := range f.Members {
-			s, err := m.State()
-			if err != nil {
+		return f.same(func(s driver.Status) bool {
+			x := s.Plan(plan)
+			if x == nil || x.State < takeout.Done || slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In }) {
 				return false
 			}
-			if i == 0 {
-				first = s
-			}
-			k := slices.IndexFunc(s.Plans, func(x takeout.Plan) bool { return x.ID == plan && x.State >= takeout.Done })
-			if k < 0 || s.Index != first.Index || s.Digest != first.Digest || slices.ContainsFunc(s.Boxes, func(b takeout.Box) bool { return b.Phase != takeout.In }) {
-				return false
-			}
-			p = s.Plans[k]
-		}
-		return true
+			p = *x
+			return true
+		})
 	})
 	return p, err
 }
@@ -273,6 +274,11 @@
 	return driver.Say(ctx, c, w)
 }
 
+// Propose has an operator ask this box for a plan.
+func (m *Member) Propose(ctx context.Context, p takeout.Plan) error {
+	return m.Say(ctx, driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: p}})
+}
+
 // Start starts its process if it has none and staff do not work on it.
 func (m *Member) Start() error {
 	m.mu.Lock()
@@ -345,11 +351,11 @@
 	m.mu.Lock()
 	up, worked := m.up && !m.frozen && time.Since(m.since) > time.Second, m.worked
 	m.mu.Unlock()
-	return worked || up && door(m.Admin) == http.StatusServiceUnavailable
+	return worked || up && Health(m.Admin) == http.StatusServiceUnavailable
 }
 
-// door is what a box's health says; 0 = nothing.
-func door(addr string) int {
+// Health is what a box's health says at its door; 0 = nothing.
+func Health(addr string) int {
 	c := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Get("http://" + addr + "/healthcheck")
 	if err != nil {
@@ -366,22 +372,36 @@
 	Faults []string // what must not be seen
 }
 
-// Staff looks at all boxes until ctx ends, as from outside: it counts who is away, ends the process of a box that is
-// out, works on its machine for so long and starts it again. note tells of each.
-func (f *Fleet) Staff(ctx context.Context, work time.Duration, note func(string)) *Watch {
+// Staff has staff look after all boxes, as from outside: they count who is away, end the process of a box that is out,
+// work on its machine for so long and start it again; note tells of each. finish, or the fleet's end, sends them away,
+// and tells what they saw.
+func (f *Fleet) Staff(work time.Duration, note func(string)) (finish func() *Watch) {
+	ctx, stop := context.WithCancel(context.Background())
+	seen := make(chan *Watch, 1)
+	go func() { seen <- f.watch(ctx, work, note) }()
+	f.dismiss = sync.OnceValue(func() *Watch {
+		stop()
+		return <-seen
+	})
+	return f.dismiss
+}
+
+// Look asks something of all boxes at a time.
+func (f *Fleet) Look(is func(*Member) bool) []bool {
+	out := make([]bool, len(f.Members))
+	var all sync.WaitGroup
+	for i, m := range f.Members {
+		all.Go(func() { out[i] = is(m) })
+	}
+	all.Wait()
+	return out
+}
+
+func (f *Fleet) watch(ctx context.Context, work time.Duration, note func(string)) *Watch {
 	w := &Watch{}
 	var busy sync.WaitGroup
 	for ; ctx.Err() == nil; time.Sleep(40 * time.Millisecond) {
-		away := make([]bool, len(f.Members))
-		var looks sync.WaitGroup
-		for i, m := range f.Members {
-			looks.Add(1)
-			go func() {
-				defer looks.Done()
-				away[i] = m.away()
-			}()
-		}
-		looks.Wait()
+		away := f.Look((*Member).away)
 		n := 0
 		for i, m := range f.Members {
 			if !away[i] {
@@ -389,20 +409,18 @@
 			}
 			n++
 			s, err := m.State()
-			k := slices.IndexFunc(s.Boxes, func(b takeout.Box) bool { return b.Name == m.Name })
-			if err != nil || k < 0 || s.Boxes[k].Incarnation != s.Incarnation {
+			b := s.State.Box(m.Name)
+			if err != nil || b == nil || b.Incarnation != s.Incarnation {
 				continue
 			}
-			switch phase := s.Boxes[k].Phase; {
+			switch phase := b.Phase; {
 			case phase == takeout.Out && m.take():
 				note(m.Name + " is out")
-				busy.Add(1)
-				go func() {
-					defer busy.Done()
+				busy.Go(func() {
 					if err := m.work(work); err != nil {
 						note(m.Name + ": " + err.Error())
 					}
-				}()
+				})
 			case s.Self.Hold && phase != takeout.Draining && phase != takeout.Out:
 				w.Faults = append(w.Faults, m.Name+" drains, and the log has it "+phase.String())
 			}
