--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -1,10 +1,12 @@
 package agree
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -38,6 +40,8 @@
 	raw     *raft.RawNode
 	store   Store
 	state   State
+	parts   map[string]Part
+	reads   []raft.ReadState // confirmed, of entries that are not applied yet
 	conf    *raftpb.ConfState
 	applied uint64
 	ticks   uint64
@@ -57,7 +61,8 @@
 	Index    uint64
 	Proposer uint64
 	Token    uint64
-	Entry    *takeout.Entry // nil = a change of membership
+	Entry    *takeout.Entry // nil = another part's, or a change of membership
+	Part     string         // whose entry it is; "" = of plans, or a change of membership
 	Change   *Change
 	Err      error
 }
@@ -66,6 +71,8 @@
 type Output struct {
 	Messages []Message
 	Applied  []Applied
+	Reads    []uint64 // ids of Read that are confirmed
+	Restored bool     // the state was replaced by another box's snapshot
 }
 
 // Found begins a fleet on an empty store, with this box as its only voter.
@@ -88,8 +95,12 @@
 }
 
 // New starts a box's part from its store. One whose store is empty waits until a leader has let it in.
-func New(store Store, log raft.Logger) (*Node, error) {
-	n := &Node{store: store, conf: &raftpb.ConfState{}}
+// Its parts beside members and plans are empty when they are given.
+func New(store Store, log raft.Logger, parts ...Part) (*Node, error) {
+	n := &Node{store: store, conf: &raftpb.ConfState{}, parts: map[string]Part{}}
+	for _, p := range parts {
+		n.parts[p.Name()] = p
+	}
 	snap, err := store.Snapshot()
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
@@ -109,17 +120,25 @@
 }
 
 func (n *Node) restore(s *raftpb.Snapshot) error {
-	var state State
-	if err := bounded.Unmarshal(s.GetData(), &state); err != nil {
+	if err := n.load(s.GetData()); err != nil {
 		return fmt.Errorf("fleet: snapshot of %d: %w", s.GetMetadata().GetIndex(), err)
 	}
-	n.state, n.applied, n.conf = state, s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
+	n.applied, n.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
 	return nil
 }
 
 // State is what this box has applied; it is the node's own.
 func (n *Node) State() *State { return &n.state }
 
+// Digest is a sum over the state with all its parts: boxes that have applied the same entries have the same.
+func (n *Node) Digest() (uint64, error) {
+	b, err := n.save()
+	if err != nil {
+		return 0, fmt.Errorf("digest: %w", err)
+	}
+	return xxhash.Sum64(b), nil
+}
+
 // ID is how raft knows this box.
 func (n *Node) ID() uint64 { return n.store.ID() }
 
@@ -171,9 +190,17 @@
 // Propose asks the fleet for an entry, under a token that Applied brings back here. One that only the leader derives
 // counts in its term alone: held up and sent on, it is void. An error tells that it was not even asked.
 func (n *Node) Propose(token uint64, e *takeout.Entry) error {
-	c := command{Proposer: n.ID(), Token: token, Entry: *e}
-	switch e.Kind {
-	case takeout.Grant, takeout.Arrange, takeout.Expire:
+	derived := e.Kind == takeout.Grant || e.Kind == takeout.Arrange || e.Kind == takeout.Expire
+	return n.propose(command{Proposer: n.ID(), Token: token, Entry: *e}, derived)
+}
+
+// ProposePart asks for an entry of a part, as Propose does. derived tells that it is one that only the leader derives.
+func (n *Node) ProposePart(token uint64, part string, entry []byte, derived bool) error {
+	return n.propose(command{Proposer: n.ID(), Token: token, Part: part, Data: entry}, derived)
+}
+
+func (n *Node) propose(c command, derived bool) error {
+	if derived {
 		term, leads := n.Leads()
 		if !leads {
 			return ErrNoLeader
@@ -213,6 +240,16 @@
 	return nil
 }
 
+// Read has the leader ask a majority whether it leads still. A Flush gives the id back once that is so, and all that was
+// committed before is applied; one that is lost is never given back.
+func (n *Node) Read(id uint64) error {
+	if _, leads := n.Leads(); !leads {
+		return ErrNoLeader
+	}
+	n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, id))
+	return nil
+}
+
 // Transfer hands the leadership to another voter, if this box has it.
 func (n *Node) Transfer(id uint64) { n.raw.TransferLeader(id) }
 
@@ -233,6 +270,7 @@
 			if err := n.restore(rd.Snapshot); err != nil {
 				return Output{}, n.fail(err)
 			}
+			out.Restored = true
 		}
 		for _, m := range rd.Messages {
 			if m.GetType() == raftpb.MessageType_MsgHeartbeat && n.ticks%learnerTicks != 0 && slices.Contains(n.conf.GetLearners(), m.GetTo()) {
@@ -245,13 +283,25 @@
 			out.Messages = append(out.Messages, Message{m.GetTo(), m.GetType() == raftpb.MessageType_MsgSnap, data})
 		}
 		for _, e := range rd.CommittedEntries {
-			if a, ok := n.apply(e); ok {
+			a, ok := n.apply(e)
+			if errors.Is(a.Err, ErrNewer) {
+				return Output{}, n.fail(a.Err)
+			}
+			if ok {
 				out.Applied = append(out.Applied, a)
 			}
 			n.applied = e.GetIndex()
 		}
+		n.reads = append(n.reads, rd.ReadStates...)
 		n.raw.Advance(rd)
 	}
+	n.reads = slices.DeleteFunc(n.reads, func(r raft.ReadState) bool {
+		if r.Index > n.applied {
+			return false
+		}
+		out.Reads = append(out.Reads, binary.BigEndian.Uint64(r.RequestCtx))
+		return true
+	})
 	// A box that was let in takes no snapshot that does not name it: the one kept by who may lead has to be newer than
 	// its entry.
 	voter := slices.Contains(n.conf.GetVoters(), n.ID())
@@ -259,7 +309,7 @@
 		return a.Change != nil && (a.Change.Kind == Admit && voter || a.Change.Kind == Promote && a.Change.Member.ID == n.ID())
 	})
 	if n.store.Full() || admitted {
-		data, err := codec.Marshal(&n.state)
+		data, err := n.save()
 		if err == nil {
 			err = n.store.Compact(n.applied, n.conf, data)
 		}
@@ -297,11 +347,23 @@
 	if a.Err = bounded.Unmarshal(e.GetData(), &c); a.Err != nil {
 		return a, true
 	}
-	a.Proposer, a.Token, a.Entry = c.Proposer, c.Token, &c.Entry
+	a.Proposer, a.Token, a.Part = c.Proposer, c.Token, c.Part
+	p := n.parts[c.Part]
+	switch {
+	case c.Part == "":
+		a.Entry = &c.Entry
+	case p == nil:
+		a.Err = fmt.Errorf("entry %d is of part %q: %w", a.Index, c.Part, ErrNewer)
+		return a, true
+	}
 	if c.Term != 0 && c.Term != e.GetTerm() {
 		a.Err = fmt.Errorf("proposed in term %d, came in %d: %w", c.Term, e.GetTerm(), ErrStale)
 		return a, true
 	}
-	a.Err = n.state.Work.Apply(a.Index, &c.Entry)
+	if p != nil {
+		a.Err = p.Apply(a.Index, c.Data)
+	} else {
+		a.Err = n.state.Work.Apply(a.Index, &c.Entry)
+	}
 	return a, true
 }
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -397,12 +397,11 @@
 			}
 			w.leaders[term] = b.store.ID()
 		}
-		s := b.node.State()
 		if b.checked == b.node.applied {
 			continue
 		}
 		b.checked = b.node.applied
-		sum, err := s.Digest()
+		sum, err := b.node.Digest()
 		if err != nil {
 			w.fatal("%v", err)
 		}
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"larchscale/internal/fleet/takeout"
@@ -172,6 +171,8 @@
 	Token    uint64 // of the proposer's choice
 	Term     uint64 // it counts only in this one; 0 = in any
 	Entry    takeout.Entry
+	Part     string `cbor:",omitempty"` // whose Data is the entry; "" = Entry is
+	Data     []byte `cbor:",omitempty"`
 }
 
 var codec = func() cbor.EncMode {
@@ -190,12 +191,3 @@
 	}
 	return m
 }()
-
-// Digest is a sum over the state: boxes that have applied the same entries have the same.
-func (s *State) Digest() (uint64, error) {
-	b, err := codec.Marshal(s)
-	if err != nil {
-		return 0, fmt.Errorf("digest: %w", err)
-	}
-	return xxhash.Sum64(b), nil
-}
--- a/internal/fleet/driver/figures.go
+++ b/internal/fleet/driver/figures.go
@@ -19,6 +19,7 @@
 	Silent  int // members whose reports are missing, as a voter knows
 	Plans   int // that are not over
 	Phase   takeout.Phase
+	modules []byte // their lines
 }
 
 // Lines writes the figures as the door's /stats does. It is safe from any goroutine.
@@ -28,8 +29,8 @@
 		return nil
 	}
 	bit := map[bool]int{true: 1}
-	return fmt.Appendf(nil, "fleet.leader=%d\nfleet.known=%d\nfleet.term=%d\nfleet.index=%d\nfleet.members=%d\nfleet.voters=%d\nfleet.out=%d\nfleet.silent=%d\nfleet.plans=%d\nfleet.phase=%d\n",
-		bit[f.Leader], bit[f.Known], f.Term, f.Index, f.Members, f.Voters, f.Out, f.Silent, f.Plans, f.Phase)
+	return append(fmt.Appendf(nil, "fleet.leader=%d\nfleet.known=%d\nfleet.term=%d\nfleet.index=%d\nfleet.members=%d\nfleet.voters=%d\nfleet.out=%d\nfleet.silent=%d\nfleet.plans=%d\nfleet.phase=%d\n",
+		bit[f.Leader], bit[f.Known], f.Term, f.Index, f.Members, f.Voters, f.Out, f.Silent, f.Plans, f.Phase), f.modules...)
 }
 
 // show publishes the figures.
@@ -54,5 +55,8 @@
 	if b := s.Work.Box(d.self.Name); b != nil {
 		f.Phase = b.Phase
 	}
+	for _, m := range d.modules {
+		f.modules = append(f.modules, m.Lines(now)...)
+	}
 	d.shown.Store(f)
 }
--- a/internal/fleet/driver/http.go
+++ b/internal/fleet/driver/http.go
@@ -36,6 +36,7 @@
 // Handler serves the other boxes, and the operators of this one.
 //
 //	POST /fleet/messages  the sender, then raft's messages, each behind its length
+//	POST /fleet/part      the sender, then part and message in turn, of what modules say to each other
 //	POST /fleet/report    how a box stands
 //	POST /fleet/knock     a box that wants to be let in
 //	POST /fleet/passed    the same, at a box that may lead, by one that does not
@@ -60,6 +61,27 @@
 			http.Error(w, "not now", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("POST /fleet/part", func(w http.ResponseWriter, r *http.Request) {
+		list, err := frames(r.Body, maxBatch+2*maxWord)
+		var from agree.Member
+		var said []word
+		if err == nil {
+			from, said, err = words(list)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !d.enter(func() {
+			if m := d.node.State().Member(from.ID); m != nil {
+				for _, x := range said {
+					d.hand(x, *m)
+				}
+			}
+		}) {
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("POST /fleet/report", noted(d, d.take))
 	mux.HandleFunc("POST /fleet/knock", noted(d, d.knocked))
 	mux.HandleFunc("POST /fleet/passed", noted(d, d.letIn))
--- a/internal/fleet/driver/line.go
+++ b/internal/fleet/driver/line.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
 	"time"
 
 	"larchscale/internal/link"
@@ -24,6 +27,7 @@
 	addr   string
 	id     uint64
 	frames chan frame
+	words  chan word // of modules
 	notes  chan note // the newest
 	stop   context.CancelFunc
 }
@@ -35,7 +39,7 @@
 
 func newLine(ctx context.Context, d *Driver, name, addr string, id uint64) *line {
 	ctx, stop := context.WithCancel(ctx)
-	l := &line{d: d, addr: addr, id: id, frames: make(chan frame, maxFrames), notes: make(chan note, 1), stop: stop}
+	l := &line{d: d, addr: addr, id: id, frames: make(chan frame, maxFrames), words: make(chan word, maxFrames), notes: make(chan note, 1), stop: stop}
 	go l.run(ctx, d.link.Dial(name, addr))
 	return l
 }
@@ -55,6 +59,19 @@
 	}
 }
 
+// say takes a module's message; false = there is no room, or nobody to say it to.
+func (l *line) say(w word) bool {
+	if l == nil {
+		return false
+	}
+	select {
+	case l.words <- w:
+		return true
+	default:
+		return false
+	}
+}
+
 // tell takes a report in the place of one that waits.
 func (l *line) tell(path string, data []byte) {
 	if l == nil {
@@ -75,12 +92,36 @@
 			return
 		case n := <-l.notes:
 			l.post(ctx, c, n.path, n.data)
+		case w := <-l.words:
+			l.speak(ctx, c, w)
 		case f := <-l.frames:
 			l.carry(ctx, c, f)
 		}
 	}
 }
 
+// speak sends what modules say in one request. What does not come is theirs to say again.
+func (l *line) speak(ctx context.Context, c *link.Client, w word) {
+	body := framed(nil, l.d.hello)
+	for more := true; more; {
+		body = framed(framed(body, []byte(w.part)), w.data)
+		if len(body) > maxBatch {
+			break
+		}
+		select {
+		case w = <-l.words:
+		default:
+			more = false
+		}
+	}
+	l.post(ctx, c, "/fleet/part", body)
+}
+
+// framed puts a message behind its length.
+func framed(to, data []byte) []byte {
+	return append(binary.AppendUvarint(to, uint64(len(data))), data...)
+}
+
 func (l *line) post(ctx context.Context, c *link.Client, path string, body []byte) bool {
 	ctx, stop := context.WithTimeout(ctx, link.Within)
 	defer stop()
@@ -90,10 +131,10 @@
 
 // carry sends what waits in one request.
 func (l *line) carry(ctx context.Context, c *link.Client, f frame) {
-	body := append(binary.AppendUvarint(nil, uint64(len(l.d.hello))), l.d.hello...)
+	body := framed(nil, l.d.hello)
 	snapshot := false
 	for more := true; more; {
-		body = append(binary.AppendUvarint(body, uint64(len(f.data))), f.data...)
+		body = framed(body, f.data)
 		snapshot = snapshot || f.snapshot
 		if len(body) > maxBatch {
 			break
@@ -123,3 +164,23 @@
 		}
 	}
 }
+
+// frames reads the messages of one request, each behind its length.
+func frames(in io.Reader, limit int) (out [][]byte, err error) {
+	all, err := io.ReadAll(io.LimitReader(in, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(all) > limit {
+		return nil, fmt.Errorf("more than %d bytes", limit)
+	}
+	for len(all) > 0 {
+		n, k := binary.Uvarint(all)
+		if k <= 0 || n > uint64(len(all)-k) {
+			return nil, errors.New("a message is cut short")
+		}
+		out = append(out, all[k:k+int(n)])
+		all = all[k+int(n):]
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fleet/driver/options.go
@@ -0,0 +1,33 @@
+package driver
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Options are the operator's table [fleet].
+type Options struct {
+	Dir      string `toml:"dir"`  // where the log is kept; "" = no part in a fleet
+	Zone     string `toml:"zone"` // the box's
+	Voters   int    `toml:"voters"`
+	SilentMs int    `toml:"silent_ms"`
+	DrainMs  int    `toml:"drain_ms"` // a box's health says no for so long before it is out
+}
+
+// Defaults are the options that a file need not name.
+func Defaults() Options { return Options{Voters: 3, SilentMs: 3000, DrainMs: 5000} }
+
+// Check finds what cannot be.
+func (o *Options) Check() error {
+	switch {
+	case o.Voters < 1 || o.Voters > 7 || o.Voters%2 == 0:
+		return fmt.Errorf("fleet.voters is %d; 1, 3, 5 or 7", o.Voters)
+	case o.SilentMs < 1000 || o.SilentMs > 60_000:
+		return fmt.Errorf("fleet.silent_ms is %d, 1000 to 60000", o.SilentMs)
+	case o.DrainMs < 0 || o.DrainMs > 600_000:
+		return fmt.Errorf("fleet.drain_ms is %d, 0 to 600000", o.DrainMs)
+	case o.Dir != "" && o.Zone == "":
+		return errors.New("fleet.dir needs fleet.zone")
+	}
+	return nil
+}
