Core: the shared store is given a whole piece, tells what to wait for and what it holds

Need: a store that watches over the work of servers that are lost has to have all that another server needs to run it, has to say when a result is safe, and has to say at any moment whether a claim is still this server's. Change: Store.Claim takes a Piece, Finish tells whether its end is waited for, Holds is new; the events Finished, Adopt and Disown. Redis and files hold always and have nothing wait, as before.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -86,12 +86,34 @@
 	ClaimDown                // the store does not tell
 )
 
-// Store is the table of keys that several servers share. Its methods must not block; each Claim that is
-// taken (true) ends with one Claimed event.
+// Piece is a keyed request as the shared store has it: all that another server needs to run it in this one's
+// place. Its body is not to be changed.
+type Piece struct {
+	Key     Key
+	Sum     [32]byte // of the body
+	Body    []byte
+	Tenant  int           // -1 = none
+	Rank    float64       // 0 to below 1
+	Memory  float64       // kilobytes while held
+	Work    time.Duration // to expect on one core, a rough hint; 0 = not told
+	Subject uint64
+	Caller  uint32
+	Left    time.Duration // until it is due
+	Life    time.Duration // how long its claim has to be kept: window, deadline and a margin
+}
+
+// Store is the table of keys that several servers share. Its methods must not block.
 type Store interface {
-	Claim(k Key, sum [32]byte, life time.Duration) bool
-	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration)
+	// Claim asks for a key; each that is taken (true) ends with one Claimed event.
+	Claim(p Piece) bool
+	// Finish tells how the run of a claimed key ended. With wait one Finished event follows, and what ended is not
+	// answered before it.
+	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration) (wait bool)
+	// Release gives up the claim of what never ran.
 	Release(k Key)
+	// Holds tells that what this server has claimed is still its own. It is asked at the moment of acting, by the
+	// loop, and must cost no more than an atomic read and a clock.
+	Holds() bool
 }
 
 // Use is what one request used, told when it is over.
@@ -253,6 +275,19 @@
 	Result []byte // ClaimDone
 }
 
+// The events of a store that watches over the work of servers that are lost.
+type (
+	// Finished tells what became of an end that the core was told to wait for.
+	Finished struct {
+		Key Key
+		OK  bool // the end is where it survives this server; else the piece is another's
+	}
+	// Adopt brings a piece of a server that is lost: it is run here. Its key is claimed for this server already.
+	Adopt struct{ Piece Piece }
+	// Disown tells that nothing that was claimed is this server's any longer.
+	Disown struct{}
+)
+
 // Booked tells that all entries up to a ticket are written.
 type Booked struct{ Through uint64 }
 
@@ -282,6 +317,9 @@
 func (PoolVerified) event() {}
 func (CallEnded) event()    {}
 func (Claimed) event()      {}
+func (Finished) event()     {}
+func (Adopt) event()        {}
+func (Disown) event()       {}
 func (Booked) event()       {}
 func (Drain) event()        {}
 func (Handoff) event()      {}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -232,9 +232,10 @@
 
 // ask claims a key in the shared store.
 func (c *Core) ask(e *entry) {
-	k := &c.site.Control.Classes[e.key.Class]
-	c.holdForStore(e.owner)
-	if !c.store.Claim(e.key, e.sum, k.Window+k.Deadline+windowMargin) {
+	k, r := &c.site.Control.Classes[e.key.Class], e.owner
+	c.holdForStore(r)
+	if !c.store.Claim(Piece{Key: e.key, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory, Work: r.Work,
+		Subject: r.Subject, Caller: r.Caller, Left: max(0, r.due-c.now), Life: k.Window + k.Deadline + windowMargin}) {
 		c.claimed(Claimed{Key: e.key, State: ClaimDown})
 	}
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	lines []string
 	full  bool
+	Waits bool        // the store says of every end that it is to be waited for; set before the first event
+	lost  atomic.Bool // the store holds nothing any longer
 
 	closed atomic.Bool // the directory has been told
 	Done   chan struct{}
@@ -219,6 +221,9 @@
 // Overdue implements core.Booker.
 func (l *Ledger) Overdue() bool { return l.LetsOverdue }
 
+// Lose makes the store hold no claims any longer, or again.
+func (w *World) Lose(on bool) { w.lost.Store(on) }
+
 // FullStore makes the store take no claims.
 func (w *World) FullStore() { w.full = true }
 
@@ -274,14 +279,16 @@
 	}
 }
 
-func (k keys) Claim(key core.Key, _ [32]byte, _ time.Duration) bool {
-	k.w.note("claim %s", key.Token)
+func (k keys) Claim(p core.Piece) bool {
+	k.w.note("claim %s", p.Key.Token)
 	return !k.w.full
 }
-func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, _ time.Duration) {
+func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, _ time.Duration) bool {
 	k.w.note("finish %s %v %s", key.Token, ok, result)
+	return k.w.Waits
 }
 func (k keys) Release(key core.Key) { k.w.note("release %s", key.Token) }
+func (k keys) Holds() bool          { return !k.w.lost.Load() }
 
 func (s session) Drain(time.Duration) { s.w.note("draining to %s", s.name) }
 func (s session) Close()              { s.w.note("close %s", s.name) }
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -136,7 +136,8 @@
 }
 
 // Claim asks for a key.
-func (s *Files) Claim(k core.Key, sum [32]byte, life time.Duration) bool {
+func (s *Files) Claim(p core.Piece) bool {
+	k, sum, life := p.Key, p.Sum, p.Life
 	return s.do(func() {
 		state, result, err := s.claim(s.path(k), sum, life)
 		if err != nil {
@@ -165,8 +166,11 @@
 	return core.ClaimWon, nil, nil
 }
 
-// Finish replaces this server's claim by the end of its run.
-func (s *Files) Finish(k core.Key, sum [32]byte, ok bool, result []byte, life time.Duration) {
+// Holds implements core.Store: a claim is this process's until it gives it up or it expires.
+func (s *Files) Holds() bool { return true }
+
+// Finish replaces this server's claim by the end of its run. Nothing waits for that.
+func (s *Files) Finish(k core.Key, sum [32]byte, ok bool, result []byte, life time.Duration) bool {
 	mark := byte(markFailed)
 	if !ok {
 		result = nil
@@ -175,6 +179,7 @@
 	}
 	end := value(mark, sum, result)
 	s.replace(k, "finish", func(path string, was int) error { return s.put(path, end, max(life, time.Second), was) })
+	return false
 }
 
 // Release gives up this server's claim on what never ran.
--- a/internal/store/files_test.go
+++ b/internal/store/files_test.go
@@ -34,7 +34,7 @@
 
 func claim(t *testing.T, s *Files, events chan core.Event, k core.Key, sum [32]byte) core.Claimed {
 	t.Helper()
-	if !s.Claim(k, sum, 10*time.Second) {
+	if !s.Claim(core.Piece{Key: k, Sum: sum, Life: 10 * time.Second}) {
 		t.Fatal("no room for a claim")
 	}
 	return (<-events).(core.Claimed)
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -110,7 +110,8 @@
 }
 
 // Claim asks for a key.
-func (s *Redis) Claim(k core.Key, sum [32]byte, life time.Duration) bool {
+func (s *Redis) Claim(p core.Piece) bool {
+	k, sum, life := p.Key, p.Sum, p.Life
 	return s.do(k, func(ctx context.Context, key string) {
 		state, result, err := s.claim(ctx, key, sum, life)
 		if err != nil {
@@ -166,8 +167,11 @@
 	return append(out, rest...)
 }
 
-// Finish replaces this server's claim by the end of its run.
-func (s *Redis) Finish(k core.Key, sum [32]byte, ok bool, result []byte, life time.Duration) {
+// Holds implements core.Store: a claim is this process's until it gives it up or it expires.
+func (s *Redis) Holds() bool { return true }
+
+// Finish replaces this server's claim by the end of its run. Nothing waits for that.
+func (s *Redis) Finish(k core.Key, sum [32]byte, ok bool, result []byte, life time.Duration) bool {
 	mark := byte(markFailed)
 	if ok {
 		mark = markDone
@@ -178,6 +182,7 @@
 	s.replace(k, "finish", tries, func(ctx context.Context, tx redis.Pipeliner, key string) {
 		tx.Set(ctx, key, end, max(life, time.Second))
 	})
+	return false
 }
 
 // Release gives up this server's claim on what never ran.
--- a/internal/store/redis_test.go
+++ b/internal/store/redis_test.go
@@ -189,7 +189,7 @@
 // claim expects what a claim of the key comes to.
 func (b *box) claim(sum [32]byte, state core.Claim, result string) {
 	b.t.Helper()
-	if !b.db.Claim(key, sum, time.Minute) {
+	if !b.db.Claim(core.Piece{Key: key, Sum: sum, Life: time.Minute}) {
 		b.t.Fatal("no room")
 	}
 	want := core.Claimed{Key: key, State: state}
