--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,6 +11,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -32,7 +33,7 @@
 	sink  func(core.Event)
 	log   *slog.Logger
 	moved chan struct{}
-	read  uint64 // number of the last notice that was read; of Keep's goroutine
+	read  atomic.Uint64 // number of the last notice that was read; Keep's goroutine writes it
 	mu    sync.Mutex
 	addr  string
 	box   *sock.Box // nil = no link
@@ -103,7 +104,7 @@
 	box := sock.NewBox(conn)
 	defer box.Kill()
 	defer context.AfterFunc(ctx, box.Kill)()
-	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read, 10) + "}\n"))
+	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
 	if !l.set(box, addr) {
 		return false, errMoved
 	}
@@ -148,66 +149,76 @@
 	errMoved  = errors.New("the address was left")
 )
 
-// notice reads one line of the worker pool.
-func (l *Link) notice(line []byte) (err error) {
+// notice is one line of the worker pool.
+type notice struct {
+	event, handle, fate, ticket string
+	cursor                      uint64
+	lasted                      time.Duration
+	figures                     []float64
+	body                        []byte // finished, blocked
+}
+
+// parse reads one line of the worker pool.
+func parse(line []byte) (n notice, err error) {
 	if !gjson.ValidBytes(line) {
-		return fmt.Errorf("%w: not JSON", errNotice)
+		return n, fmt.Errorf("%w: not JSON", errNotice)
 	}
-	var event, handle, fate, arg, ticket string
-	var cursor uint64
-	var lasted time.Duration
-	var figures []float64
+	var arg string
 	gjson.ParseBytes(line).ForEach(func(k, v gjson.Result) bool {
 		switch k.Str {
 		case "event":
-			event = v.Str
+			n.event = v.Str
 		case "handle":
-			handle = v.Str
+			n.handle = v.Str
 		case "fate":
-			fate = v.Str
+			n.fate = v.Str
 		case "arg":
 			arg = v.Str
 		case "ticket":
-			ticket = v.Str
+			n.ticket = v.Str
 		case "cursor":
-			cursor = v.Uint()
+			n.cursor = v.Uint()
 		case "lasted":
-			lasted = time.Duration(v.Num * float64(time.Millisecond))
+			n.lasted = time.Duration(v.Num * float64(time.Millisecond))
 		case "figures":
 			for _, x := range v.Array() {
-				figures = append(figures, x.Num)
+				n.figures = append(n.figures, x.Num)
 			}
 		}
 		return true
 	})
-	if cursor > 0 && cursor <= l.read { // it came already, on this link or an earlier one
+	if n.event == "finished" || n.event == "blocked" {
+		if n.body, err = base64.StdEncoding.DecodeString(arg); err != nil {
+			return n, fmt.Errorf("%w: %w", errNotice, err)
+		}
+	}
+	return n, nil
+}
+
+// notice takes one line of the worker pool. One that cannot be read is asked for again.
+func (l *Link) notice(line []byte) error {
+	n, err := parse(line)
+	if err != nil {
+		return err
+	}
+	if n.cursor > 0 && n.cursor <= l.read.Load() { // it came already, on this link or an earlier one
 		return nil
 	}
-	defer func() {
-		if err == nil { // one that cannot be read is asked for again
-			l.read = max(l.read, cursor)
-		}
-	}()
-	switch event {
+	defer func() { l.read.Store(max(l.read.Load(), n.cursor)) }()
+	switch n.event {
 	case "bound":
-		l.sink(core.PoolBound{Cold: fate == "chilly", Age: lasted})
+		l.sink(core.PoolBound{Cold: n.fate == "chilly", Age: n.lasted})
 	case "polled":
-		l.sink(core.PoolPolled{Ticket: ticket, Figures: figures})
+		l.sink(core.PoolPolled{Ticket: n.ticket, Figures: n.figures})
 	case "verified":
-		l.sink(core.PoolVerified{Ticket: ticket, OK: fate == "complete"})
-	case "finished", "blocked":
-		body, err := base64.StdEncoding.DecodeString(arg)
-		if err != nil {
-			return fmt.Errorf("%w: %w", errNotice, err)
-		}
-		if event == "blocked" {
-			l.sink(core.PoolBlocked{Handle: handle, Notice: cursor, Body: body})
-		} else {
-			l.sink(core.PoolFinished{Handle: handle, End: end(fate), Took: lasted, Body: body})
-		}
+		l.sink(core.PoolVerified{Ticket: n.ticket, OK: n.fate == "complete"})
+	case "blocked":
+		l.sink(core.PoolBlocked{Handle: n.handle, Notice: n.cursor, Body: n.body})
+	case "finished":
+		l.sink(core.PoolFinished{Handle: n.handle, End: end(n.fate), Took: n.lasted, Body: n.body})
 	case "unknown":
-		l.log.Warn("command not carried out", "command", fate, "handle", handle)
-		l.sink(core.PoolUnknown{Command: fate, Handle: handle})
+		l.log.Warn("command not carried out", "command", n.fate, "handle", n.handle)
+		l.sink(core.PoolUnknown{Command: n.fate, Handle: n.handle})
 	}
 	return nil
 }
@@ -233,16 +244,25 @@
 	return append(base64.StdEncoding.AppendEncode(out, body), '"', '}', '\n')
 }
 
+// Cursor is the number of the last notice that was read. It is safe from any goroutine.
+func (l *Link) Cursor() uint64 { return l.read.Load() }
+
 // Run starts a request.
-func (l *Link) Run(handle, class string, body []byte) {
-	l.send(command("spawn", handle), []byte(`,"entry":`+strconv.Quote(class)), arg(body))
+func (l *Link) Run(handle, class string, body []byte) { l.send(spawn(handle, class, body)...) }
+
+func spawn(handle, class string, body []byte) [][]byte {
+	return [][]byte{command("spawn", handle), []byte(`,"entry":` + strconv.Quote(class)), arg(body)}
 }
 
 // Stop stops a run.
 func (l *Link) Stop(handle string) { l.send(command("suspend", handle), []byte("}\n")) }
 
 // Supply gives a run the reply that it waits for.
-func (l *Link) Supply(handle string, body []byte) { l.send(command("supply", handle), arg(body)) }
+func (l *Link) Supply(handle string, body []byte) { l.send(supply(handle, body)...) }
+
+func supply(handle string, body []byte) [][]byte {
+	return [][]byte{command("supply", handle), arg(body)}
+}
 
 // Pass has a run go on without the call that a notice asked for.
 func (l *Link) Pass(handle string, notice uint64) {
