--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -42,7 +42,7 @@
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		modules := func() []driver.Module { return nil }
 		if own.Fleet.TakeOver {
-			modules = ground.New(ground.Options{Pool: cfg.Pool, Moves: maxMoves}, func() {}, log).Modules
+			modules = ground.New(ground.Options{Pool: cfg.Pool, Moves: maxMoves}, func(*ground.View) {}, log).Modules
 		}
 		part := driver.NewPart(func() (*driver.Driver, error) {
 			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Others(), l, body, log, modules()...)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -74,6 +74,9 @@
 	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check()); err != nil {
 		return err
 	}
+	if o.Fleet.TakeOver { // what keys are claimed by does not wait behind what the fleet settles
+		o.Ledger.Peers.Lines = 2
+	}
 	switch {
 	case o.Ledger.Collector.URL != "" && o.Ledger.Dir == "":
 		return errors.New("ledger.collector needs ledger.dir")
@@ -83,6 +86,8 @@
 		return errors.New("fleet.dir needs ledger.peers.listen, the boxes' way to each other")
 	case o.Fleet.Dir != "" && o.Fleet.Dir == o.Ledger.Dir:
 		return errors.New("fleet.dir is ledger.dir; each needs a directory of its own")
+	case o.Fleet.TakeOver && o.Store.Redis != "":
+		return errors.New("fleet.take_over and store.redis are two places for the same keys: set one")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
--- a/internal/fleet/ground/ground.go
+++ b/internal/fleet/ground/ground.go
@@ -35,6 +35,7 @@
 // View is what this process acts under.
 type View struct {
 	place.View
+	Prev uint64 // epoch of the view before; its own = that one is not known here: some may be missing between them
 	Life uint64 // this process's; 0 = none: it acts as nothing
 }
 
@@ -44,11 +45,11 @@
 	log   *slog.Logger
 	until atomic.Int64 // when the lease ends, by now; 0 = there is none
 	view  atomic.Pointer[View]
-	told  func() // the view or the lease's life has changed
+	told  func(*View)
 }
 
-// New makes the ground of a process; told is called on the driver's loop whenever View has changed, and must not block.
-func New(opt Options, told func(), log *slog.Logger) *Ground {
+// New makes the ground of a process; told is given every view in turn, on the driver's loop, and must not block.
+func New(opt Options, told func(*View), log *slog.Logger) *Ground {
 	return &Ground{opt: opt, log: log, told: told}
 }
 
@@ -84,15 +85,21 @@
 	return []driver.Module{l, p}
 }
 
-// publish makes the view anew.
-func (g *Ground) publish(l *leases, p *places) {
-	if !l.Began() || !p.Began() {
+// publish makes the view anew; broken = it does not follow from the one before by one entry.
+func (g *Ground) publish(l *leases, p *places, broken bool) {
+	if l.host == nil || !l.Began() || !p.Began() {
 		return
 	}
-	v := &View{*place.NewView(&l.State, &p.State), l.holder.Life()}
-	if was := g.view.Load(); was != nil && was.Epoch == v.Epoch && was.Life == v.Life {
-		return
+	v := &View{View: *place.NewView(&l.State, &p.State), Life: l.holder.Life()}
+	v.Prev = v.Epoch
+	if was := g.view.Load(); was != nil {
+		if was.Epoch == v.Epoch && was.Life == v.Life {
+			return
+		}
+		if !broken {
+			v.Prev = was.Epoch
+		}
 	}
 	g.view.Store(v)
-	g.told()
+	g.told(v)
 }
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -24,6 +24,7 @@
 	grants lease.Granter
 	rounds map[uint64]uint64 // of reads that are not confirmed, to the granter's rounds
 	spoke  time.Duration
+	loaded bool // the state was replaced by a snapshot
 }
 
 // message is what the modules of two boxes say: one of the two.
@@ -35,11 +36,37 @@
 // Begin implements driver.Module.
 func (l *leases) Begin(h *driver.Host) {
 	l.host, l.holder, l.rounds = h, lease.NewHolder(h.Self().Name), map[uint64]uint64{}
-	l.Applied(time.Now())
+	l.changed(true)
 }
 
-// Applied implements driver.Module: what the log says of this process counts at once.
+// Apply implements agree.Part: what the log says of this process counts at once, and each view comes in turn.
+func (l *leases) Apply(index uint64, entry []byte) error {
+	err := l.Agreed.Apply(index, entry)
+	if l.host != nil {
+		l.changed(false)
+	}
+	return err
+}
+
+// Load implements agree.Part.
+func (l *leases) Load(state []byte) error {
+	err := l.Agreed.Load(state)
+	if l.host != nil && err == nil {
+		l.loaded = true // what came between is not known
+	}
+	return err
+}
+
+// Applied implements driver.Module.
 func (l *leases) Applied(time.Time) {
+	if l.loaded {
+		l.loaded = false
+		l.changed(true)
+	}
+}
+
+// changed takes what the log says.
+func (l *leases) changed(broken bool) {
 	b := l.State.Box(l.host.Self().Name)
 	if b != nil && b.Incarnation == l.host.Incarnation() && !b.Lost {
 		l.holder.Live(b.Life, now())
@@ -47,7 +74,7 @@
 		l.holder.Lost()
 	}
 	l.hold()
-	l.ground.publish(l, l.places)
+	l.ground.publish(l, l.places, broken)
 }
 
 // hold publishes how long the lease runs.
--- a/internal/fleet/ground/places.go
+++ b/internal/fleet/ground/places.go
@@ -42,8 +42,15 @@
 	p.host, p.whole, p.missed = h, map[string]wholes{}, map[string]time.Duration{}
 }
 
+// Apply implements agree.Part: each view comes in turn.
+func (p *places) Apply(index uint64, entry []byte) error {
+	err := p.Agreed.Apply(index, entry)
+	p.ground.publish(p.leases, p, false)
+	return err
+}
+
 // Applied implements driver.Module.
-func (p *places) Applied(time.Time) { p.ground.publish(p.leases, p) }
+func (p *places) Applied(time.Time) {}
 
 // Tick implements driver.Module.
 func (p *places) Tick(time.Time) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -31,6 +31,8 @@
 	CA     string   `toml:"ca"`
 	Cert   string   `toml:"cert"`
 	Key    string   `toml:"key"`
+	// Lines is how many connections each box has to each other, 0 = one.
+	Lines int `toml:"-"`
 }
 
 const (
@@ -57,16 +59,18 @@
 	return out
 }
 
-// conns bounds the connections that others have to this box: one each, one that ends while the next begins, and those
-// of operators.
-func (o *Options) conns() int { return 2*len(o.Boxes) + spare }
+func (o *Options) lines() int { return max(1, o.Lines) }
+
+// conns bounds the connections that others have to this box: their lines, one that ends while the next begins, and
+// those of operators.
+func (o *Options) conns() int { return (o.lines()+1)*len(o.Boxes) + spare }
 
 // Sockets is how many descriptors the link may take, both ways; 0 = there is none.
 func (o *Options) Sockets() int {
 	if o.Listen == "" {
 		return 0
 	}
-	return 1 + o.conns() + len(o.Boxes)
+	return 1 + o.conns() + o.lines()*len(o.Boxes)
 }
 
 // Check finds what cannot be, naming the keys as those of a table.
