--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -25,6 +25,13 @@
 	Classes = []string{"fare-quote", "book-ride", "ride-status"}
 )
 
+// Aim is when a result is due for its whole worth, and Window for how long a keyed result is kept, in the settings of
+// every box whose maker says nothing else.
+const (
+	Aim    = 2900 * time.Millisecond
+	Window = 34668 * time.Millisecond
+)
+
 // Build builds the real program into dir.
 func Build(dir string) (program string, err error) {
 	program = filepath.Join(dir, "larchscale")
@@ -58,6 +65,7 @@
 	Tmp           string // its $TMPDIR: a twin shares it
 	program, home string
 	operator      string // the text of its operator's file, as given
+	window        time.Duration
 	cmd           *exec.Cmd
 	log           *tail
 	ended         chan struct{}
@@ -66,7 +74,11 @@
 // NewBox writes a box's files under home. operator is the text of its operator's file beyond the uwsgi front;
 // $DIR in it is the ledger's directory.
 func NewBox(program, home, name string, site *Site, operator string) (*Box, error) {
-	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), log: &tail{}}
+	return newBox(program, home, name, site, operator, Window)
+}
+
+func newBox(program, home, name string, site *Site, operator string, window time.Duration) (*Box, error) {
+	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), window: window, log: &tail{}}
 	var err error
 	if b.Listen, err = FreeAddr(); err != nil {
 		return nil, err
@@ -77,14 +89,13 @@
 // Twin is the next process of box b, as a replacement starts it: the same name and clients' address, the same
 // $TMPDIR, another door, uwsgi front and site under home.
 func (b *Box) Twin(home string, site *Site) (*Box, error) {
-	t := &Box{Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, log: &tail{}}
+	t := &Box{Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, window: b.window, log: &tail{}}
 	return t, t.write(site, b.operator)
 }
 
 // write gives the box its other addresses and writes its files.
 func (b *Box) write(site *Site, operator string) error {
 	name, home := b.Name, b.home
-	b.operator = operator
 	var err error
 	if b.Desk, err = FreeAddr(); err != nil {
 		return err
@@ -99,9 +110,9 @@
 	}
 	var classes, tenants []map[string]any
 	for i, c := range Classes {
-		k := map[string]any{"Name": c, "AimUs": 2900000, "GiveUpUs": 8700000, "Importance": 1, "LateWorth": 0.2, "Effect": "repeatable"}
+		k := map[string]any{"Name": c, "AimUs": Aim.Microseconds(), "GiveUpUs": 8700000, "Importance": 1, "LateWorth": 0.2, "Effect": "repeatable"}
 		if i == 1 {
-			k["Effect"], k["Importance"], k["MemorySpanUs"] = "by_key", 3, 34668000
+			k["Effect"], k["Importance"], k["MemorySpanUs"] = "by_key", 3, b.window.Microseconds()
 		}
 		classes = append(classes, k)
 	}
@@ -117,13 +128,17 @@
 	if err != nil {
 		return err
 	}
-	operator = fmt.Sprintf("[uwsgi]\nlisten = %q\n", b.Desk) + strings.ReplaceAll(operator, "$DIR", b.Dir)
-	for name, text := range map[string][]byte{"config.json": config, "operator.toml": []byte(operator)} {
-		if err := os.WriteFile(filepath.Join(home, name), text, 0o600); err != nil {
-			return err
-		}
+	if err := os.WriteFile(filepath.Join(home, "config.json"), config, 0o600); err != nil {
+		return err
 	}
-	return nil
+	return b.writeOperator(operator)
+}
+
+// writeOperator makes operator the text of its operator's file.
+func (b *Box) writeOperator(operator string) error {
+	b.operator = operator
+	text := fmt.Sprintf("[uwsgi]\nlisten = %q\n", b.Desk) + strings.ReplaceAll(operator, "$DIR", b.Dir)
+	return os.WriteFile(b.Operator(), []byte(text), 0o600)
 }
 
 // Operator is the path of its operator's file.
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -18,6 +18,9 @@
 	"github.com/tidwall/gjson"
 )
 
+// patience is how long past its budget a caller waits for an answer before it counts as lost.
+const patience = time.Second
+
 // Seen is how a caller saw one request end.
 type Seen struct {
 	Stand, Class string
@@ -145,6 +148,7 @@
 		return s
 	}
 	defer c.Close()
+	c.SetDeadline(time.Now().Add(r.Budget + patience))
 	var vars []byte
 	for _, kv := range [][2]string{{"PATH_INFO", "/" + r.Class}, {"CONTENT_LENGTH", strconv.Itoa(len(r.Body))}, {"HTTP_X_STAND", r.Stand},
 		{"HTTP_X_BUDGET_MS", strconv.FormatInt(r.Budget.Milliseconds(), 10)}, {"HTTP_IDEMPOTENCY_KEY", r.Token}} {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,8 @@
 	Boxes, Zones, Voters int
 	DrainMs, SilentMs    int
 	Work                 time.Duration // of a run
+	Window               time.Duration // for which a keyed result is kept; 0 = Window
+	Makes                []Make        // box i runs Makes[i % len(Makes)]; none = all run the fleet's program
 	Certs                string        // a directory with ca.crt, and NAME.crt and NAME.key of each box and of ops; "" = without
 }
 
@@ -35,7 +38,9 @@
 	Members []*Member
 	Calls   *Churn // of Call; nil = none
 	over    chan struct{}
-	dismiss func() *Watch // ends the staff's watch; nil = there are none
+	doors   sync.Once
+	next    func() *Member // what Balance gives
+	dismiss func() *Watch  // ends the staff's watch; nil = there are none
 }
 
 // Member is one box of a fleet, on files that outlive its processes. Its methods may be called from several goroutines.
@@ -45,6 +50,7 @@
 	Site       *Site
 
 	dir    string // the fleet's part of its disk
+	text   func(Make) (program, operator string)
 	way    link.Options
 	mu     sync.Mutex
 	up     bool
@@ -52,6 +58,7 @@
 	worked bool      // staff have it
 	since  time.Time // when its process was up
 	works  int
+	downs  []Span
 }
 
 // NewFleet starts all processes of a fleet under home, and has the first found it.
@@ -73,7 +80,7 @@
 		m.Box = &Box{Name: fmt.Sprintf("n%d", i+1)}
 		f.Members = append(f.Members, m)
 	}
-	for _, m := range f.Members {
+	for i, m := range f.Members {
 		ways := ""
 		for _, to := range f.Members {
 			addr := m.Addr
@@ -95,8 +102,16 @@
 			lines = fmt.Sprintf("ca = %q\ncert = %q\nkey = %q\n", file("ca.crt"), file(m.Name+".crt"), file(m.Name+".key"))
 			m.way = link.Options{CA: file("ca.crt"), Cert: file("ops.crt"), Key: file("ops.key")}
 		}
-		if m.Box, err = NewBox(program, at, m.Name, m.Site, fmt.Sprintf("[ledger.peers]\nlisten = %q\nboxes = [%s]\n%s"+
-			"[fleet]\ndir = %q\nzone = %q\nvoters = %d\ndrain_ms = %d\nsilent_ms = %d\n", m.Addr, ways, lines, m.dir, m.Zone, o.Voters, o.DrainMs, o.SilentMs)); err != nil {
+		m.text = func(k Make) (string, string) {
+			return cmp.Or(k.Program, program), fmt.Sprintf("%s[ledger.peers]\nlisten = %q\nboxes = [%s]\n%s[fleet]\ndir = %q\nzone = %q\nvoters = %d\ndrain_ms = %d\nsilent_ms = %d\n",
+				k.Operator, m.Addr, ways, lines, m.dir, m.Zone, o.Voters, cmp.Or(k.DrainMs, o.DrainMs), cmp.Or(k.SilentMs, o.SilentMs))
+		}
+		k := Make{}
+		if len(o.Makes) > 0 {
+			k = o.Makes[i%len(o.Makes)]
+		}
+		runs, operator := m.text(k)
+		if m.Box, err = newBox(runs, at, m.Name, m.Site, operator, cmp.Or(o.Window, Window)); err != nil {
 			return err
 		}
 		if err = m.Start(); err != nil {
@@ -139,8 +154,14 @@
 	return out
 }
 
-// Call has callers send through a balancer that asks each door every 50 ms and sends to those that said yes.
-func (f *Fleet) Call(callers int) {
+// Balance has a balancer ask each door every 50 ms until the fleet's end, and gives what tells a box that said yes, each
+// in its turn; nil = none did.
+func (f *Fleet) Balance() func() *Member {
+	f.doors.Do(func() { f.next = f.balance() })
+	return f.next
+}
+
+func (f *Fleet) balance() func() *Member {
 	good := make([]atomic.Bool, len(f.Members))
 	for i, m := range f.Members {
 		go func() {
@@ -156,12 +177,23 @@
 		}()
 	}
 	var turn atomic.Uint64
-	f.Calls = NewChurnAt(func(int) string {
+	return func() *Member {
 		for range f.Members {
 			if i := int(turn.Add(1) % uint64(len(f.Members))); good[i].Load() {
-				return f.Members[i].Listen
+				return f.Members[i]
 			}
 		}
+		return nil
+	}
+}
+
+// Call has callers send through the balancer.
+func (f *Fleet) Call(callers int) {
+	next := f.Balance()
+	f.Calls = NewChurnAt(func(int) string {
+		if m := next(); m != nil {
+			return m.Listen
+		}
 		return ""
 	}, callers)
 }
@@ -294,6 +326,9 @@
 		return nil
 	}
 	err := m.Box.Start()
+	if n := len(m.downs); err == nil && n > 0 && m.downs[n-1].To.IsZero() {
+		m.downs[n-1].To = time.Now()
+	}
 	m.up, m.frozen, m.since = err == nil, false, time.Now()
 	return err
 }
@@ -307,6 +342,7 @@
 
 func (m *Member) kill() {
 	if m.up {
+		m.downs = append(m.downs, Span{From: time.Now()})
 		m.Box.Kill()
 		m.up = false
 	}
@@ -328,9 +364,11 @@
 	case !m.up || m.frozen == on:
 		return
 	case on:
+		m.downs = append(m.downs, Span{From: time.Now()})
 		m.Box.Freeze()
 	default:
 		m.Box.Thaw()
+		m.downs[len(m.downs)-1].To = time.Now()
 	}
 	m.frozen = on
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,7 +30,7 @@
 	listing net.Listener
 	began   time.Time
 	mu      sync.Mutex
-	runs    map[string]int // by body
+	runs    map[string][]time.Time // when each body began to run
 	link    net.Conn
 	notices []string // of this start of the box, numbered from 1
 	begun   map[string]string
@@ -38,7 +39,7 @@
 
 // NewSite starts a site on loopback. A run takes work, and every third makes a call below.
 func NewSite(work time.Duration) (*Site, error) {
-	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string]int{}, begun: map[string]string{}, waiting: map[string]chan string{}}
+	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, begun: map[string]string{}, waiting: map[string]chan string{}}
 	for _, x := range []struct {
 		l      *net.Listener
 		addr   *string
@@ -89,12 +90,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string]int{}
-	for body, n := range s.runs {
-		out[body] = n
+	for body, at := range s.runs {
+		out[body] = len(at)
 	}
 	return out
 }
 
+// Ran tells when each run of a body began, the first one first.
+func (s *Site) Ran(body string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.runs[body])
+}
+
 // pool serves one link of the worker pool's protocol.
 func (s *Site) pool(c net.Conn) {
 	defer c.Close()
@@ -168,8 +176,8 @@
 	}
 	s.begun[handle] = class
 	body, _ := base64.StdEncoding.DecodeString(arg)
-	s.runs[string(body)]++
 	began := time.Now()
+	s.runs[string(body)] = append(s.runs[string(body)], began)
 	calls := len(s.begun)%3 == 0
 	var supplied chan string
 	if calls {
