Versions played against each other on real processes: a rolling upgrade and back, by seed

Whether the program can be upgraded and rolled back in a running fleet, and whether it is better than it was, was never shown. Package versus builds the pinned revision from the repository's own history and plays it: nine processes in three zones go to the present program and back, box by box, under load, while leaders are killed, one way of a pair is cut and a disk is lost; and the same drawn scripts are played by each version alone and by both in one fleet, compared by seed.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet race lint size run fuzz
+.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz
 
 check: lint build size test
 
@@ -34,6 +34,10 @@
 	go test -timeout 3600s -count=1 ./internal/fleet/agree -seeds 5000 -big 20
 	go test -timeout 3600s -count=1 ./internal/fleet/driver -run Script -scripts 200 -parallel 4
 
+# The long form of the games between versions: the present program and the pinned one on up to 200 seeds.
+versus:
+	go test -v -timeout 7200s -count=1 ./internal/versus -games 200
+
 race:
 	go test -timeout 600s -race -count=3 ./...
 
--- /dev/null
+++ b/internal/versus/versus_test.go
@@ -0,0 +1,158 @@
+package versus
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"larchscale/internal/standin"
+	"larchscale/internal/standin/faultnet"
+)
+
+var (
+	games   = flag.Int("games", 2, "how many seeds the fleets play at most")
+	first   = flag.Uint64("first", 1, "the first seed")
+	program string
+)
+
+// outlives is the new program's promise of keyed work: once it takes over what a box that was killed had in hand, true
+// has TestBothVersionsAlone hold it to that.
+const outlives = false
+
+// The present program is built once for all tests. Every process has ended when they have.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(standin.WithProgram(&program, func() int {
+		code := m.Run()
+		if err := goleak.Find(); err != nil && code == 0 {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		return code
+	}))
+}
+
+// earlier builds the pinned program, once for all tests. Without its history the test is skipped, but for CI.
+var earlier = func() func(t *testing.T) string {
+	build := sync.OnceValues(func() (string, error) { return Build(Pinned(), filepath.Dir(program)) })
+	return func(t *testing.T) string {
+		t.Helper()
+		old, err := build()
+		switch {
+		case errors.Is(err, ErrNoHistory) && os.Getenv("CI") != "true":
+			t.Skipf("not played: %v", err)
+		case err != nil:
+			t.Fatal(err)
+		}
+		return old
+	}
+}()
+
+func homes(t *testing.T) func() string {
+	dir, n := t.TempDir(), atomic.Int64{}
+	return func() string { return filepath.Join(dir, fmt.Sprint(n.Add(1))) }
+}
+
+// Nine processes in three zones go from the pinned program to the present one and back, box by box, under load, while
+// leaders are killed and ways are cut.
+func TestARollingUpgradeAndBack(t *testing.T) {
+	old := earlier(t)
+	t.Parallel()
+	f := Default(program, homes(t))
+	f.Boxes, f.Script, f.Fill = 9, Troubles(2), 400
+	began := time.Now()
+	f.Check = func(_ uint64, p *Played) error {
+		for _, m := range p.Members {
+			why, err := Stand(m)
+			if err != nil {
+				return err
+			}
+			if why != "" {
+				t.Logf("%s serves without a part: %s", m.Name, why)
+			}
+		}
+		if !slices.ContainsFunc(p.Members, func(m *standin.Member) bool { return len(m.Downs()) > 0 && m.Name == p.led }) {
+			return errors.New("no leader was killed")
+		}
+		if x := p.Unruly(); len(x) > 0 {
+			return fmt.Errorf("%d requests unheard where no process was killed: %+v", len(x), x[0])
+		}
+		if a := p.Audit.Account(); len(a.Twice) > 0 || a.Wrong > 0 {
+			return fmt.Errorf("%d results of other writes; run twice: %+v", a.Wrong, a.Twice)
+		}
+		return newer(t, p, old)
+	}
+	out, err := f.Game("upgrade").Play(*first, Upgrade(standin.Make{Program: old}, standin.Make{Program: program}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d: %+v, in %.1f s", *first, out, time.Since(began).Seconds())
+}
+
+// newer holds a fleet that has gone back to what it was to the rest of the promise: the box that lost its disk began with
+// a snapshot from one of another program, and each program refuses a log of one to come in one line, and serves on.
+func newer(t *testing.T, p *Played, old string) error {
+	wiped := p.Script[slices.IndexFunc(p.Script, func(x faultnet.Step) bool { return x.Do == "wipe" })].Who[0]
+	m := p.Member(wiped)
+	m.Kill()
+	switch index, err := Snapshot(m); {
+	case err != nil:
+		return err
+	case index == 0:
+		return fmt.Errorf("%s lost its disk, and got no snapshot", wiped)
+	}
+	if err := m.Start(); err != nil {
+		return err
+	}
+	for i, name := range []string{"n8", "n9"} {
+		m := p.Member(name)
+		m.Kill()
+		if err := errors.Join(Later(m), m.Become(standin.Make{Program: []string{old, program}[i]}, 0), m.Start()); err != nil {
+			return err
+		}
+		var why string
+		if err := standin.Until(name+" says that it has no part", 5*time.Second, func() (ok bool) {
+			var err error
+			why, err = Stand(m)
+			return err == nil && why != ""
+		}); err != nil {
+			return fmt.Errorf("%w: %s", err, m.Log())
+		}
+		if !strings.Contains(why, "newer") {
+			return fmt.Errorf("%s refuses a log of a program to come so: %s", name, why)
+		}
+	}
+	return nil
+}
+
+// The same scripts are played by a fleet of the present program, one of the pinned one, and one of both.
+func TestBothVersionsAlone(t *testing.T) {
+	old := earlier(t)
+	t.Parallel()
+	a, b := standin.Make{Program: program}, standin.Make{Program: old}
+	table, err := Set(Default(program, homes(t)).Game("versions"), *first, *games, Fixed(*games),
+		Contender[Match]{"present", Alone(a, 0)}, Contender[Match]{"pinned", Alone(b, 0)}, Contender[Match]{"mixed", Mixed(a, b)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(table)
+	for i, n := range table.Names {
+		if twice := table.Sum(i, "twice"); twice > 0 {
+			t.Errorf("%s: %.0f keyed writes ran twice", n, twice)
+		}
+		t.Logf("%s: %.0f of %.0f keyed writes in hand at a box that was killed survived it", n, table.Sum(i, Survived), table.Sum(i, InHand))
+	}
+	if outlives && table.Sum(0, Survived)*table.Sum(1, InHand) <= table.Sum(1, Survived)*table.Sum(0, InHand) {
+		t.Error("the present program is no better than the pinned one at keyed writes that survive a SIGKILL of their box")
+	}
+}
