--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -29,8 +29,9 @@
 	Boxes, Zones, Voters int
 	DrainMs, SilentMs    int
 	Work                 time.Duration // of a run
-	"bufio"
-	"cmp"
+	TakeOver             bool
+	Window               time.Duration // for which a keyed result is kept; 0 = Window
+	Makes                []Make        // box i runs Makes[i % len(Makes)]; none = all run the fleet's program
 	Certs                string        // a directory with ca.crt, and NAME.crt and NAME.key of each box and of ops; "" = without
 }
 
