Hand: a lease that lapsed and is renewed goes on; pieces as the core has them

The life is what the log loses: as long as it stands nobody took anything over, so a box whose lease ran out for a moment does nothing until it is renewed, instead of giving up all it has in hand (a leader's death would have cost that of all boxes). Pieces have the core's types, the handle of their run and the pool's cursor.

--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -43,12 +43,14 @@
 	Key     Key
 	Sum     [32]byte // of the body: another body under the same key is another request
 	Body    []byte   // never changed once given
+	Handle  string   // by which the worker pool of its box knows it
+	Cursor  uint64   // of its box's pool: what that tells of the piece comes later
 	Tenant  string
-	Subject string
-	Caller  string
-	Rank    int
-	Memory  int64         // bytes
-	Work    float64       // as the core measures it
+	Subject uint64
+	Caller  uint32
+	Rank    float64
+	Memory  float64       // kilobytes while held
+	Work    time.Duration // to expect on one core
 	Due     time.Duration // what was left of its time when this was sent; clocks differ, so never a point in time
 	Life    time.Duration // how long its record is still to be kept: window, deadline and a margin
 	Repeat  bool          // its class may be run again
@@ -194,20 +196,13 @@
 // Newest is the newest epoch that any box spoke of: past the view's own, this box is behind its log.
 func (h *Hand) Newest() uint64 { return max(h.newest, h.view.Epoch) }
 
-// Lease sets the end of this life's lease. A lease that ran out is not taken up again: its life is over, and the
-// driver gets a new one from the log.
-func (h *Hand) Lease(now, until time.Duration) {
-	if h.live(now) {
-		h.lease = max(h.lease, until)
-	}
-}
+// Lease sets the end of this life's lease. One that ran out may be taken up again as long as the life is the same: the
+// log has not lost it, so nobody has taken anything over. Until then the box does nothing.
+func (h *Hand) Lease(until time.Duration) { h.lease = max(h.lease, until) }
 
 // live tells that the box may act.
 func (h *Hand) live(now time.Duration) bool {
-	if !h.over && now >= h.lease && !h.bug.leaseIgnored {
-		h.disown()
-	}
-	return !h.over
+	return !h.over && (now < h.lease || h.bug.leaseIgnored)
 }
 
 // Live tells that the box has a life and a lease that holds.
@@ -223,7 +218,9 @@
 // Drain takes what is to be done. It looks at the lease once more: a box that stopped between an input and this
 // sends nothing.
 func (h *Hand) Drain(now time.Duration) Outputs {
-	h.live(now)
+	if !h.over && !h.live(now) {
+		return Outputs{}
+	}
 	out := h.out
 	h.out, h.place = Outputs{}, nil
 	return out
@@ -236,7 +233,7 @@
 		return
 	}
 	fresh := v.Life != h.view.Life
-	if !fresh && !h.live(now) {
+	if !fresh && h.over {
 		return
 	}
 	if fresh {
@@ -261,7 +258,9 @@
 	for _, k := range sortedKeys(h.mine) {
 		h.moved(now, h.mine[k])
 	}
-	h.take(now)
+	if h.live(now) {
+		h.take(now)
+	}
 	h.loop(now)
 }
 
--- a/internal/fleet/hand/holder.go
+++ b/internal/fleet/hand/holder.go
@@ -80,7 +80,7 @@
 
 // Finish tells how a run of a key that is this box's ended. Finished follows.
 func (h *Hand) Finish(now time.Duration, k Key, ok bool, result []byte, why string) {
-	if !h.live(now) {
+	if h.over {
 		return
 	}
 	x := h.mine[k]
@@ -98,7 +98,7 @@
 
 // Release gives up a key that is asked for, or held and never told to run.
 func (h *Hand) Release(now time.Duration, k Key) {
-	if !h.live(now) {
+	if h.over {
 		return
 	}
 	if x := h.mine[k]; x != nil && x.state != over {
