Core: keyed ends are kept back until safe, claims that are lost are not acted on, pieces are adopted

Need: a server that is lost leaves keyed work in hand. Another may run it only if this one then neither runs, answers nor books it, however late it wakes; and a result that a caller has seen must not be lost with its server. Change: with a store that says wait, the end of a keyed run is given out, replayed and booked only after Finished, at most until it is due (state ending, phase unstored). Every act on a claim asks Holds first: run, resend, call, skip, supply, finish, answer, replay, release, and the strict ledger's giving out; a claim that does not hold fails all its tries, stops the run where runs can be, and its entry stays lost until Disown drops it. Adopt takes a piece of a lost server in like a new request with nobody to answer; it is booked as withdrawn, and the first repeat served earns its worth. Finish is asked before its caller is answered, as it says whether to wait. Disown.Taken tells the store when it may hold again.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -8,27 +8,39 @@
 	switch {
 	case c.byHandle[r.Handle] != nil || c.recent.has(r.Handle):
 		c.turnAway(r, Invalid, "the id is in use")
-	case c.ctl == nil || c.over:
-		c.turnAway(r, Refused, "the worker pool is not up")
-	case c.books != nil && !c.books.Ready():
-		c.turnAway(r, Refused, "the ledger cannot be written")
-	case len(c.byHandle) >= c.site.Bounds.Open:
-		c.turnAway(r, Refused, "too many requests in hand")
+	case c.shutWhy() != "":
+		c.turnAway(r, Refused, c.shutWhy())
 	case c.strange(r.session):
 		c.turnAway(r, Refused, "too many requests came to nothing here")
 	case c.site.Keyed(r.Class):
-		c.byHandle[r.Handle] = r
-		c.recent.add(r.Handle)
-		c.changed()
+		c.register(r)
 		c.routeKeyed(r)
 	default:
-		c.byHandle[r.Handle] = r
-		c.recent.add(r.Handle)
-		c.changed()
+		c.register(r)
 		c.enter(r, 0)
 	}
 }
 
+// shutWhy tells why nothing is taken in, whoever asks; "" = it is.
+func (c *Core) shutWhy() string {
+	switch {
+	case c.ctl == nil || c.over:
+		return "the worker pool is not up"
+	case c.books != nil && !c.books.Ready():
+		return "the ledger cannot be written"
+	case len(c.byHandle) >= c.site.Bounds.Open:
+		return "too many requests in hand"
+	}
+	return ""
+}
+
+// register makes a request known by its handle.
+func (c *Core) register(r *request) {
+	c.byHandle[r.Handle] = r
+	c.recent.add(r.Handle)
+	c.changed()
+}
+
 // strange tells that much on a connection came to nothing. Guards the controller's view of its load against
 // a client that asks again as soon as it is turned away, or takes back all that it asks for. Harm: in a deep
 // overload a balancer's connection is made anew now and then.
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -107,12 +107,12 @@
 	// Claim asks for a key; each that is taken (true) ends with one Claimed event.
 	Claim(p Piece) bool
 	// Finish tells how the run of a claimed key ended. With wait one Finished event follows, and what ended is not
-	// answered before it.
+	// answered before it; none follows a Disown.
 	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration) (wait bool)
-	// Release gives up the claim of what never ran.
+	// Release gives up the claim of what never ran. It touches no claim of before a Disown.
 	Release(k Key)
 	// Holds tells that what this server has claimed is still its own. It is asked at the moment of acting, by the
-	// loop, and must cost no more than an atomic read and a clock.
+	// loop, and must cost no more than an atomic read and a clock. Once false it stays so until a Disown is taken.
 	Holds() bool
 }
 
@@ -284,8 +284,11 @@
 	}
 	// Adopt brings a piece of a server that is lost: it is run here. Its key is claimed for this server already.
 	Adopt struct{ Piece Piece }
-	// Disown tells that nothing that was claimed is this server's any longer.
-	Disown struct{}
+	// Disown tells that nothing that was claimed is this server's any longer. What was asked for before it is not told
+	// as won after it.
+	Disown struct {
+		Taken func() // called by the loop once all is given up; from then on Holds speaks of new claims; nil = nobody asks
+	}
 )
 
 // Booked tells that all entries up to a ticket are written.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -16,6 +16,10 @@
 		return
 	}
 	r.answered = true
+	if r.adopted { // its caller is told, and counted, when it repeats
+		c.withdrawn(r)
+		return
+	}
 	c.counted(r.Class, a.Kind)
 	if r.session.idled++; a.Kind == Served {
 		r.session.idled = 0
@@ -43,6 +47,9 @@
 
 // refuse turns away a request that never ran.
 func (c *Core) refuse(r *request, away time.Duration, last bool) {
+	if !c.holds(r.entry) { // it may run elsewhere
+		return
+	}
 	if r.ran && c.site.Control.Classes[r.Class].Effect != control.Safe { // guards against a refusal after an effect
 		c.fail(r)
 		return
@@ -71,17 +78,15 @@
 // drop takes a request off the books that neither the controller nor the worker pool has any longer.
 func (c *Core) drop(r *request) {
 	was := r.state
-	r.state = ended
-	c.late.drop(&r.patience)
-	delete(c.byID, r.id)
-	c.forgetHandle(r)
-	c.enterUse(r)
+	c.strike(r)
 	e := r.entry
 	if e == nil {
 		return
 	}
 	if e.owner == r {
 		switch {
+		case was == ending:
+			e.owner = nil // the store's word is still to come, for those that repeat it
 		case !e.ran && was == claiming && e.phase == asking && len(e.waiters) > 0:
 			e.owner, e.waiters = e.waiters[0], e.waiters[1:] // the store's answer is still to come
 		case !e.ran:
@@ -106,12 +111,17 @@
 	}
 }
 
-// finish tells the controller that a run or a replay is over, after this round of actions.
-func (c *Core) finish(r *request, how control.Outcome, took time.Duration) {
+// strike takes a request that is over off the core's tables and books it.
+func (c *Core) strike(r *request) {
 	r.state = ended
 	c.late.drop(&r.patience)
 	delete(c.byID, r.id)
 	c.forgetHandle(r)
 	c.enterUse(r)
+}
+
+// finish ends a run or a replay, and tells the controller after this round of actions.
+func (c *Core) finish(r *request, how control.Outcome, took time.Duration) {
+	c.strike(r)
 	c.again = append(c.again, func() { c.ctl.Done(c.now, r.id, took, how) })
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,7 @@
 	blocked
 	calling
 	replaying
+	ending // its run is over, and whether that is safe in the shared store is not known; the controller is done with it
 	ended
 )
 
@@ -114,6 +115,7 @@
 	state      state
 	ran        bool
 	answered   bool
+	adopted    bool   // of a server that is lost: nobody waits for its answer
 	entry      *entry // the key it owns or repeats
 	patience   deadline
 	began      time.Duration // of the call in hand
@@ -187,8 +189,14 @@
 	c.settle()
 }
 
-// settle books what is open when the server ends: runs that nobody waits for any longer.
+// settle answers what waits for a store or a disk when the server ends, and books what is open: runs that nobody
+// waits for any longer.
 func (c *Core) settle() {
+	for _, r := range c.byHandle {
+		if r.state == ending {
+			c.answer(r, Answer{Kind: Failed, Why: "the shared store did not tell in time"})
+		}
+	}
 	if c.books == nil {
 		return
 	}
@@ -196,7 +204,7 @@
 		c.overdue(r)
 	}
 	for _, r := range c.byHandle {
-		if r.ran {
+		if r.ran && r.state != ending {
 			r.runEnded(c.now, c.now-r.use.since)
 		}
 		c.endsAs(r, Failed)
@@ -275,6 +283,12 @@
 		c.callEnded(e)
 	case Claimed:
 		c.claimed(e)
+	case Finished:
+		c.stored(e)
+	case Adopt:
+		c.adopt(e.Piece)
+	case Disown:
+		c.disown(e)
 	case Booked:
 		c.booked(e.Through)
 	case Drain:
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -151,7 +151,7 @@
 }
 
 // overdue is a result whose entry is not written when it has to leave. It leaves all the same, or the request
-// fails: its entry, wherever that is by now, is taken back and another one booked.
+// fails.
 func (c *Core) overdue(r *request) {
 	if r.use.kept.given {
 		return
@@ -160,13 +160,21 @@
 		c.giveOut(r, r.use.kept.answer)
 		return
 	}
+	c.takeBack(r, Answer{Kind: TimedOut, Why: "the ledger could not be written"})
+}
+
+// takeBack fails a request whose result is kept: its entry, wherever that is by now, is taken back and another booked.
+func (c *Core) takeBack(r *request, a Answer) {
+	if r.use.kept.given {
+		return
+	}
 	back := c.useOf(r)
 	back.Figures, _ = back.Figures.Neg() // sums of one request are far from the bounds
 	c.books.Book(back)
 	r.use.end, r.use.out = ledger.Failed, 0
 	c.books.Book(c.useOf(r))
 	c.bookedNow = true
-	c.giveOut(r, Answer{Kind: TimedOut, Why: "the ledger could not be written"})
+	c.giveOut(r, a)
 }
 
 // giveOut sends an answer that has waited, once.
@@ -175,6 +183,10 @@
 	if w.given {
 		return
 	}
+	if a.Kind == Served && !c.holds(r.entry) {
+		c.takeBack(r, Answer{Kind: Failed, Why: elsewhere})
+		return
+	}
 	w.given, w.answer = true, Answer{}
 	a.Hint = c.level
 	r.reply.Answer(a)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -22,7 +22,7 @@
 
 // call makes the call that r waits for.
 func (c *Core) call(r *request, patience time.Duration) {
-	if r.state != blocked || r.answered {
+	if r.state != blocked || r.answered || !c.holds(r.entry) {
 		return
 	}
 	r.state, r.began = calling, c.now
@@ -35,7 +35,7 @@
 // skip has a run go on without the call that it waits for. The command names that call's notice, so that a copy
 // after a broken link is never taken for a word on the next call.
 func (c *Core) skip(r *request) {
-	if r.state != blocked || r.answered {
+	if r.state != blocked || r.answered || !c.holds(r.entry) {
 		return
 	}
 	r.state = running
@@ -57,11 +57,10 @@
 		return
 	}
 	c.late.drop(&r.patience)
-	if e.Outcome == control.OK {
+	r.state = blocked
+	if e.Outcome == control.OK && c.holds(r.entry) {
 		r.state = running
 		c.command(r, func() { c.runner.Supply(r.Handle, e.Body) })
-	} else {
-		r.state = blocked
 	}
 	c.ctl.CallDone(c.now, r.id, c.now-r.began, e.Outcome)
 }
@@ -74,7 +73,7 @@
 		c.changed()
 		c.abandon(r)
 		c.ctl.CallDone(c.now, r.id, c.now-r.began, control.TimedOut)
-	case claiming: // another server may have run it: no assurance
+	case claiming, ending: // another server may have run it, or it ran here: no assurance
 		c.answer(r, Answer{Kind: TimedOut, Why: "the shared store did not tell in time"})
 		c.drop(r)
 	}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -25,6 +25,13 @@
 	open                // the owner is held, or its run goes on
 	done
 	failed
+	unstored // its run is over, and whether that is safe in the shared store is not known
+	lost     // its claim may be another server's
+)
+
+const (
+	runFailed = "the run failed"
+	noRoom    = "no room for its key"
 )
 
 // entry is what is known of one key: which try has it, and how that ended.
@@ -34,6 +41,7 @@
 	owner   *request // nil once it is over
 	phase   phase
 	ran     bool
+	ok      bool // its run ended well
 	earned  bool // a result was given out
 	claimed bool // it is this server's in the shared store
 	result  []byte
@@ -86,27 +94,25 @@
 	e := c.table.entries[key]
 	switch {
 	case e == nil:
-		size := entryBytes + len(r.Token) + resultBytes
-		if c.table.shrink(c.site.Bounds.Table - size); c.table.bytes+size > c.site.Bounds.Table {
+		if !c.newEntry(r, key, sum) {
 			c.forgetHandle(r)
-			c.turnAway(r, Refused, "no room for its key")
+			c.turnAway(r, Refused, noRoom)
 			return
 		}
-		e = &entry{key: key, sum: sum, owner: r, phase: open, size: size}
-		e.expiry.do = func() { c.expire(e) }
-		c.table.entries[key] = e
-		c.table.bytes += size
-		r.entry = e
 		if c.store == nil {
 			c.enter(r, 0)
 			return
 		}
+		e = r.entry
 		e.phase = asking
 		c.holdForStore(r)
 		c.ask(e)
 	case e.sum != sum:
 		c.forgetHandle(r)
 		c.turnAway(r, Conflict, "the token belongs to another body")
+	case !c.holds(e):
+		c.forgetHandle(r)
+		c.turnAway(r, Failed, elsewhere)
 	case e.phase == asking:
 		r.entry = e
 		e.waiters = append(e.waiters, r)
@@ -117,6 +123,20 @@
 	}
 }
 
+// newEntry makes r the owner of a new entry; false = there is no room.
+func (c *Core) newEntry(r *request, key Key, sum [32]byte) bool {
+	size := entryBytes + len(key.Token) + resultBytes
+	if c.table.shrink(c.site.Bounds.Table - size); c.table.bytes+size > c.site.Bounds.Table {
+		return false
+	}
+	e := &entry{key: key, sum: sum, owner: r, phase: open, size: size}
+	e.expiry.do = func() { c.expire(e) }
+	c.table.entries[key] = e
+	c.table.bytes += size
+	r.entry = e
+	return true
+}
+
 // enter hands a request to the controller, as new or as the repeat of another.
 func (c *Core) enter(r *request, repeats uint32) {
 	c.late.drop(&r.patience)
@@ -137,7 +157,7 @@
 	switch e := r.entry; {
 	case e.phase == open && e.owner == nil: // released since
 		c.again = append(c.again, func() { c.anew(r) })
-	case e.phase == open:
+	case e.phase == open, e.phase == unstored:
 		e.waiters = append(e.waiters, r)
 	default:
 		c.share(r)
@@ -146,6 +166,10 @@
 
 // share gives a repeat the end of the try that ran.
 func (c *Core) share(r *request) {
+	if !c.holds(r.entry) {
+		c.cede(r, elsewhere)
+		return
+	}
 	how := control.Errored
 	r.use.replay = true
 	if r.entry.phase == done {
@@ -157,19 +181,36 @@
 	c.finish(r, how, 0)
 }
 
-// conclude books the end of the try that has the key, and of those that wait for it.
+// conclude takes the end of the try that has the key. Where the store says so, it is given out only after Finished.
 func (c *Core) conclude(e *entry, ok bool, result []byte) {
-	e.phase, e.owner, e.result = failed, nil, nil
-	if ok {
-		e.phase, e.result = done, append([]byte{}, result...)
-		c.table.kept = append(c.table.kept, e)
+	if !c.holds(e) {
+		return
+	}
+	if e.ok, e.result = ok, nil; ok {
+		e.result = append([]byte{}, result...)
 	}
 	c.table.resize(e, entryBytes+len(e.key.Token)+len(e.result))
-	if e.claimed {
-		c.store.Finish(e.key, e.sum, ok, result, e.until-c.now)
+	if e.claimed && c.store.Finish(e.key, e.sum, ok, result, e.until-c.now) {
+		if e.phase = unstored; e.owner.answered {
+			e.owner = nil
+		}
+		return
+	}
+	c.settled(e)
+}
+
+// settled gives out the end of the try that has the key, to its caller and to those that wait for it.
+func (c *Core) settled(e *entry) {
+	r, waiters := e.owner, e.waiters
+	e.phase, e.owner, e.waiters = failed, nil, nil
+	a := Answer{Kind: Failed, Why: runFailed}
+	if e.ok {
+		e.phase, a = done, Answer{Kind: Served, Body: e.result}
+		c.table.kept = append(c.table.kept, e)
+	}
+	if r != nil {
+		c.answer(r, a)
 	}
-	waiters := e.waiters
-	e.waiters = nil
 	for _, r := range waiters {
 		switch r.state {
 		case replaying:
@@ -184,6 +225,9 @@
 // the same turn must not find it with an owner that is gone. The tries that waited for it never ran either: the next
 // of them takes its place, as if it came only now.
 func (c *Core) release(e *entry) {
+	if !c.holds(e) { // it may run elsewhere by now
+		return
+	}
 	c.late.drop(&e.expiry)
 	c.table.drop(e)
 	if e.claimed {
@@ -257,7 +301,9 @@
 	}
 	switch a.State {
 	case ClaimWon:
-		e.phase, e.claimed = open, true
+		if e.phase, e.claimed = open, true; !c.holds(e) {
+			return
+		}
 		c.enter(e.owner, 0)
 		waiters := e.waiters
 		e.waiters = nil
@@ -273,7 +319,7 @@
 		c.late.set(again, c.now+askEach)
 	case ClaimDone, ClaimFailed:
 		owner := e.owner
-		e.waiters = append([]*request{owner}, e.waiters...)
+		e.owner, e.waiters = nil, append([]*request{owner}, e.waiters...)
 		e.until = c.now + windowMargin
 		c.late.set(&e.expiry, e.until)
 		c.conclude(e, a.State == ClaimDone, a.Result)
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -114,7 +114,7 @@
 
 // run starts a held request.
 func (c *Core) run(r *request) {
-	if r.state != held {
+	if r.state != held || !c.holds(r.entry) {
 		return
 	}
 	r.state, r.ran = running, true
@@ -234,12 +234,13 @@
 
 // resume sends again what the worker pool has not shown to have received.
 func (c *Core) resume() {
-	c.resync, c.linked = "", true
+	c.resync = ""
 	for _, id := range slices.Sorted(maps.Keys(c.byID)) {
 		r := c.byID[id]
-		if r.state != running {
+		if r == nil || r.state != running {
 			continue
 		}
+		mine := c.holds(r.entry)
 		// To ask for a run twice does no harm. Guards against runs that never begin, whose end nobody tells.
 		if r.resend != nil && (r.doubtful || r.begins) {
 			r.sent, r.doubtful = c.now, false
@@ -248,7 +249,12 @@
 		if r.stopping {
 			c.runner.Stop(r.Handle)
 		}
+		if !mine && r.begins { // whether its run began nobody can tell, and it is not asked for again
+			r.runEnded(c.now, 0)
+			c.finish(r, control.Errored, 0)
+		}
 	}
+	c.linked = true
 }
 
 // unknown is a command that was not carried out. A run that was asked for once and refused by the worker
@@ -258,10 +264,14 @@
 	if r == nil || e.Command != "spawn" || r.state != running || r.spawns != 1 {
 		return
 	}
-	r.resend = nil
-	c.answer(r, Answer{Kind: Invalid, Why: "the worker pool does not know this request"})
-	c.neverRan(r)
-	c.finish(r, control.Moot, 0)
+	r.resend, r.state = nil, ending
+	if c.holds(r.entry) {
+		c.answer(r, Answer{Kind: Invalid, Why: "the worker pool does not know this request"})
+		c.neverRan(r)
+	}
+	if r.state != ended {
+		c.finish(r, control.Moot, 0)
+	}
 }
 
 // neverRan takes back that a run of r had begun, and gives its key to the next try.
@@ -276,7 +286,7 @@
 // finished is the end of a run.
 func (c *Core) finished(e PoolFinished) {
 	r := c.byHandle[e.Handle]
-	if r == nil || !r.ran {
+	if r == nil || !r.ran || r.state == ending {
 		return
 	}
 	r.resend, r.stopping = nil, false
@@ -284,27 +294,35 @@
 		c.abandon(r)
 	}
 	r.runEnded(c.now, e.Took)
+	a := Answer{Kind: Failed, Why: runFailed}
 	switch e.End {
 	case control.OK:
 		c.deep.proved = c.now
-		c.answer(r, Answer{Kind: Served, Body: e.Body})
+		a = Answer{Kind: Served, Body: e.Body}
 	case control.Stopped:
 		if !r.answered { // it was stopped by the controller and is held again
 			r.state = held
 			c.ctl.Done(c.now, r.id, e.Took, control.Stopped)
 			return
 		}
-	default:
-		c.answer(r, Answer{Kind: Failed, Why: "the run failed"})
 	}
+	r.state = ending
 	switch {
 	case r.entry == nil:
-	case e.End == control.Moot && r.spawns == 1:
+		c.answer(r, a)
+	case e.End == control.Moot && r.spawns == 1 && c.holds(r.entry):
+		c.answer(r, a)
 		c.neverRan(r)
 	default:
 		c.conclude(r.entry, e.End == control.OK, e.Body)
 	}
-	c.finish(r, e.End, e.Took)
+	switch {
+	case r.state == ended: // its key is another's
+	case r.answered:
+		c.finish(r, e.End, e.Took)
+	default:
+		c.keepBack(r, e.End, e.Took)
+	}
 }
 
 func gaugesOf(names []string, figures []float64) control.Gauges {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"regexp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,7 @@
 	mu    sync.Mutex
 	lines []string
 	full  bool
+	Hides bool        // handles of 16 digits are recorded as "own"
 	Waits bool        // the store says of every end that it is to be waited for; set before the first event
 	lost  atomic.Bool // the store holds nothing any longer
 
@@ -138,10 +140,20 @@
 func (p *pipes) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
 func (p *pipes) Addr() net.Addr { return nil }
 
+// handle is one as fronts and the core make them. The tests' own are short.
+var handle = regexp.MustCompile(`\b[0-9a-f]{16}\b`)
+
+func (w *World) named(line string) string {
+	if w.Hides {
+		line = handle.ReplaceAllString(line, "own")
+	}
+	return line
+}
+
 func (w *World) note(f string, a ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lines = append(w.lines, fmt.Sprintf(f, a...))
+	w.lines = append(w.lines, w.named(fmt.Sprintf(f, a...)))
 }
 
 // Send hands an event to the core.
@@ -247,7 +259,7 @@
 	defer r.w.mu.Unlock()
 	r.w.hands = append(r.w.hands, h)
 	if r.w.serve == 0 {
-		r.w.lines = append(r.w.lines, fmt.Sprintf("run %s %s %s", h, class, body))
+		r.w.lines = append(r.w.lines, r.w.named(fmt.Sprintf("run %s %s %s", h, class, body)))
 		return
 	}
 	r.w.runs[string(body)]++
