Keyed work is claimed in the fleet and outlives its box, over real processes

Until now a keyed request was known to its box alone: repeated elsewhere it ran again, and a killed box lost what it had in hand. fleet.take_over = true makes the fleet the core's store.

internal/fleet/desk carries out package hand on a goroutine of its own, with a line of its own to each box: claims and ends at both homes, views in turn, Disown, and heirs that bring a lost box's pieces to their end at its worker pool. Slices that never had homes are whole at once; who was a home before under the same life is not.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -13,10 +13,13 @@
 	"larchscale/internal/admin"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
+	"larchscale/internal/fleet/desk"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/ground"
+	"larchscale/internal/fleet/hand"
 	"larchscale/internal/fleet/place"
 	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/index"
 	"larchscale/internal/keeper"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
@@ -24,7 +27,7 @@
 
 // joinOthers opens the way to the other boxes, and on it what this box has to say to them: the ledger's sums, its part
 // in the fleet. The channel is closed once the fleet's part has ended, after ctx; lines are its figures, nil = none.
-func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, figures func() *core.Figures,
+func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, figures func() *core.Figures,
 	holder *admin.Holder, log *slog.Logger) (over <-chan struct{}, lines func() []byte, err error) {
 	way := own.Ledger.Peers.Options
 	l, err := link.New(way, log)
@@ -41,14 +44,21 @@
 	if own.Fleet.Dir != "" {
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		modules := func() []driver.Module { return nil }
-		if own.Fleet.TakeOver {
-			modules = ground.New(ground.Options{Pool: cfg.Pool, Moves: maxMoves}, func(*ground.View) {}, log).Modules
+		if keys != nil {
+			g := ground.New(ground.Options{Pool: cfg.Pool, Whole: keys.Whole, Moves: maxMoves}, keys.View, log)
+			keys.Stand(g, l, index.New(cfg.Index, leftCalls, keys.Reply, log))
+			go keys.Run(ctx)
+			mux.Handle("/hand/", keys)
+			modules = g.Modules
 		}
 		part := driver.NewPart(func() (*driver.Driver, error) {
 			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Others(), l, body, log, modules()...)
 		}, log)
 		mux.Handle("/fleet/", part)
 		lines = part.Lines
+		if keys != nil {
+			lines = func() []byte { return append(part.Lines(), keys.Lines()...) }
+		}
 		go func() {
 			defer close(ended)
 			part.Run(ctx)
@@ -89,6 +99,24 @@
 // maxMoves bounds the slices that move at a time: an eighth of all.
 const maxMoves = place.Slices / 8
 
+// leftCalls bounds the calls below that runs of lost boxes make at a time.
+const leftCalls = 8
+
+// newDesk makes the box's desk at which keyed work is claimed in the fleet.
+func newDesk(cfg *config.Config, own *config.Operator, cursor func() uint64, sink func(core.Event), log *slog.Logger) *desk.Desk {
+	longest := time.Duration(0)
+	for _, k := range cfg.Site.Control.Classes {
+		longest = max(longest, core.ClaimLife(&k))
+	}
+	bytes := cfg.Limits.HomeBytes()
+	ways := map[string]string{}
+	for _, b := range own.Ledger.Peers.Others() {
+		ways[b.Name] = b.Addr
+	}
+	return desk.New(desk.Options{Box: cfg.Name, Site: &cfg.Site, Cursor: cursor, Ways: ways,
+		Limits: hand.Limits{Records: int(bytes / 1024), Bytes: bytes, Longest: longest}}, sink, log)
+}
+
 // listenEach is how often an address that is in use is asked for again.
 const listenEach = 250 * time.Millisecond
 
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -24,6 +24,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/directory"
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/desk"
 	"larchscale/internal/handoff"
 	"larchscale/internal/index"
 	"larchscale/internal/jsonrpc"
@@ -178,7 +179,11 @@
 		below = uwsgi.NewClient(own.UWSGI, c.Send)
 	}
 	var keys core.Store
-	if own.Store.Redis != "" {
+	var claims *desk.Desk
+	if own.Fleet.TakeOver {
+		claims = newDesk(cfg, own, workers.Cursor, c.Send, log)
+		keys = claims
+	} else if own.Store.Redis != "" {
 		db := store.New(own.Store, store.Owner(cfg.Name), cfg.Site.Classes, c.Send, log)
 		go db.Run(ctx)
 		keys = db
@@ -208,7 +213,7 @@
 	defer holder.Close()
 	var figures func() []byte
 	if own.Ledger.Peers.Listen != "" {
-		fleet, lines, err := joinOthers(ctx, cfg, own, books, c.Figures, holder, log)
+		fleet, lines, err := joinOthers(ctx, cfg, own, books, claims, c.Figures, holder, log)
 		if err != nil {
 			return err
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,9 @@
 // GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
 func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
 
+// HomeBytes is what a box keeps of keyed work as a home in its fleet.
+func (l *Limits) HomeBytes() int64 { return int64(l.MemoryMB) << 20 / 8 }
+
 // KeyFiles bounds the bytes of keys in $TMPDIR, which counts as memory: a sixteenth of it.
 func (l *Limits) KeyFiles() int64 { return int64(l.MemoryMB) << 20 / 16 }
 
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -90,6 +90,7 @@
 // place. Its body is not to be changed.
 type Piece struct {
 	Key     Key
+	Handle  string   // by which the worker pool knows its run, at whichever server
 	Sum     [32]byte // of the body
 	Body    []byte
 	Tenant  int           // -1 = none
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -148,7 +148,12 @@
 	if p.Tenant >= len(c.site.Tenants) {
 		p.Tenant = -1
 	}
-	r := &request{Incoming: Incoming{Handle: c.ownHandle(), Class: p.Key.Class, Tenant: p.Tenant, Caller: p.Caller, Rank: p.Rank,
+	if p.Handle == "" {
+		p.Handle = c.ownHandle()
+	} else if c.byHandle[p.Handle] != nil || c.recent.has(p.Handle) { // its run could not be told from another's
+		why = "its handle is in use here"
+	}
+	r := &request{Incoming: Incoming{Handle: p.Handle, Class: p.Key.Class, Tenant: p.Tenant, Caller: p.Caller, Rank: p.Rank,
 		Memory: p.Memory, Work: p.Work, Token: p.Key.Token, Subject: p.Subject, Body: p.Body},
 		arrived: c.now, due: c.now + p.Left, session: &session{once: true}, adopted: true}
 	r.patience.do = func() { c.outOfPatience(r) }
@@ -165,7 +170,7 @@
 	c.enter(r, 0)
 }
 
-// ownHandle is a handle as callers make them, 16 hex digits, that none of them has or had of late.
+// ownHandle, for a piece without one, is a handle as callers make them, 16 hex digits, that none of them has or had of late.
 func (c *Core) ownHandle() string {
 	for {
 		h := fmt.Sprintf("%016x", rand.Uint64())
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -274,12 +274,15 @@
 	}
 }
 
+// ClaimLife is how long a claim of a class is kept at the most.
+func ClaimLife(k *control.Class) time.Duration { return k.Window + k.Deadline + windowMargin }
+
 // ask claims a key in the shared store.
 func (c *Core) ask(e *entry) {
 	k, r := &c.site.Control.Classes[e.key.Class], e.owner
 	c.holdForStore(r)
-	if !c.store.Claim(Piece{Key: e.key, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory, Work: r.Work,
-		Subject: r.Subject, Caller: r.Caller, Left: max(0, r.due-c.now), Life: k.Window + k.Deadline + windowMargin}) {
+	if !c.store.Claim(Piece{Key: e.key, Handle: r.Handle, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory, Work: r.Work,
+		Subject: r.Subject, Caller: r.Caller, Left: max(0, r.due-c.now), Life: ClaimLife(k)}) {
 		c.claimed(Claimed{Key: e.key, State: ClaimDown})
 	}
 }
--- a/internal/fleet/ground/ground.go
+++ b/internal/fleet/ground/ground.go
@@ -45,6 +45,7 @@
 	log   *slog.Logger
 	until atomic.Int64 // when the lease ends, by now; 0 = there is none
 	view  atomic.Pointer[View]
+	addrs atomic.Pointer[map[string]string]
 	told  func(*View)
 }
 
@@ -77,6 +78,14 @@
 // View is what this box acts under; nil = it is not let in yet, or nothing is agreed.
 func (g *Ground) View() *View { return g.view.Load() }
 
+// Addr is where a member says that it listens for others; "" = it is none. It is safe from any goroutine.
+func (g *Ground) Addr(box string) string {
+	if m := g.addrs.Load(); m != nil {
+		return (*m)[box]
+	}
+	return ""
+}
+
 // Modules are the driver's, new for each opening of it.
 func (g *Ground) Modules() []driver.Module {
 	l := &leases{Agreed: agree.NewAgreed[lease.State, lease.Entry](leaseName), ground: g}
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -36,6 +36,7 @@
 // Begin implements driver.Module.
 func (l *leases) Begin(h *driver.Host) {
 	l.host, l.holder, l.rounds = h, lease.NewHolder(h.Self().Name), map[uint64]uint64{}
+	l.members()
 	l.changed(true)
 }
 
@@ -59,12 +60,22 @@
 
 // Applied implements driver.Module.
 func (l *leases) Applied(time.Time) {
+	l.members()
 	if l.loaded {
 		l.loaded = false
 		l.changed(true)
 	}
 }
 
+// members publishes where the members are.
+func (l *leases) members() {
+	addrs := map[string]string{}
+	for _, m := range l.host.Members() {
+		addrs[m.Name] = m.Addr
+	}
+	l.ground.addrs.Store(&addrs)
+}
+
 // changed takes what the log says.
 func (l *leases) changed(broken bool) {
 	b := l.State.Box(l.host.Self().Name)
--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -294,6 +294,18 @@
 	return f
 }
 
+// Whole tells that this box is home of a slice and has all its records.
+func (h *Hand) Whole(slice int) bool { return h.slices[slice].place > 0 && h.slices[slice].whole }
+
+// Piece is what this home has of a key that has no end; false = it has none.
+func (h *Hand) Piece(now time.Duration, k Key) (Piece, bool) {
+	r := h.slices[k.Slice()].recs[k]
+	if r == nil || r.end != nil {
+		return Piece{}, false
+	}
+	return h.copyOf(now, r).Piece, true
+}
+
 // lives tells that a process is the present one of its box.
 func (h *Hand) lives(o Owner) bool { return o.Life != 0 && h.view.Lives[o.Box] == o.Life }
 
--- a/internal/fleet/place/view.go
+++ b/internal/fleet/place/view.go
@@ -6,6 +6,7 @@
 type View struct {
 	Epoch  uint64               // log index of the last entry that moved a slice or changed who lives
 	Lives  map[string]lease.Box // those that are not lost, by name
+	Lost   []lease.Box          // those that are, until they live again
 	homes  [Slices][2]string
 	old    [Slices]bool // no home has come in since Origin
 	origin uint64
@@ -19,6 +20,8 @@
 	for _, b := range l.Boxes {
 		if !b.Lost {
 			v.Lives[b.Name] = b
+		} else {
+			v.Lost = append(v.Lost, b)
 		}
 	}
 	for i := range v.homes {
@@ -39,6 +42,9 @@
 // Homes gives the homes of a slice that live, in their order: with the first lost the second is first. "" = none.
 func (v *View) Homes(slice int) (first, second string) { return v.homes[slice][0], v.homes[slice][1] }
 
+// Placed tells that slices have had homes.
+func (v *View) Placed() bool { return v.origin != 0 }
+
 // Original tells that a process has been a home of a slice since slices first had homes: it has seen all of it.
 func (v *View) Original(slice int, name string) bool {
 	h := v.homes[slice]
