--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -165,6 +165,7 @@
 	busy []*hold
 
 	slices  [Slices]slice
+	homed   []int     // slices that this box is home of, or keeps for the view
 	open    []*record // at this home: without an end, or with one that is not sealed
 	records int
 	bytes   int64
@@ -216,7 +217,7 @@
 // disown ends a life: all that was known is forgotten, all that was to be told is not.
 func (h *Hand) disown() {
 	h.over, h.out, h.place, h.self = true, Outputs{Disown: true}, nil, nil
-	h.mine, h.busy, h.open, h.expiry = nil, nil, nil, nil
+	h.mine, h.busy, h.open, h.expiry, h.homed = nil, nil, nil, nil, nil
 	h.slices, h.records, h.bytes, h.adopted, h.flying = [Slices]slice{}, 0, 0, 0, 0
 }
 
@@ -254,8 +255,11 @@
 	h.view = v
 	h.lease = max(h.lease, lease)
 	h.newest, h.flying = max(h.newest, v.Epoch), 0
+	h.homed = h.homed[:0]
 	for i := range h.slices {
-		h.turn(now, i, follows)
+		if h.turn(now, i, follows); h.slices[i].place > 0 || h.slices[i].whole {
+			h.homed = append(h.homed, i)
+		}
 	}
 	h.offer(now)
 	for _, k := range sortedKeys(h.mine) {
@@ -287,7 +291,7 @@
 // Figures counts.
 func (h *Hand) Figures() Figures {
 	f := Figures{Mine: len(h.mine), Records: h.records, Open: len(h.open), Adopted: h.adopted, Bytes: h.bytes}
-	for i := range h.slices {
+	for _, i := range h.homed {
 		if s := &h.slices[i]; s.place == 1 && !s.whole {
 			f.Quarantined++
 		}
--- a/internal/fleet/hand/home.go
+++ b/internal/fleet/hand/home.go
@@ -1,6 +1,7 @@
 package hand
 
 import (
+	"bytes"
 	"container/heap"
 	"slices"
 	"time"
@@ -82,6 +83,18 @@
 	}
 }
 
+// replace writes another end over one that nobody was told: the other home knew better.
+func (h *Hand) replace(now time.Duration, r *record, e *End) {
+	if !r.sealed {
+		h.bytes -= r.size()
+		r.end = nil
+		h.bytes += r.size()
+		h.close(now, r, e)
+	}
+}
+
+func (e *End) same(o *End) bool { return e.OK == o.OK && bytes.Equal(e.Result, o.Result) }
+
 // add notes a candidate.
 func (h *Hand) add(r *record, c Cand) *Cand {
 	i := r.cand(c.Owner)
@@ -260,7 +273,7 @@
 
 // homeTick asks after claims whose boxes live, and has the second home acknowledge what the first decided.
 func (h *Hand) homeTick(now time.Duration) {
-	for i := range h.slices {
+	for _, i := range h.homed {
 		if s := &h.slices[i]; s.place > 0 && !s.whole && now-s.since >= h.lim.Longest+h.lim.Lag {
 			s.whole = true // nothing that was claimed before is still to be known
 		}
--- a/internal/fleet/hand/taker.go
+++ b/internal/fleet/hand/taker.go
@@ -86,13 +86,13 @@
 		if !ok {
 			continue
 		}
+		if !s.whole && (now-s.since < copyWait || slices.ContainsFunc(who, func(i int) bool { return !r.cands[i].Held })) {
+			continue // another may have won it, and live
+		}
 		if now >= r.due {
 			h.decide(now, r, &End{Why: "its box was lost and its time passed: it may have run"})
 			continue
 		}
-		if !s.whole && (now-s.since < copyWait || slices.ContainsFunc(who, func(i int) bool { return !r.cands[i].Held })) {
-			continue // a copy may tell more
-		}
 		h.prove(now, r, who, probes, &ready)
 	}
 	owners := make([]Owner, 0, len(probes))
--- a/internal/fleet/hand/whole.go
+++ b/internal/fleet/hand/whole.go
@@ -30,8 +30,9 @@
 func (h *Hand) turn(now time.Duration, i int, follows bool) {
 	s := &h.slices[i]
 	was, place := s.place, 0
-	for j, o := range h.homes(i) {
-		if o == h.me() {
+	names := h.view.Homes(i)
+	for j := range min(2, len(names)) {
+		if names[j] == h.view.Self {
 			place = j + 1
 		}
 	}
@@ -75,7 +76,7 @@
 
 // offer tells the homes of slices that this box is whole in that it is, until they say that they are too.
 func (h *Hand) offer(now time.Duration) {
-	for i := range h.slices {
+	for _, i := range h.homed {
 		s := &h.slices[i]
 		if !s.whole {
 			continue
@@ -196,15 +197,22 @@
 	if s.from == from.Box {
 		s.heard = now
 	}
-	if it.Record.End != nil {
-		h.close(now, r, it.Record.End)
+	if e := it.Record.End; e != nil {
+		if r.end != nil && (it.Record.Sealed || e.OK) { // a real end stands before a taker's verdict
+			h.replace(now, r, e)
+		}
+		h.close(now, r, e)
 		r.sealed = r.sealed || it.Record.Sealed
 	}
 	for _, c := range it.Record.Cands {
 		c.waits = false
 		h.add(r, c)
 	}
-	h.send(from.Box, Item{Kind: kPutOK, Key: it.Key, Try: it.Try})
+	out := Item{Kind: kPutOK, Key: it.Key, Try: it.Try}
+	if r.end != nil && (it.Record.End == nil || !r.end.same(it.Record.End)) {
+		out.End = r.end // the lost box told this home alone
+	}
+	h.send(from.Box, out)
 }
 
 // putOK takes the word that a record has arrived: one of a copy, or one that the second home was told of.
@@ -218,6 +226,9 @@
 	}
 	homes := h.homes(i)
 	if r := s.recs[it.Key]; r != nil && s.place == 1 && r.put == it.Try && len(homes) == 2 && homes[1] == from {
+		if it.End != nil {
+			h.replace(now, r, it.End)
+		}
 		h.putDone(now, r)
 	}
 }
