--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -33,12 +33,9 @@
 // lose fails all tries of an entry that is another server's. The entry stays: until Disown, what comes for it cannot be
 // told from a repeat of a try that ran here.
 func (c *Core) lose(e *entry, why string) {
-	k := &c.site.Control.Classes[e.key.Class]
 	owner, waiters := e.owner, e.waiters
 	e.phase, e.owner, e.waiters, e.result = lost, nil, nil, nil
 	c.table.resize(e, entryBytes+len(e.key.Token))
-	e.until = max(e.until, c.now+k.Window+k.Deadline+windowMargin)
-	c.late.set(&e.expiry, e.until)
 	if owner != nil {
 		c.cede(owner, why)
 	}
@@ -49,9 +46,6 @@
 
 // cede fails a try whose key is another server's. A run of it is stopped where runs can be, and its end is nobody's.
 func (c *Core) cede(r *request, why string) {
-	if r.state == ended {
-		return
-	}
 	c.answer(r, Answer{Kind: Failed, Why: why})
 	switch r.state {
 	case calling:
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -121,7 +121,7 @@
 	c.withdrawn(r)
 	r.session.idled++
 	c.left(r)
-	if r.state == claiming || r.state == ending {
+	if r.state == claiming {
 		c.drop(r)
 		return
 	}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -110,9 +110,6 @@
 	case e.sum != sum:
 		c.forgetHandle(r)
 		c.turnAway(r, Conflict, "the token belongs to another body")
-	case !c.holds(e):
-		c.forgetHandle(r)
-		c.turnAway(r, Failed, elsewhere)
 	case e.phase == asking:
 		r.entry = e
 		e.waiters = append(e.waiters, r)
@@ -301,9 +298,7 @@
 	}
 	switch a.State {
 	case ClaimWon:
-		if e.phase, e.claimed = open, true; !c.holds(e) {
-			return
-		}
+		e.phase, e.claimed = open, true
 		c.enter(e.owner, 0)
 		waiters := e.waiters
 		e.waiters = nil
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -269,9 +269,7 @@
 		c.answer(r, Answer{Kind: Invalid, Why: "the worker pool does not know this request"})
 		c.neverRan(r)
 	}
-	if r.state != ended {
-		c.finish(r, control.Moot, 0)
-	}
+	c.finish(r, control.Moot, 0)
 }
 
 // neverRan takes back that a run of r had begun, and gives its key to the next try.
@@ -310,17 +308,15 @@
 	switch {
 	case r.entry == nil:
 		c.answer(r, a)
-	case e.End == control.Moot && r.spawns == 1 && c.holds(r.entry):
+	case e.End == control.Moot && r.spawns == 1:
 		c.answer(r, a)
 		c.neverRan(r)
 	default:
 		c.conclude(r.entry, e.End == control.OK, e.Body)
 	}
-	switch {
-	case r.state == ended: // its key is another's
-	case r.answered:
+	if r.answered {
 		c.finish(r, e.End, e.Took)
-	default:
+	} else {
 		c.keepBack(r, e.End, e.Took)
 	}
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -213,6 +213,9 @@
 // Book implements core.Booker.
 func (l *Ledger) Book(u core.Use) uint64 {
 	l.tickets++
+	if u.Tenant >= 0 {
+		_ = Site().Tenants[u.Tenant] // a ledger knows them by their place
+	}
 	replay := ""
 	if u.Replay {
 		replay = " replay"
