Sequential test of two ways that is valid at every look, and measure-stopper

Two ways of serving are to be compared while they run, looked at every second. A test with one look gives wrong winners to who looks often.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -12,9 +12,10 @@
 )
 
 type cli struct {
-	Ledger ledgerCmd `cmd:"" help:"The ledger of use."`
-	Ops    opsCmd    `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
-	Fleet  fleetCmd  `cmd:"" help:"Taking boxes out: a plan over real processes, a change of leader, what it costs a box."`
+	Ledger  ledgerCmd  `cmd:"" help:"The ledger of use."`
+	Ops     opsCmd     `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
+	Fleet   fleetCmd   `cmd:"" help:"Taking boxes out: a plan over real processes, a change of leader, what it costs a box."`
+	Stopper stopperCmd `cmd:"" help:"Trials of two ways: wrong winners over looks at every second, and units until a stop."`
 
 	Recover recoverCmd `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
 	Hour    hourCmd    `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
--- /dev/null
+++ b/internal/sequential/sequential_test.go
@@ -0,0 +1,194 @@
+package sequential
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func plan() Plan {
+	return Plan{Alpha: 0.05, Futility: 0.05, Harm: 0.01, Void: 0.001, Base: 0.85, Effect: 0.06, Margin: 0.03, Ratio: 0.5, Least: 100,
+		Guards: []Guard{{"in time", 0.9, 0.02}}}
+}
+
+// world gives units to arms for some blocks over three boxes; look is called as often as a second would be.
+type world struct {
+	worth, guard [2]float64
+	fade         float64 // what is lost of all worth from the middle of a block on
+	skew         float64 // what box b's split is off by
+	rate, blocks int     // units a box and block
+}
+
+func (w world) run(p *Plan, seed uint64) (r Result, looks int) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var strata []Stratum
+	for b := range w.blocks {
+		at := len(strata)
+		for _, name := range []string{"a", "b", "c"} {
+			strata = append(strata, Stratum{Box: name, Block: b})
+		}
+		for u := range w.rate {
+			for x := range 3 {
+				arm, share := 0, p.Ratio
+				if x == 1 {
+					share += w.skew
+				}
+				if rng.Float64() < share {
+					arm = 1
+				}
+				worth := w.worth[arm]
+				if w.fade > 0 && b%2 == 1 && u > w.rate/2 {
+					worth -= w.fade
+				}
+				strata[at+x].Arms[arm].give(rng, worth, w.guard[arm])
+			}
+			if u%10 == 9 {
+				looks++
+				if r = Look(p, strata, false); r.Verdict != GoOn {
+					return r, looks
+				}
+			}
+		}
+	}
+	return Look(p, strata, true), looks
+}
+
+func (a *Arm) give(rng *rand.Rand, means ...float64) {
+	a.Assigned++
+	a.N++
+	for j, m := range means {
+		if rng.Float64() < m {
+			x := 1 - 0.2*float64(rng.IntN(2))
+			a.Values[j].Sum += x
+			a.Values[j].Squares += x * x
+		}
+	}
+}
+
+// Each kind of world ends as it should nearly always, and the wrong verdicts stay within their budgets over all looks.
+// 200 trials each: the bound is the budget and three sampling errors of that count.
+func TestVerdicts(t *testing.T) {
+	most := func(budget float64) float64 { return budget + 3*math.Sqrt(budget*(1-budget)/200) }
+	same := [2]float64{0.9, 0.9}
+	for _, k := range []struct {
+		name  string
+		world world
+		want  Verdict
+		least float64 // share of trials that end so
+		never map[Verdict]float64
+	}{
+		{"A against A", world{worth: same, guard: same, rate: 300, blocks: 10}, None, 0.5, map[Verdict]float64{A: most(0.025), B: most(0.025), Harm: most(0.01), Void: most(0.001)}},
+		{"A against A, with jumps of load", world{worth: same, guard: same, fade: 0.6, rate: 300, blocks: 10}, None, 0, map[Verdict]float64{A: most(0.025), B: most(0.025), Harm: most(0.01), Void: most(0.001)}},
+		{"B better as planned", world{worth: [2]float64{0.9, 0.97}, guard: same, rate: 300, blocks: 10}, B, 0.9, map[Verdict]float64{A: most(0.001), None: most(0.05)}},
+		{"A better as planned", world{worth: [2]float64{0.97, 0.9}, guard: same, rate: 300, blocks: 10}, A, 0.9, map[Verdict]float64{B: most(0.001), None: most(0.05)}},
+		{"B better by the margin", world{worth: [2]float64{0.9, 0.9334}, guard: same, rate: 300, blocks: 10}, B, 0.1, map[Verdict]float64{A: most(0.001), None: most(0.05)}},
+		{"B better, and does harm", world{worth: [2]float64{0.8, 0.95}, guard: [2]float64{0.9, 0.4}, rate: 300, blocks: 10}, Harm, 0.95, nil},
+		{"harm as is tolerated", world{worth: same, guard: [2]float64{0.9, 0.88}, rate: 300, blocks: 10}, None, 0.5, map[Verdict]float64{Harm: most(0.01)}},
+		{"one box of three splits 65 to 35", world{worth: same, guard: same, skew: 0.15, rate: 300, blocks: 10}, Void, 0.98, nil},
+		{"time is over", world{worth: same, guard: same, rate: 100, blocks: 3}, Deadline, 0.9, nil},
+	} {
+		p := plan()
+		count := map[Verdict]int{}
+		for seed := range uint64(200) {
+			r, _ := k.world.run(&p, seed)
+			count[r.Verdict]++
+			if r.Why == "" || !strings.ContainsAny(r.Why, "0123456789") {
+				t.Fatalf("%s, seed %d: %v without figures: %q", k.name, seed, r.Verdict, r.Why)
+			}
+		}
+		if float64(count[k.want]) < 200*k.least {
+			t.Errorf("%s: %v, wanted %v", k.name, count, k.want)
+		}
+		for v, share := range k.never {
+			if float64(count[v]) > 200*share {
+				t.Errorf("%s: %v %d times of 200, at most %.1f", k.name, v, count[v], 200*share)
+			}
+		}
+	}
+}
+
+// Two looks at the same counts are the same look, and strata without units are as if they were not there.
+func TestALookIsOfCountsAlone(t *testing.T) {
+	p := plan()
+	rng := rand.New(rand.NewPCG(1, 1))
+	var strata, sparse []Stratum
+	for b := range 6 {
+		s := Stratum{Box: "a", Block: b}
+		for range 50 {
+			s.Arms[rng.IntN(2)].give(rng, 0.8, 0.9)
+		}
+		strata = append(strata, s)
+		sparse = append(sparse, s, Stratum{Box: "z", Block: b})
+	}
+	if a, b := Look(&p, strata, false), Look(&p, sparse, false); a != b || a.Verdict != GoOn {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	if r := Look(&p, nil, false); r.Verdict != GoOn || r.Difference != 0 {
+		t.Errorf("no counts: %+v", r)
+	}
+}
+
+// A supermartingale: the mean of the e-process after so many units is at most 1 where the arms differ by just what is
+// to be refused, for every way that it is used here, also with a centre that is far off.
+func TestEProcessMeans(t *testing.T) {
+	const runs = 4000
+	p := plan()
+	v := p.Ratio * (1 - p.Ratio)
+	for _, k := range []struct {
+		name string
+		lag  float64 // of B's mean behind A's
+		base float64
+		f    func([]term) float64
+	}{
+		{"for B", 0, 0.8, func(ts []term) float64 { return mixture(ts, 0, 1, []float64{0.2, 0.4, 0.8}, false) }},
+		{"for A", 0, 0.8, func(ts []term) float64 { return mixture(ts, 0, -1, []float64{0.2, 0.4, 0.8}, false) }},
+		{"for A, centre far off", 0, 0.1, func(ts []term) float64 { return mixture(ts, 0, -1, []float64{0.2, 0.4, 0.8}, false) }},
+		{"harm", 0.09, 0.8, func(ts []term) float64 { return mixture(ts, -0.09*v, -1, []float64{0.05, 0.15, 0.4, 0.75}, true) }},
+		{"futility", 0.09, 0.8, func(ts []term) float64 { return single(ts, -0.09*v, 1, 0.4) }},
+	} {
+		rng := rand.New(rand.NewPCG(2, 3))
+		p.Base = k.base
+		var sum, squares float64
+		for range runs {
+			s := Stratum{Box: "a"}
+			for range 120 {
+				arm := rng.IntN(2)
+				s.Arms[arm].give(rng, 0.9-float64(arm)*k.lag/0.9, 0.9)
+			}
+			e := math.Exp(k.f(terms(&p, []Stratum{s})[0]))
+			sum, squares = sum+e, squares+e*e
+		}
+		m := sum / runs
+		if se := math.Sqrt((squares/runs - m*m) / runs); m > 1+4*se {
+			t.Errorf("%s: a mean of %.3f, standard error %.3f", k.name, m, se)
+		}
+	}
+}
+
+func TestPlansThatCannotBe(t *testing.T) {
+	for name, spoil := range map[string]func(*Plan){
+		"alpha":     func(p *Plan) { p.Alpha = 0.5 },
+		"futility":  func(p *Plan) { p.Futility = 0 },
+		"harm":      func(p *Plan) { p.Harm = math.NaN() },
+		"void":      func(p *Plan) { p.Void = -1 },
+		"base":      func(p *Plan) { p.Base = 1 },
+		"effect":    func(p *Plan) { p.Effect = 0 },
+		"margin":    func(p *Plan) { p.Margin = p.Effect * 2 },
+		"ratio":     func(p *Plan) { p.Ratio = 0 },
+		"no units":  func(p *Plan) { p.Least = 0 },
+		"guards":    func(p *Plan) { p.Guards = make([]Guard, MaxGuards+1) },
+		`guard ""`:  func(p *Plan) { p.Guards[0].Name = "" },
+		`"in time"`: func(p *Plan) { p.Guards = append(p.Guards, p.Guards[0]) },
+	} {
+		p := plan()
+		spoil(&p)
+		if err := p.Check(); !errors.Is(err, ErrPlan) || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if p := plan(); p.Check() != nil {
+		t.Error(p.Check())
+	}
+}
