Trials of two ways over a fleet: arms, counts, and one agreed outcome

Two addresses of a call, or two values of a setting, are to be compared over all boxes, with one outcome that nobody reads two of.

internal/fleet/trial is the agreed state (start, turn of a block, what is kept of lost processes, outcome, stop), the arm of a unit by the hash of its trial's salt, counts that merge number by number, and the leader's part. Blocks of time and the deadline are entries of the log, so no clock has a say in them. A unit counts as assigned before its work is done and as 0 if its value never comes; B waits until every process has been heard of since its counts won; too many lost processes are harm.

--- /dev/null
+++ b/internal/fleet/trial/trial_test.go
@@ -0,0 +1,344 @@
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"larchscale/internal/sequential"
+)
+
+func begun(t *testing.T, sp Spec) *State {
+	t.Helper()
+	s := &State{}
+	if err := s.Apply(1, &Entry{Kind: Start, Spec: sp}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// What cannot be asked for is one error each, and changes nothing but the index.
+func TestWhatCannotBe(t *testing.T) {
+	known := Known{Calls: map[string][]string{"search": {"a:1", "b:1"}}, Settings: map[string]func(string) error{"pace": func(v string) error {
+		if v != "slow" {
+			return errors.New("slow it is")
+		}
+		return nil
+	}}}
+	for want, spoil := range map[string]func(*Spec){
+		`calls "serch": unknown`:        func(s *Spec) { s.Thing = "serch" },
+		`address "c:1" of arm B`:        func(s *Spec) { s.Values[1] = "c:1" },
+		`setting "speed": unknown`:      func(s *Spec) { s.Split, s.Thing = Switchback, "speed" },
+		`"a:1" of arm A: slow it is`:    func(s *Spec) { s.Split, s.Thing = Switchback, "pace" },
+		"a name of 1 to 64":             func(s *Spec) { s.ID = strings.Repeat("x", 65) },
+		"a reason of 257":               func(s *Spec) { s.Reason = strings.Repeat("x", 257) },
+		"split 9":                       func(s *Spec) { s.Split = 9 },
+		"nothing to split":              func(s *Spec) { s.Thing = "" },
+		"a value of 1 to 128":           func(s *Spec) { s.Values[1] = "" },
+		"blocks of 4999 ms":             func(s *Spec) { s.BlockMs = 4999 },
+		"a deadline of 65 blocks":       func(s *Spec) { s.Blocks = 65 },
+		"-1 processes":                  func(s *Spec) { s.MostLost = -1 },
+		"5 ms to settle":                func(s *Spec) { s.SettleMs = 5 },
+		"no units":                      func(s *Spec) { s.Plan.Least = 0 },
+		"alpha of 0.9":                  func(s *Spec) { s.Plan.Alpha = 0.9 },
+		"margin of 0.5":                 func(s *Spec) { s.Plan.Margin = 0.5 },
+		"there is another of that name": func(s *Spec) { s.By = "other staff" },
+		"by trial t1 already":           func(s *Spec) { s.ID, s.Split = "t2", Subject },
+	} {
+		s, sp := begun(t, spec()), spec()
+		spoil(&sp)
+		before := s.Clone()
+		err := known.Check(&sp)
+		if err == nil {
+			err = s.Apply(2, &Entry{Kind: Start, Spec: sp})
+		}
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", want, err)
+		}
+		s.Index = 1
+		if d := cmp.Diff(before, *s); d != "" {
+			t.Errorf("%s: changed %s", want, d)
+		}
+	}
+	sp := spec()
+	if err := known.Check(&sp); err != nil {
+		t.Error(err)
+	}
+}
+
+// The leader dies at the look that decides, and the next one decides otherwise by what it has heard, or an old one on
+// the other side of a partition does: the log has two outcomes, and nobody ever reads the second.
+func TestTheFirstOutcomeHolds(t *testing.T) {
+	a, b := begun(t, spec()), begun(t, spec())
+	for arm, want := range []sequential.Verdict{sequential.A, sequential.B} { // each has heard of other boxes
+		l := NewLeader(fmt.Sprintf("box%d", arm))
+		for now := int64(0); now <= 8000; now += 1000 {
+			c := NewCounter(a.Trial("t1"), fmt.Sprintf("box%d", arm), 1)
+			for i := range 400 {
+				w := 0.5
+				if i%2 == arm {
+					w = 0.95
+				}
+				if c.Assigned(0, i%2) != nil || c.Value(0, i%2, w) != nil {
+					t.Fatal("refused")
+				}
+			}
+			r := c.Report(0, false)
+			if err := l.Hear(a, &r, now); err != nil && a.Trial("t1").Open() {
+				t.Fatal(err)
+			}
+			var es []Entry
+			if es = l.Next(b, now); len(es) == 0 { // b has not applied what a has: it believes that it leads
+				continue
+			}
+			if es[0].Outcome.Verdict != want || es[0].Outcome.By != l.self || es[0].Outcome.Why == "" {
+				t.Fatalf("%+v", es)
+			}
+			if err := a.Apply(a.Index+1, &es[0]); (err == nil) != (arm == 0) || err != nil && !errors.Is(err, ErrOver) {
+				t.Fatalf("outcome %d: %v", arm, err)
+			}
+			break
+		}
+	}
+	if err := a.Apply(9, &Entry{Kind: Stop, ID: "t1", By: "staff", Why: "late"}); !errors.Is(err, ErrOver) {
+		t.Error(err)
+	}
+	if o := a.Trial("t1").Outcome; o.Verdict != sequential.A || o.By != "box0" {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Reports may be lost, repeated, late and in any order: once the newest of each process has come, in pages or at once,
+// a leader knows the same, also one that has it from the log.
+func TestReportsMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &State{}
+		s.Apply(1, &Entry{Kind: Start, Spec: spec()})
+		tr := s.Trial("t1")
+		tr.Block = 12
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		plain, mixed := NewLeader("x"), NewLeader("x")
+		var all []Report
+		for box := range uint64(3) {
+			c := NewCounter(tr, "b", box+1)
+			for block := range 12 {
+				for range rng.IntN(6) {
+					arm := rng.IntN(2)
+					c.Assigned(block, arm)
+					if rng.IntN(3) > 0 {
+						c.Value(block, arm, rng.Float64())
+					}
+				}
+				all = append(all, c.Report(block, false))
+			}
+			last := Pages("t1", c.Life())
+			all = append(all, last...)
+			for _, r := range last {
+				plain.Hear(s, &r, 0)
+			}
+			if rng.IntN(2) == 0 {
+				life := c.Life()
+				if err := s.Apply(s.Index+1, &Entry{Kind: Keep, ID: "t1", Life: life}); err != nil {
+					t.Fatal(err)
+				}
+				s.Apply(s.Index+1, &Entry{Kind: Keep, ID: "t1", Life: life})
+			}
+		}
+		for _, i := range rng.Perm(len(all)) {
+			for range 1 + rng.IntN(2) {
+				if err := mixed.Hear(s, &all[i], 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		a, b := plain.of("t1").evidence(tr, 0, false), mixed.of("t1").evidence(tr, 0, false)
+		if d := cmp.Diff(a.strata(tr), b.strata(tr)); d != "" || len(a.lives) != 3 {
+			t.Fatal(d)
+		}
+	})
+}
+
+// The same unit has the same arm everywhere and always, another salt another split, and both arms their share.
+func TestAssign(t *testing.T) {
+	sp := spec()
+	sp.Plan.Ratio = 0.3
+	s := begun(t, sp)
+	sp.Salt++
+	other := begun(t, sp).Trial("t1")
+	again, tr := s.Clone(), s.Trial("t1")
+	n, both := 0, 0
+	for i := range 20_000 {
+		unit := fmt.Sprint(i)
+		arm, counts := tr.Assign(true, unit)
+		x, _ := other.Assign(true, unit)
+		if y, _ := again.Trial("t1").Assign(true, unit); !counts || arm != y {
+			t.Fatalf("unit %s: %d, then %d", unit, arm, y)
+		}
+		n, both = n+arm, both+arm*x
+	}
+	if math.Abs(float64(n)/20_000-0.3) > 0.013 || math.Abs(float64(both)/20_000-0.09) > 0.009 {
+		t.Errorf("%d units to B, %d under both salts", n, both)
+	}
+	tr.Block = tr.Spec.Blocks
+	for i := range 50 {
+		if arm, counts := tr.Assign(true, fmt.Sprint(i)); arm != 0 || counts {
+			t.Fatal("given out after the deadline")
+		}
+		if arm, counts := other.Assign(false, fmt.Sprint(i)); arm != 0 || counts {
+			t.Fatal("given out without a lease")
+		}
+	}
+	sp.Split, sp.SettleMs = Switchback, 500
+	boxes := begun(t, sp).Trial("t1")
+	n = 0
+	for i := range 2000 {
+		boxes.Block = i % 30
+		arm, early := boxes.AssignBox(true, fmt.Sprint(i), 499)
+		if x, counts := boxes.AssignBox(true, fmt.Sprint(i), 500); early || !counts || x != arm {
+			t.Fatal("a box counts before it has settled, or not after, or goes to and fro")
+		}
+		n += arm
+	}
+	if math.Abs(float64(n)/2000-0.3) > 0.04 {
+		t.Errorf("%d of 2000 blocks to B", n)
+	}
+	for v, want := range map[sequential.Verdict]int{sequential.A: 0, sequential.B: 1, sequential.None: 0, sequential.Harm: 0, sequential.Void: 0,
+		sequential.Deadline: 0, sequential.Stopped: 0} {
+		if tr.Outcome.Verdict = v; tr.Winner() != want {
+			t.Errorf("%v: %d serves", v, tr.Winner())
+		}
+	}
+}
+
+// A clock that steps by an hour, either way, moves the block by one at most, and never the deadline by more.
+func TestAClockThatSteps(t *testing.T) {
+	s := begun(t, spec())
+	l := NewLeader("x")
+	turns := 0
+	now := int64(5_000_000)
+	for i := range 60 {
+		switch now += 1000; i {
+		case 15:
+			now += 3_600_000
+		case 45:
+			now -= 3_600_000
+		}
+		for _, e := range l.Next(s, now) {
+			if err := s.Apply(s.Index+1, &e); err != nil || e.Kind != Turn {
+				t.Fatal(e, err)
+			}
+			turns++
+		}
+	}
+	if turns < 4 || turns > 6 || s.Trial("t1").Block != turns {
+		t.Errorf("%d blocks of 10 s in 60 s", turns)
+	}
+	if err := s.Apply(s.Index+1, &Entry{Kind: Turn, ID: "t1", Block: turns}); !errors.Is(err, ErrInvalid) {
+		t.Errorf("a block twice: %v", err)
+	}
+}
+
+// All that is agreed or told has a bound.
+func TestBounds(t *testing.T) {
+	sp := spec()
+	sp.Blocks = MaxBlocks
+	s := begun(t, sp)
+	tr := s.Trial("t1")
+	c := NewCounter(tr, strings.Repeat("b", maxName), math.MaxUint64)
+	for b := range MaxBlocks {
+		c.Assigned(b, 1)
+		for a := range 2 {
+			x := &c.life.Cells[b].Arms[a]
+			x.Assigned, x.N = most, most
+			for j := range values {
+				x.Sums[j], x.Squares[j] = most*parts, most*parts*parts
+			}
+		}
+	}
+	heard := map[int]bool{}
+	l := NewLeader("x")
+	for range MaxBlocks / 2 {
+		r := c.Report(MaxBlocks, false)
+		if b, err := cbor.Marshal(r); err != nil || len(b) > MaxReport {
+			t.Fatalf("a report of %d bytes: %v", len(b), err)
+		}
+		for _, c := range r.Life.Cells {
+			heard[c.Block] = true
+		}
+		if err := l.Hear(s, &r, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(heard) != MaxBlocks {
+		t.Errorf("%d of %d blocks were told of", len(heard), MaxBlocks)
+	}
+	if c.Assigned(MaxBlocks, 0) == nil || c.Assigned(0, 2) == nil || c.Value(0, 0, 1, 1) == nil || c.Value(0, 0, 1) == nil {
+		t.Error("counted what cannot be")
+	}
+	for name, r := range map[string]Life{"more values than units": {Box: "b", Incarnation: 1, Held: 1, Cells: []Cell{{Arms: [2]Count{{N: 1}}}}},
+		"of no process": {Box: "b"}, "a block that is not yet": {Box: "b", Incarnation: 1, Held: 1, Cells: []Cell{{Block: 1}}}} {
+		if err := l.Hear(s, &Report{"t1", r}, 0); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	var err error
+	for i := uint64(2); err == nil && i < 2*MaxKept; i++ {
+		if err = l.Hear(s, &Report{"t1", Life{Box: "b", Incarnation: i}}, 0); err == nil {
+			err = s.Apply(i, &Entry{Kind: Keep, ID: "t1", Life: Life{Box: "b", Incarnation: i}})
+		}
+	}
+	if !errors.Is(err, ErrBound) || len(tr.Kept) > MaxKept {
+		t.Errorf("%d lives: %v", len(tr.Kept), err)
+	}
+	for i := 2; i <= MaxTrials+3; i++ { // those that are over make room, but for one by which is served
+		v := sequential.A
+		if i == 3 {
+			v = sequential.B
+		}
+		sp.ID, sp.Thing = fmt.Sprintf("t%d", i), fmt.Sprintf("call%d", i)
+		if err := s.Apply(s.Index+1, &Entry{Kind: Start, Spec: sp}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Apply(s.Index+1, &Entry{Kind: Decide, ID: sp.ID, Outcome: Outcome{Verdict: v, Why: "so", By: "x"}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(s.Trials) != MaxTrials || s.Trial("t2") != nil || s.Trial("t3") == nil || s.Of(false, "call3").Winner() != 1 {
+		t.Errorf("%d trials are kept", len(s.Trials))
+	}
+}
+
+// A state goes through a snapshot and a clone unchanged, and the same entries give the same state.
+func TestStatesAreAlike(t *testing.T) {
+	a := begun(t, spec())
+	c := NewCounter(a.Trial("t1"), "b", 4)
+	c.Assigned(0, 1)
+	keep := Entry{Kind: Keep, ID: "t1", Life: c.Life()}
+	a.Apply(2, &keep)
+	b := a.Clone()
+	raw, err := cbor.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read State
+	if err := cbor.Unmarshal(raw, &read); err != nil || cmp.Diff(*a, read) != "" {
+		t.Fatal(err, cmp.Diff(*a, read))
+	}
+	c.Value(0, 1, 1)
+	keep.Life = c.Life()
+	a.Apply(3, &keep)
+	if cmp.Diff(b, read) != "" || a.Trial("t1").Kept[0].Cells[0].Arms[1].N != 1 {
+		t.Error("a clone shares with its origin, or nothing was kept")
+	}
+	read.Apply(3, &keep)
+	if d := cmp.Diff(*a, read); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/sequential/sequential.go
+++ b/internal/sequential/sequential.go
@@ -176,7 +176,7 @@
 		}
 	}
 	bet := p.Effect / p.spread()
-	bets := []float64{bet / 2, bet, bet, bet} // a quarter for effects that are smaller than planned
+	bets := []float64{p.Margin / p.spread(), bet, bet, bet} // a quarter for the smallest effect worth having
 	up, down := mixture(worth, 0, 1, bets, false), mixture(worth, 0, -1, bets, false)
 	need := math.Log(2 / p.Alpha)
 	few := min(r.Units[0], r.Units[1]) < p.Least
