--- a/internal/sequential/sequential_test.go
+++ b/internal/sequential/sequential_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 func plan() Plan {
@@ -125,6 +127,14 @@
 	if a, b := Look(&p, strata, false), Look(&p, sparse, false); a != b || a.Verdict != GoOn {
 		t.Errorf("%+v\n%+v", a, b)
 	}
+	for range 400 {
+		strata[0].Arms[0].give(rng, 0.1, 0.9)
+		strata[0].Arms[1].give(rng, 0.9, 0.9)
+	}
+	r := Look(&p, strata, false)
+	if p.Least = 1000; r.Verdict != B || Look(&p, strata, false).Verdict != GoOn {
+		t.Errorf("%+v, with too few units %+v", r, Look(&p, strata, false))
+	}
 	if r := Look(&p, nil, false); r.Verdict != GoOn || r.Difference != 0 {
 		t.Errorf("no counts: %+v", r)
 	}
@@ -167,6 +177,28 @@
 	}
 }
 
+// What one unit brings is never more than a fair bet on it would, whatever the unit, the ratio, the centre and the bet.
+func TestAUnitIsNoMoreThanAFairBet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0.001, 0.999)
+		p, c, x, m := share.Draw(t, "p"), share.Draw(t, "c"), rapid.Float64Range(0, 1).Draw(t, "x"), share.Draw(t, "m")
+		arm, sign, bet := rapid.IntRange(0, 1).Draw(t, "arm"), rapid.SampledFrom([]float64{-1, 1}).Draw(t, "sign"), rapid.Float64Range(0, 20).Draw(t, "bet")
+		var s Stratum
+		s.Arms[arm].N = 1
+		s.Arms[arm].Values[0] = Sums{x, x * x}
+		u := newTerm(p, c, &s, 0)
+		y, fall := (float64(arm)-p)*(x-c), u.low
+		d := -sign * m * p * (1 - p)
+		if sign < 0 {
+			fall = u.high
+		}
+		bet = min(bet, 0.9/(fall+sign*d))
+		if got, most := single([]term{u}, d, sign, bet), math.Log1p(bet*sign*(y-d)); !(got <= most+1e-9) {
+			t.Fatalf("%v over %v", got, most)
+		}
+	})
+}
+
 func TestPlansThatCannotBe(t *testing.T) {
 	for name, spoil := range map[string]func(*Plan){
 		"alpha":     func(p *Plan) { p.Alpha = 0.5 },
