--- a/cmd/measure/stopper.go
+++ b/cmd/measure/stopper.go
@@ -38,6 +38,7 @@
 	fixed := fixedUnits(p.Alpha, 0.9, stopperEffect)
 	same := c.trials(&p, stopperWorld{}, c.Trials, 4*fixed)
 	jump := c.trials(&p, stopperWorld{jump: true}, c.Trials/4, 2*fixed)
+	late := c.trials(&p, stopperWorld{late: true}, c.Trials/4, 2*fixed)
 	gain := c.trials(&p, stopperWorld{effect: stopperEffect, unlooked: true}, c.Trials/4, 2*fixed)
 	twice := c.trials(&p, stopperWorld{effect: 2 * stopperEffect}, c.Trials/4, 2*fixed)
 
@@ -70,6 +71,7 @@
 	r.row("units of a fixed test of 90% power", fixed, "units")
 	r.most(fmt.Sprintf("false winners, A against A, %d", len(same)), 100*share(same, won), "%", bound(p.Alpha, len(same)))
 	r.most(fmt.Sprintf("false winners, load jumps to 1.6, %d", len(jump)), 100*share(jump, won), "%", bound(p.Alpha, len(jump)))
+	r.most(fmt.Sprintf("false winners, reports lost and late, %d", len(late)), 100*share(late, won), "%", bound(p.Alpha, len(late)))
 	r.least("false winners of a z-test at every look", 100*share(same, func(x trialRun) bool { return x.repeated }), "%", 20)
 	r.most("false stops for harm", 100*share(same, ends(sequential.Harm)), "%", bound(p.Harm, len(same)))
 	r.most("false stops for a wrong split", 100*share(same, ends(sequential.Void)), "%", bound(p.Void, len(same)))
@@ -115,6 +117,7 @@
 type stopperWorld struct {
 	effect   float64 // by which B is better
 	jump     bool    // load goes to 1.6 of what is carried in the middle of each second block
+	late     bool    // a box's counts come in one second of three
 	unlooked bool    // the fixed test is judged too, so drawing goes on to its one look
 }
 
@@ -145,7 +148,7 @@
 func (w stopperWorld) run(p *sequential.Plan, rng *rand.Rand, most float64) (out trialRun) {
 	critical := distuv.UnitNormal.Quantile(1 - p.Alpha/2)
 	fixed := int(most / 2)
-	var strata []sequential.Stratum
+	var strata, heard []sequential.Stratum
 	units := 0
 	for second := 0; float64(units) < most; second++ {
 		if second%stopperBlock == 0 {
@@ -180,11 +183,25 @@
 				}
 			}
 		}
+		seen := strata
+		if w.late {
+			for len(heard) < len(strata) {
+				heard = append(heard, sequential.Stratum{Box: strata[len(heard)].Box, Block: strata[len(heard)].Block})
+			}
+			for b := range stopperBoxes {
+				if rng.IntN(3) == 0 {
+					for i := b; i < len(strata); i += stopperBoxes {
+						heard[i] = strata[i]
+					}
+				}
+			}
+			seen = heard
+		}
 		if out.verdict == sequential.GoOn {
-			r := sequential.Look(p, strata, false)
+			r := sequential.Look(p, seen, false)
 			out.verdict, out.units = r.Verdict, units
 		}
-		if w.effect == 0 && !w.jump {
+		if w.effect == 0 && !w.jump && !w.late {
 			out.repeated = out.repeated || units > int(2*p.Least) && zTest(strata, critical)
 			continue
 		}
