--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -111,7 +111,7 @@
 // one asks for a key at a time, all that wait are answered by their due time, and the bytes are bounded.
 func TestRandom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := box(t, 1200)
+		k := box(t, 600)
 		now, who := int64(1_000_000), uint64(0)
 		waits := map[uint64]Key{} // not answered yet
 		leads := map[Key]uint64{} // who asks or calls
@@ -181,9 +181,24 @@
 				delete(waits, lead)
 				take(key, k.Leave(key, lead))
 			}
-			if k.Bytes() > 1200 || k.Bytes() < 0 {
+			if k.Bytes() > 600 || k.Bytes() < 0 {
 				t.Fatal("bytes", k.Bytes())
 			}
 		}
 	})
 }
+
+// The bytes are bounded, what a reply costs beside its length included, and the least recently wanted goes first.
+func TestBytes(t *testing.T) {
+	k := box(t, 10*(Overhead+10))
+	for i := range 100 {
+		k.Got(1000, KeyOf("map", []byte{byte(i)}), make([]byte, 10))
+		k.Want(1000, KeyOf("map", []byte{0}), uint64(i), 2000)
+	}
+	if n, first, second := k.lru.Len(), k.Serve(1000, KeyOf("map", []byte{0})), k.Serve(1000, KeyOf("map", []byte{1})); n != 10 || k.Bytes() != 10*(Overhead+10) || !first.Has || second.Has {
+		t.Fatal(n, k.Bytes(), first.Has, second.Has)
+	}
+	if k.Resize(3 * (Overhead + 10)); k.Bytes() != 3*(Overhead+10) || k.lru.Len() != 3 {
+		t.Fatal("after Resize:", k.Bytes(), k.lru.Len())
+	}
+}
