--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet race lint size run fuzz
+.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet measure-forecast race lint size run fuzz
 
 check: lint build size test
 
@@ -27,6 +27,10 @@
 measure-fleet: build
 	bin/measure fleet
 
+# With simulated boxes: the real kept replies, samplers and forecasts, drawn wants.
+measure-forecast: build
+	bin/measure forecast
+
 # The long form of the tests with the real program: 1,000 kills, and 500,000 requests against a collector that fails.
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -12,9 +12,10 @@
 )
 
 type cli struct {
-	Ledger ledgerCmd `cmd:"" help:"The ledger of use."`
-	Ops    opsCmd    `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
-	Fleet  fleetCmd  `cmd:"" help:"Taking boxes out: a plan over real processes, a change of leader, what it costs a box."`
+	Ledger   ledgerCmd   `cmd:"" help:"The ledger of use."`
+	Ops      opsCmd      `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
+	Fleet    fleetCmd    `cmd:"" help:"Taking boxes out: a plan over real processes, a change of leader, what it costs a box."`
+	Forecast forecastCmd `cmd:"" help:"Hits of kept replies foretold over moves of slices, with simulated boxes."`
 
 	Recover recoverCmd `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
 	Hour    hourCmd    `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -185,3 +185,20 @@
 	}
 	return nil
 }
+
+// Clone gives one in the same state that goes its own way. Replies are shared, as they never change.
+func (k *Kept) Clone() *Kept {
+	out := *k
+	out.lru, _ = simplelru.NewLRU(1<<30, func(_ Key, e *entry) { out.used -= e.cost() })
+	for _, key := range k.lru.Keys() { // the oldest first
+		e, _ := k.lru.Peek(key)
+		out.lru.Add(key, e)
+	}
+	out.flights = make(map[Key]*flight, len(k.flights))
+	for key, f := range k.flights {
+		g := *f
+		g.all = slices.Clone(f.all)
+		out.flights[key] = &g
+	}
+	return &out
+}
