--- a/internal/versus/versus_test.go
+++ b/internal/versus/versus_test.go
@@ -26,7 +26,7 @@
 )
 
 // outlives is the new program's promise of keyed work: once it takes over what a box that was killed had in hand, true
-// has TestBothVersionsAlone hold it to that.
+// has TestBothVersions hold it to that.
 const outlives = false
 
 // The present program is built once for all tests. Every process has ended when they have.
@@ -49,7 +49,7 @@
 		t.Helper()
 		old, err := build()
 		switch {
-		case errors.Is(err, ErrNoHistory) && os.Getenv("CI") != "true":
+		case skips(err, os.Getenv("CI")):
 			t.Skipf("not played: %v", err)
 		case err != nil:
 			t.Fatal(err)
@@ -58,6 +58,16 @@
 	}
 }()
 
+func skips(err error, ci string) bool { return errors.Is(err, ErrNoHistory) && ci != "true" }
+
+// A revision that the history has not is told as such; CI does not pass over it.
+func TestARevisionThatIsNotThere(t *testing.T) {
+	_, err := Build(strings.Repeat("0", 40), t.TempDir())
+	if !skips(err, "") || skips(err, "true") || skips(errors.New("another"), "") {
+		t.Errorf("%v: skipped %v, in CI %v", err, skips(err, ""), skips(err, "true"))
+	}
+}
+
 func homes(t *testing.T) func() string {
 	dir, n := t.TempDir(), atomic.Int64{}
 	return func() string { return filepath.Join(dir, fmt.Sprint(n.Add(1))) }
@@ -70,7 +80,6 @@
 	t.Parallel()
 	f := Default(program, homes(t))
 	f.Boxes, f.Script, f.Fill = 9, Troubles(2), 400
-	began := time.Now()
 	f.Check = func(_ uint64, p *Played) error {
 		for _, m := range p.Members {
 			why, err := Stand(m)
@@ -92,11 +101,14 @@
 		}
 		return newer(t, p, old)
 	}
-	out, err := f.Game("upgrade").Play(*first, Upgrade(standin.Make{Program: old}, standin.Make{Program: program}))
-	if err != nil {
-		t.Fatal(err)
+	for seed := *first; seed < *first+1+uint64(*games/20); seed++ {
+		began := time.Now()
+		out, err := f.Game("upgrade").Play(seed, Upgrade(standin.Make{Program: old}, standin.Make{Program: program}))
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		t.Logf("seed %d: %+v, in %.1f s", seed, out, time.Since(began).Seconds())
 	}
-	t.Logf("seed %d: %+v, in %.1f s", *first, out, time.Since(began).Seconds())
 }
 
 // newer holds a fleet that has gone back to what it was to the rest of the promise: the box that lost its disk began with
@@ -135,24 +147,46 @@
 	return nil
 }
 
-// The same scripts are played by a fleet of the present program, one of the pinned one, and one of both.
-func TestBothVersionsAlone(t *testing.T) {
-	old := earlier(t)
-	t.Parallel()
-	a, b := standin.Make{Program: program}, standin.Make{Program: old}
-	table, err := Set(Default(program, homes(t)).Game("versions"), *first, *games, Fixed(*games),
-		Contender[Match]{"present", Alone(a, 0)}, Contender[Match]{"pinned", Alone(b, 0)}, Contender[Match]{"mixed", Mixed(a, b)})
+// compare plays two makes alone and both in one fleet on the same scripts, holds them all to the rules, and tells who
+// won where.
+func compare(t *testing.T, name string, games int, names [2]string, a, b standin.Make) *Table {
+	t.Helper()
+	stop, err := Sequential(Rule{Full: 0.02, Alpha: 0.05, Least: 0.1, Seeds: 20})
 	if err != nil {
 		t.Fatal(err)
 	}
+	table, err := Set(Default(program, homes(t)).Game(name), *first, games, stop,
+		Contender[Match]{names[0], Alone(a, 0)}, Contender[Match]{names[1], Alone(b, 0)}, Contender[Match]{"mixed", Mixed(a, b)})
 	t.Log(table)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for i, n := range table.Names {
 		if twice := table.Sum(i, "twice"); twice > 0 {
 			t.Errorf("%s: %.0f keyed writes ran twice", n, twice)
 		}
+		if mean := table.Mean(i, ""); mean < 0.9 {
+			t.Errorf("%s keeps %.3f of the worth asked for", n, mean)
+		}
+	}
+	return table
+}
+
+// The same scripts are played by a fleet of the present program, one of the pinned one, and one of both.
+func TestBothVersions(t *testing.T) {
+	old := earlier(t)
+	t.Parallel()
+	table := compare(t, "versions", *games, [2]string{"present", "pinned"}, standin.Make{Program: program}, standin.Make{Program: old})
+	for i, n := range table.Names {
 		t.Logf("%s: %.0f of %.0f keyed writes in hand at a box that was killed survived it", n, table.Sum(i, Survived), table.Sum(i, InHand))
 	}
 	if outlives && table.Sum(0, Survived)*table.Sum(1, InHand) <= table.Sum(1, Survived)*table.Sum(0, InHand) {
 		t.Error("the present program is no better than the pinned one at keyed writes that survive a SIGKILL of their box")
 	}
 }
+
+// One program under two settings of its operator: how long a door says no before its box is out.
+func TestOneProgramUnderTwoSettings(t *testing.T) {
+	t.Parallel()
+	compare(t, "settings", (*games+1)/2, [2]string{"drain 300 ms", "drain 1500 ms"}, standin.Make{}, standin.Make{DrainMs: 1500})
+}
