--- a/internal/versus/versus_test.go
+++ b/internal/versus/versus_test.go
@@ -16,7 +16,6 @@
 	"go.uber.org/goleak"
 
 	"larchscale/internal/standin"
-	"larchscale/internal/standin/faultnet"
 )
 
 var (
@@ -73,13 +72,16 @@
 	return func() string { return filepath.Join(dir, fmt.Sprint(n.Add(1))) }
 }
 
+// fleetFill is how many entries of 4 KB a log has, so that it is made small once at least.
+const fleetFill = 400
+
 // Nine processes in three zones go from the pinned program to the present one and back, box by box, under load, while
 // leaders are killed and ways are cut.
 func TestARollingUpgradeAndBack(t *testing.T) {
 	old := earlier(t)
 	t.Parallel()
 	f := Default(program, homes(t))
-	f.Boxes, f.Script, f.Fill = 9, Troubles(2), 400
+	f.Boxes, f.Script, f.Fill = 9, Troubles(2), fleetFill
 	f.Check = func(_ uint64, p *Played) error {
 		for _, m := range p.Members {
 			why, err := Stand(m)
@@ -111,21 +113,23 @@
 	}
 }
 
-// newer holds a fleet that has gone back to what it was to the rest of the promise: the box that lost its disk began with
-// a snapshot from one of another program, and each program refuses a log of one to come in one line, and serves on.
+// newer holds a fleet that has gone back to what it was to the rest of the promise: a box of the present program that has
+// lost its disk begins with a snapshot from one of the pinned program, and each program refuses a log of one to come in
+// one line, and serves on.
 func newer(t *testing.T, p *Played, old string) error {
-	wiped := p.Script[slices.IndexFunc(p.Script, func(x faultnet.Step) bool { return x.Do == "wipe" })].Who[0]
-	m := p.Member(wiped)
-	m.Kill()
-	switch index, err := Snapshot(m); {
-	case err != nil:
+	m := p.Member("n7")
+	if err := errors.Join(m.Wipe(), m.Become(standin.Make{Program: program}, 0), m.Start(), p.Settle(settle, 3)); err != nil {
 		return err
-	case index == 0:
-		return fmt.Errorf("%s lost its disk, and got no snapshot", wiped)
 	}
-	if err := m.Start(); err != nil {
+	m.Kill()
+	index, err := Snapshot(m)
+	if err := errors.Join(err, m.Start()); err != nil {
 		return err
 	}
+	if index < fleetFill { // its own would be of less: what it has written since is small
+		return fmt.Errorf("%s lost its disk, and its newest snapshot is of entry %d", m.Name, index)
+	}
+	t.Logf("%s began with a snapshot as of entry %d", m.Name, index)
 	for i, name := range []string{"n8", "n9"} {
 		m := p.Member(name)
 		m.Kill()
