--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -78,10 +78,10 @@
 	}
 	h.Live(7, ms(100))
 	one, _ := h.Ask(ms(100))
-	if _, ok := h.Ask(ms(100)+Every-1); ok {
+	if _, ok := h.Ask(ms(100) + Every - 1); ok {
 		t.Error("asks too early")
 	}
-	two, ok := h.Ask(ms(100)+Every)
+	two, ok := h.Ask(ms(100) + Every)
 	if !ok || one.Seq >= two.Seq {
 		t.Error(one, two, ok)
 	}
