Placement: each box its share within 2 homes, and hardly a home moved that need not

Pure rendezvous draws shares unevenly: of 2,048 homes the fullest of 9 boxes had 1.18 times its share, of 100 2.0 times, of 300 2.6 times (3.8 times as first), and some had none. The target now starts from the homes as they are: what nobody has goes by weighted rendezvous to those that lack some, then from those that have too many, by chains where zones leave no straight way.

--- a/internal/fleet/place/next.go
+++ b/internal/fleet/place/next.go
@@ -16,7 +16,7 @@
 // records. At most limit slices are unsettled by that at a time. A slice that has lost one home gets another, limit of
 // them an entry; those that have lost both get two new ones at once.
 func Next(s *State, boxes []Member, limit int, settled func(slice int) bool) (*Entry, error) {
-	target, err := Target(boxes)
+	target, err := Target(s, boxes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/place/target.go
+++ b/internal/fleet/place/target.go
@@ -1,13 +1,11 @@
 package place
 
 import (
-	"encoding/binary"
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // MaxWeight bounds the weight of a box.
@@ -45,48 +43,92 @@
 	return nil
 }
 
-// Target derives the homes that all slices should have, by weighted rendezvous (Thaler and Ravishankar, "Using
-// name-based mappings to increase hit rates", 1998): each box draws a time for each slice, exponential with its weight
-// for rate, from a hash of both. The earliest is the first home, the earliest in another zone the second; with one zone
-// the second earliest. What a box draws does not depend on the others: when one comes, only slices that it wins have
-// another home, and of each of them just one. The shares are as even as drawing makes them: see docs/design/place.md.
-func Target(boxes []Member) ([]Change, error) {
+// Target derives the homes that all slices should have, from those that they have: each box its share by weight, the
+// two of a slice in different zones where there are two, and as few new homes as that takes. Which slices a box takes
+// from those that have too many is drawn by a hash of both (the idea of rendezvous hashing, Thaler and Ravishankar,
+// "Using name-based mappings to increase hit rates", 1998), so that its slices have all others for partners. No box is
+// further than 2 from its share of homes (a zone, or a box of a single zone, has no more than one home of each slice).
+func Target(s *State, boxes []Member) ([]Change, error) {
 	if err := check(boxes); err != nil {
 		return nil, err
 	}
-	boxes = slices.DeleteFunc(slices.Clone(boxes), func(b Member) bool { return b.Weight == 0 })
-	slices.SortFunc(boxes, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	seeds := make([]uint64, len(boxes))
-	for i, b := range boxes {
-		seeds[i] = xxhash.Sum64String(b.Name)
-	}
+	l := newLevel(s, boxes)
+	l.homes()
+	l.firsts()
 	out := make([]Change, Slices)
-	times := make([]float64, len(boxes))
-	for slice := range out {
-		first, second := 0, -1
-		for i := range boxes {
-			if times[i] = draw(seeds[i], slice) / boxes[i].Weight; times[i] < times[first] {
-				first = i
-			}
+	for i, p := range l.pairs {
+		out[i] = Change{Slice: i, First: l.boxes[p[0]].Name}
+		if p[1] >= 0 {
+			out[i].Second = l.boxes[p[1]].Name
+		}
+	}
+	return out, nil
+}
+
+// weighted are the boxes that have a weight, by zone and name, and whether they are in several zones.
+func weighted(boxes []Member) (out []Member, zoned bool) {
+	out = slices.DeleteFunc(slices.Clone(boxes), func(b Member) bool { return b.Weight == 0 })
+	slices.SortFunc(out, func(a, b Member) int {
+		return cmp.Or(strings.Compare(a.Zone, b.Zone), strings.Compare(a.Name, b.Name))
+	})
+	return out, out[0].Zone != out[len(out)-1].Zone
+}
+
+// group is what can hold one home of a slice at most: a zone where there are several, else a box.
+type group struct {
+	from, to int // its boxes
+	weight   float64
+	share    float64 // of the homes
+}
+
+// groups are what the boxes of weighted share the homes as: by weight, but none has more than one of each slice; what
+// it would have over that falls to the others.
+func groups(boxes []Member, zoned bool) (out []group) {
+	sum := 0.0
+	for i, b := range boxes {
+		if i == 0 || !zoned || b.Zone != boxes[i-1].Zone {
+			out = append(out, group{from: i})
 		}
-		away := func(i int) bool { return boxes[i].Zone != boxes[first].Zone }
-		for i := range boxes {
-			if i != first && (second < 0 || away(i) && !away(second) || away(i) == away(second) && times[i] < times[second]) {
-				second = i
-			}
+		g := &out[len(out)-1]
+		g.to, g.weight = i+1, g.weight+b.Weight
+		sum += b.Weight
+	}
+	over, rest := -1, 0.0 // the one that has more than half of the weight
+	for i, g := range out {
+		if g.weight > sum/2 {
+			over = i
+		} else {
+			rest += g.weight
 		}
-		out[slice] = Change{Slice: slice, First: boxes[first].Name}
-		if second >= 0 {
-			out[slice].Second = boxes[second].Name
+	}
+	for i := range out {
+		switch g := &out[i]; {
+		case i == over:
+			g.share = Slices
+		case over >= 0:
+			g.share = Slices * g.weight / rest
+		default:
+			g.share = 2 * Slices * g.weight / sum
 		}
 	}
-	return out, nil
+	return out
 }
 
-// draw is a time, exponential with rate 1, from a box's seed and a slice.
-func draw(seed uint64, slice int) float64 {
-	var b [10]byte
-	binary.LittleEndian.PutUint64(b[:], seed)
-	binary.LittleEndian.PutUint16(b[8:], uint16(slice))
-	return -math.Log((float64(xxhash.Sum64(b[:])>>11) + 0.5) / (1 << 53))
+// apportion makes whole numbers with a given sum of shares: each is rounded down, and what is left goes to those that
+// have more already, then to those that lost most by it.
+func apportion(shares []float64, have []int, sum int) []int {
+	out := make([]int, len(shares))
+	order := make([]int, len(shares))
+	for i, x := range shares {
+		out[i], order[i] = int(x), i
+		sum -= out[i]
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		more := func(i int) int { return min(1, max(0, have[i]-out[i])) }
+		return cmp.Or(more(b)-more(a), cmp.Compare(shares[b]-math.Floor(shares[b]), shares[a]-math.Floor(shares[a])))
+	})
+	for _, i := range order[:max(0, min(sum, len(order)))] {
+		out[i]++
+	}
+	return out
 }
