--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -353,7 +353,7 @@
 		}
 		v := NewView(l, s)
 		first, second := v.Homes(7)
-		if want := [][2]string{{a, ""}, {a, b}, {b, ""}}[i]; first != want[0] || second != want[1] || v.Lives[first] == 0 || v.Epoch != uint64(101+i) {
+		if want := [][2]string{{a, ""}, {a, b}, {b, ""}}[i]; first != want[0] || second != want[1] || v.Lives[first].Life == 0 || v.Epoch != uint64(101+i) {
 			t.Errorf("after %+v: %q and %q, %+v", e, first, second, v.Lives)
 		}
 	}
