--- a/internal/fleet/place/state.go
+++ b/internal/fleet/place/state.go
@@ -55,25 +55,37 @@
 }
 
 // Since are the log indexes of the entries by which a box that was no home of a slice before became one. In cbor they
-// are 8 bytes a slice.
+// are runs of slices with the same: how many, and which, as varints.
 type Since [Slices]uint64
 
-// MarshalBinary writes the indexes one after the other, the low byte first.
-func (t *Since) MarshalBinary() ([]byte, error) {
-	b := make([]byte, 0, 8*Slices)
-	for _, x := range t {
-		b = binary.LittleEndian.AppendUint64(b, x)
+// MarshalBinary writes the runs one after the other.
+func (t *Since) MarshalBinary() (b []byte, err error) {
+	for i := 0; i < Slices; {
+		n := 1
+		for i+n < Slices && t[i+n] == t[i] {
+			n++
+		}
+		b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(n)), t[i])
+		i += n
 	}
 	return b, nil
 }
 
 // UnmarshalBinary reads them back.
 func (t *Since) UnmarshalBinary(b []byte) error {
-	if len(b) != 8*Slices {
-		return fmt.Errorf("indexes of %d bytes, not %d: %w", len(b), 8*Slices, ErrInvalid)
+	for i := 0; i < Slices; {
+		n, k := binary.Uvarint(b)
+		x, l := binary.Uvarint(b[max(0, k):])
+		if k <= 0 || l <= 0 || n == 0 || n > uint64(Slices-i) {
+			return fmt.Errorf("indexes end after %d of %d: %w", i, Slices, ErrInvalid)
+		}
+		for b = b[k+l:]; n > 0; n-- {
+			t[i] = x
+			i++
+		}
 	}
-	for i := range t {
-		t[i] = binary.LittleEndian.Uint64(b[8*i:])
+	if len(b) > 0 {
+		return fmt.Errorf("%d bytes behind the indexes: %w", len(b), ErrInvalid)
 	}
 	return nil
 }
