Hand: lost pieces are looked at once a drain; a box's own keys are bounded in bytes

Every message had all open records looked at for lost owners; at ten thousand in hand that is most of a box's time. They are looked at when a view, a proof or an end of what was taken over gives cause, and at ticks. After a new view a holder tells at most 2,048 keys a tick; what it keeps of its own has the same bound in bytes as a home.

--- a/internal/fleet/hand/defects_test.go
+++ b/internal/fleet/hand/defects_test.go
@@ -10,16 +10,16 @@
 		bug  defects
 		seed uint64 // of the history that finds it; 0 = the explorer does
 	}{
-		{"the end of the lease is not looked at", defects{leaseIgnored: true}, 8},
+		{"the end of the lease is not looked at", defects{leaseIgnored: true}, 11},
 		{"the second home acknowledges a claim that it has not noted", defects{ackFirst: true}, 0},
-		{"messages of another epoch, or of an earlier life, are taken", defects{epochUnchecked: true}, 46},
+		{"messages of another epoch, or of an earlier life, are taken", defects{epochUnchecked: true}, 18},
 		{"each home takes over by its own clock", defects{ownClock: true}, 0},
 		{"the first home's word alone is enough", defects{firstAlone: true}, 0},
 		{"a second home that is not whole is promoted", defects{promoted: true}, 0},
-		{"the first of several candidates is taken for the owner", defects{contestedOwned: true}, 54},
+		{"the first of several candidates is taken for the owner", defects{contestedOwned: true}, 57},
 		{"no quarantine where no home is whole", defects{noQuarantine: true}, 0},
 		{"a piece is run before the second home has the takeover", defects{adoptEarly: true}, 0},
-		{"an end is answered before the homes have it", defects{answerEarly: true}, 8},
+		{"an end is answered before the homes have it", defects{answerEarly: true}, 12},
 		{"a piece is taken over without asking the lost pool", defects{fenceSkipped: true}, 0},
 	} {
 		t.Run(k.name, func(t *testing.T) {
--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -69,7 +69,7 @@
 // Limits are bounds and times. Zero fields take the values of Defaults.
 type Limits struct {
 	Records int           // at this home, and of this box's own; claims past it are refused
-	Bytes   int64         // of bodies and results at this home
+	Bytes   int64         // of bodies and results, at this home and again of this box's own
 	Longest time.Duration // the longest Life of any piece
 	Lag     time.Duration // the longest that a box whose lease holds can be behind a view
 	Adopted int           // pieces taken over and not ended at this box at a time
@@ -86,6 +86,7 @@
 	copyWait  = 2 * time.Second        // a source that is silent for it is not waited for
 	copyMost  = 64                     // records of a slice on their way to one box
 	copyBytes = 64 << 10               // and bytes of them
+	tellMost  = 2048                   // keys that a holder tells again in one tick
 	flyMost   = 2048                   // records on their way to all boxes; past it no copy of a slice begins
 	comeBack  = 500 * time.Millisecond // when to try again at homes that are not ready
 )
@@ -163,6 +164,7 @@
 	try  uint64
 	mine map[Key]*hold
 	busy []*hold
+	own  int64 // bytes of bodies and results in mine
 
 	slices  [Slices]slice
 	homed   []int     // slices that this box is home of, or keeps for the view
@@ -171,7 +173,8 @@
 	bytes   int64
 	flying  int // records of copies that are not acknowledged
 	expiry  expiries
-	adopted int // of mine, and on the way to be
+	adopted int  // of mine, and on the way to be
+	look    bool // lost pieces are to be looked at before the next drain
 
 	out    Outputs
 	place  map[string]int // of a box in out.Sends
@@ -218,13 +221,16 @@
 func (h *Hand) disown() {
 	h.over, h.out, h.place, h.self = true, Outputs{Disown: true}, nil, nil
 	h.mine, h.busy, h.open, h.expiry, h.homed = nil, nil, nil, nil, nil
-	h.slices, h.records, h.bytes, h.adopted, h.flying = [Slices]slice{}, 0, 0, 0, 0
+	h.slices, h.records, h.bytes, h.adopted, h.flying, h.own = [Slices]slice{}, 0, 0, 0, 0, 0
 }
 
 // Drain takes what is to be done. It looks at the lease once more: a box that stopped between an input and this
 // sends nothing.
 func (h *Hand) Drain(now time.Duration) Outputs {
-	h.live(now)
+	if h.live(now) && h.look {
+		h.take(now)
+		h.loop(now)
+	}
 	out := h.out
 	h.out, h.place = Outputs{}, nil
 	return out
@@ -265,7 +271,7 @@
 	for _, k := range sortedKeys(h.mine) {
 		h.moved(now, h.mine[k])
 	}
-	h.take(now)
+	h.look = true
 	h.loop(now)
 }
 
--- a/internal/fleet/hand/holder.go
+++ b/internal/fleet/hand/holder.go
@@ -29,7 +29,15 @@
 	over
 )
 
-// send gives the piece as it is told now: with what is left of its times.
+func (x *hold) size() int64 {
+	n := int64(len(x.p.Body))
+	if x.end != nil {
+		n += int64(len(x.end.Result))
+	}
+	return n
+}
+
+// piece gives the piece as it is told now: with what is left of its times.
 func (x *hold) piece(now time.Duration, body bool) *Piece {
 	p := x.p
 	p.Due, p.Life = max(0, x.due-now), max(0, x.until-now)
@@ -64,16 +72,17 @@
 	case len(homes) == 0:
 		h.verdict(p.Key, Down, nil, comeBack, "its slice has no home")
 		return
-	case len(h.mine) >= h.lim.Records:
+	case len(h.mine) >= h.lim.Records || h.own+int64(len(p.Body)) > h.lim.Bytes:
 		h.verdict(p.Key, Down, nil, comeBack, "as many keys as this box keeps are in hand here")
 		return
 	case p.Life > h.lim.Longest:
-		h.verdict(p.Key, Off, nil, 0, "its record would have to be kept longer than any")
+		h.verdict(p.Key, Down, nil, 0, "its record would have to be kept longer than any")
 		return
 	}
 	h.try++
 	x := &hold{p: p, try: h.try, due: now + p.Due, until: now + p.Life}
 	h.mine[p.Key] = x
+	h.own += x.size()
 	h.pump(now, x)
 	h.loop(now)
 }
@@ -90,7 +99,9 @@
 	}
 	if x.adopted {
 		h.adopted--
+		h.look = true // there is room for another
 	}
+	h.own += int64(len(result)) - x.size()
 	x.state, x.told, x.end, x.p.Body = over, nil, &End{OK: ok, Result: result, Why: why}, nil
 	h.pump(now, x)
 	h.loop(now)
@@ -112,6 +123,7 @@
 	if x.adopted {
 		h.adopted--
 	}
+	h.own -= x.size()
 	delete(h.mine, x.p.Key)
 	for _, o := range h.homes(x.p.Key.Slice()) {
 		h.send(o.Box, Item{Kind: kRelease, Key: x.p.Key, Try: x.try})
@@ -189,14 +201,18 @@
 		h.try++
 		x.try, x.won, x.ack = h.try, false, false
 	}
-	if !h.settled(x) {
+	switch {
+	case x.state == asking, x.state == over && !x.finished:
 		h.pump(now, x)
+	case !x.busy && !h.settled(x): // with the next ticks
+		x.busy, x.sent, h.busy = true, now-h.lim.Retry, append(h.busy, x)
 	}
 }
 
 func (h *Hand) holderTick(now time.Duration) {
 	busy := h.busy
 	h.busy = nil
+	told := 0
 	for _, x := range busy {
 		x.busy = false
 		switch {
@@ -206,7 +222,8 @@
 			h.drop(x)
 			h.verdict(x.p.Key, Down, nil, comeBack, "its homes did not answer in its time")
 			continue
-		case now-x.sent >= h.lim.Retry:
+		case now-x.sent >= h.lim.Retry && told < tellMost:
+			told++
 			h.pump(now, x)
 		}
 		if !x.busy {
--- a/internal/fleet/hand/home.go
+++ b/internal/fleet/hand/home.go
@@ -405,6 +405,7 @@
 			case x.state == holding && x.adopted:
 				h.adopted--
 			}
+			h.own -= x.size()
 			delete(h.mine, e.key)
 		}
 	}
--- a/internal/fleet/hand/msg.go
+++ b/internal/fleet/hand/msg.go
@@ -127,7 +127,6 @@
 	for i := range m.Items {
 		h.item(now, o, &m.Items[i])
 	}
-	h.take(now)
 	h.loop(now)
 }
 
--- a/internal/fleet/hand/taker.go
+++ b/internal/fleet/hand/taker.go
@@ -46,7 +46,7 @@
 	case Unknown:
 		h.decide(now, r, &End{Why: "its box " + o.Box + " was lost and its pool cannot tell: it may have run"})
 	}
-	h.take(now)
+	h.look = true
 	h.loop(now)
 }
 
@@ -75,6 +75,7 @@
 // the end that their pool knows, or failed. It depends on view and records alone, so whichever box comes to be first
 // home does the same.
 func (h *Hand) take(now time.Duration) {
+	h.look = false
 	var ready []*record
 	probes := map[Owner][]Key{}
 	for _, r := range h.open {
@@ -146,7 +147,7 @@
 	r.take, r.owner = h.try, h.me()
 	h.add(r, Cand{Owner: r.owner, Try: r.take})
 	h.tell(now, r)
-	if h.bug.ownClock && r.take != 0 {
+	if h.bug.ownClock && h.slices[r.slice].place == 2 {
 		h.adopt(now, r)
 	}
 }
@@ -169,6 +170,7 @@
 	p := x.piece(now, true)
 	r.take = 0
 	h.mine[r.p.Key] = x
+	h.own += x.size()
 	h.expiry.add(x.until, r.p.Key, false)
 	x.busy, h.busy = true, append(h.busy, x)
 	h.out.Adopts = append(h.out.Adopts, Adopt{Piece: *p})
