--- a/internal/fleet/hand/defects_test.go
+++ b/internal/fleet/hand/defects_test.go
@@ -5,6 +5,7 @@
 // Each of these faults, put in on purpose, breaks an invariant that the explorer or the simulation watches. What
 // finds none of them proves nothing when it finds nothing.
 func TestDefects(t *testing.T) {
+	t.Parallel()
 	for _, k := range []struct {
 		name string
 		bug  defects
--- a/internal/fleet/hand/explore_test.go
+++ b/internal/fleet/hand/explore_test.go
@@ -19,13 +19,12 @@
 
 var faultNames = []string{"killed", "killed with its pool", "stopped", "cut off", "its messages come late", "messages to it are lost", "its messages come twice", "its view is late"}
 
-// apply does it; false = it changes nothing.
-func (w *world) apply(f fault) bool {
+// apply does it, if there is a process.
+func (w *world) apply(f fault) {
 	b := w.boxes[f.box]
-	if b.life == 0 || !w.awake(b) || f.kind == 7 && b.applied == len(w.views) && w.views[b.applied-1].Epoch < uint64(w.clock)-40 {
-		return false
+	if b.life == 0 || !w.awake(b) {
+		return
 	}
-	n := 0
 	switch f.kind {
 	case 0, 1:
 		w.kill(b, f.kind == 1)
@@ -38,10 +37,7 @@
 	default:
 		kept := w.net[:0:0]
 		for _, p := range w.net {
-			hit := f.kind == 5 && p.to == b.name || f.kind != 5 && p.from == b.name
-			if hit {
-				n++
-			}
+			hit := f.hits(p, b.name)
 			if !hit || f.kind == 6 {
 				kept = append(kept, p)
 			}
@@ -49,12 +45,14 @@
 				kept = append(kept, p)
 			}
 		}
-		if w.net = kept; n == 0 {
-			return false
-		}
+		w.net = kept
 	}
 	w.note("%s: %s", b.name, faultNames[f.kind])
-	return true
+}
+
+// hits tells that a fault of messages concerns one.
+func (f fault) hits(p packet, box string) bool {
+	return f.kind == 5 && p.to == box || f.kind != 5 && p.from == box
 }
 
 // print is a hash of all that the rest of a run depends on.
@@ -137,14 +135,9 @@
 						if kind < 4 && i > 40 && i%6 != 0 && !put || kind == 7 && i%6 != 0 {
 							continue // nothing else happens in so short a time
 						}
-						net := 0
-						for _, p := range w.net {
-							if p.from == w.boxes[b].name && kind != 5 || p.to == w.boxes[b].name && kind == 5 {
-								net++
-							}
-						}
-						if kind < 4 || kind == 7 || net > 0 {
-							out = append(out, append(append([]fault(nil), prefix...), fault{i, kind, b}))
+						f := fault{i, kind, b}
+						if kind < 4 || kind == 7 || slices.ContainsFunc(w.net, func(p packet) bool { return f.hits(p, w.boxes[b].name) }) {
+							out = append(out, append(slices.Clone(prefix), f))
 						}
 					}
 				}
@@ -179,6 +172,7 @@
 }
 
 func TestExplore(t *testing.T) {
+	t.Parallel()
 	for a := range 3 {
 		for b := range 3 {
 			if *depth <= 4000 && b != (a+1)%3 {
--- a/internal/fleet/hand/sim_test.go
+++ b/internal/fleet/hand/sim_test.go
@@ -135,6 +135,7 @@
 // Whatever dies, stops, is cut off or lost: no key runs twice, all answers to a key are one, none leaves without a
 // lease, all has an end, and all is forgotten.
 func TestHistories(t *testing.T) {
+	t.Parallel()
 	sum := map[string]int{}
 	for seed := *first; seed < *first+*seeds; seed++ {
 		w := play(seed, defects{})
--- a/internal/fleet/hand/world_test.go
+++ b/internal/fleet/hand/world_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -148,7 +149,7 @@
 	homes := map[int][]string{}
 	for i := range w.homes {
 		order := slices.Clone(names)
-		score := func(n string) uint64 { return xxhash.Sum64String(fmt.Sprint(n, i)) }
+		score := func(n string) uint64 { return xxhash.Sum64(strconv.AppendInt([]byte(n), int64(i), 10)) }
 		slices.SortFunc(order, func(a, b string) int { return cmp.Compare(score(a), score(b)) })
 		homes[i] = order[:min(2, len(order))]
 	}
@@ -225,8 +226,8 @@
 
 // log renews leases of those it hears, and declares lost whose lease is over; they come back as new lives.
 func (w *world) log() {
-	lives := maps.Clone(w.views[len(w.views)-1].Lives)
-	changed := false
+	was := w.views[len(w.views)-1].Lives
+	lives := maps.Clone(was)
 	for _, b := range w.boxes {
 		if b.cut != 0 && b.cut <= w.now {
 			b.cut = 0
@@ -238,16 +239,14 @@
 		switch {
 		case lives[b.name] == 0 && w.awake(b) && b.cut == 0:
 			w.join(b, lives)
-			changed = true
 			b.next = w.now + 2*step
 		case lives[b.name] != 0 && w.awake(b) && b.cut == 0 && w.now < b.granted && !b.h.over && lives[b.name] == b.life:
 			b.granted = w.now + leaseFor
 		case lives[b.name] != 0 && w.now >= b.granted+50*ms:
 			delete(lives, b.name)
-			changed = true
 		}
 	}
-	if changed {
+	if !maps.Equal(was, lives) {
 		w.view(lives)
 	}
 }
