--- a/internal/fleet/hand/hand_test.go
+++ b/internal/fleet/hand/hand_test.go
@@ -26,7 +26,10 @@
 			}
 		}
 		for i, n := range names {
-			hands[n].SetView(now, View{Epoch: epoch, Self: n, Life: uint64(i + 1), Lives: lives, Homes: func(int) []string { return homes },
+			if n == misses {
+				continue
+			}
+			hands[n].SetView(now, View{Epoch: epoch, Prev: epoch - 1, Self: n, Life: uint64(i + 1), Lives: lives, Homes: func(int) []string { return homes },
 				Fresh: func(int) bool { return epoch == 1 }, Pools: map[Owner]string{{"c", 3}: "pool of c"}}, time.Hour)
 		}
 	}
@@ -157,6 +160,46 @@
 	}
 }
 
+// Both homes move at once: those of before make the new ones whole. A box that missed a view is whole nowhere: a key
+// may have been claimed in it. And an end that a lost box told its second home alone stands before the taker's verdict.
+func TestMoves(t *testing.T) {
+	hands, turn, view := pair(t, Limits{Longest: 12 * time.Second}, "a", "b", "c", "d")
+	claim := func(step, box, key string, want State) {
+		t.Helper()
+		turn(0)
+		hands[box].Claim(0, piece(key))
+		if v := turn(0)[box].Verdicts; len(v) != 1 || v[0].State != want {
+			t.Errorf("%s: %+v", step, v)
+		}
+	}
+	view(1, 0, "a", "b", "c", "d")
+	claim("whole", "c", "x", Won)
+	view(2, 0, "d", "c", "a", "b")
+	claim("a repeat after both homes moved", "a", "x", Other)
+	claim("both homes moved", "a", "y", Won)
+	view(3, 0, "a", "b", "c", "d")
+	turn(0)
+	hands["c"].Finish(0, Key{"class", "x"}, true, []byte("ok"), "")
+	for _, s := range hands["c"].Drain(0).Sends {
+		if s.To == "b" {
+			hands["b"].Receive(0, "c", s.Msg)
+		}
+	}
+	view(4, 0, "a", "b", "d")
+	turn(0)
+	hands["a"].Proved(0, Key{"class", "x"}, Owner{"c", 3}, Proof{State: Unknown})
+	claim("the second home knows its end", "d", "x", Done)
+	misses = "a"
+	defer func() { misses = "" }()
+	view(5, 0, "d", "b", "a")
+	claim("claimed while a is behind", "b", "z", Won)
+	misses = ""
+	view(6, 0, "a")
+	claim("a missed a view", "a", "z", Down)
+}
+
+var misses string // a box that does not get a view of pair
+
 // What a record takes at a home beyond its body.
 func TestBytesOfRecord(t *testing.T) {
 	const n = 20_000
