Hand: an end told twice is answered once; what its driver owes it

A core that repeated Finish while its homes had yet to acknowledge heard that the key was no longer its box's. The type's comment says in which order a driver gives views, lease and ticks, and what alone lets an order or answer go.

--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -153,6 +153,13 @@
 }
 
 // Hand is one box's part: holder of what it claimed, home of the slices that the view gives it, and taker.
+//
+// Its driver gives it each view in the order of the log, beginning with the first in which the process's own entry
+// lives; extends the lease as the log renews it; ticks it every Retry; and drains it after each input or batch of
+// inputs, with the time of the draining. It sends what comes out as it comes: messages may be lost, doubled or late. An
+// order to the pool goes out by Won or Adopt alone, an answer by Finished or a Done verdict alone, both while Live.
+// Release is for keys that no pool was told of. After Disown all that the core has in hand is no longer the box's; the
+// driver takes a new life from the log and goes on with the same Hand, or a new one.
 type Hand struct {
 	lim    Limits
 	bug    defects
--- a/internal/fleet/hand/hand_test.go
+++ b/internal/fleet/hand/hand_test.go
@@ -101,6 +101,7 @@
 	hands["d"].Claim(0, p)
 	say("another body", turn(0)["d"], "x off")
 	hands["c"].Finish(time.Second, Key{"class", "x"}, true, []byte("ok"), "")
+	hands["c"].Finish(time.Second, Key{"class", "x"}, true, []byte("ok"), "") // twice
 	say("its end", turn(time.Second)["c"], "x finished true")
 	hands["d"].Claim(time.Second, piece("x"))
 	say("a repeat of what ended", turn(time.Second)["d"], "x done ok")
--- a/internal/fleet/hand/holder.go
+++ b/internal/fleet/hand/holder.go
@@ -93,6 +93,9 @@
 		return
 	}
 	x := h.mine[k]
+	if x != nil && x.state == over && !x.finished {
+		return // told before: its Finished is on the way
+	}
 	if x == nil || x.state != holding {
 		h.out.Finished = append(h.out.Finished, Finished{Key: k, OK: x != nil && x.finished})
 		return
