--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
 	go test -timeout 900s -count=1 ./internal/keeper -run Faults -rapid.checks=700
+	go test -timeout 900s -count=1 ./internal/fleet/trial -run Fleets -seeds 300
 	go test -timeout 3600s -count=1 ./internal/fleet/agree -seeds 5000 -big 20
 	go test -timeout 3600s -count=1 ./internal/fleet/driver -run Script -scripts 200 -parallel 4
 
--- a/internal/fleet/trial/apply.go
+++ b/internal/fleet/trial/apply.go
@@ -86,10 +86,19 @@
 	if t := s.Of(spec.Split == Switchback, spec.Thing); t != nil && t.Open() {
 		return fmt.Errorf("trial %s: %s is split by trial %s already: %w", spec.ID, spec.Thing, t.Spec.ID, ErrInvalid)
 	}
+	open := 0
+	for i := range s.Trials {
+		if s.Trials[i].Open() {
+			open++
+		}
+	}
+	if open >= MaxOpen {
+		return fmt.Errorf("trial %s: %d trials run, more cannot at a time: %w", spec.ID, open, ErrBound)
+	}
 	if len(s.Trials) >= MaxTrials {
 		i := slices.IndexFunc(s.Trials, func(t Trial) bool { return !t.Open() && !s.serves(&t) })
 		if i < 0 {
-			return fmt.Errorf("trial %s: %d trials are open, or serve by what they found: %w", spec.ID, len(s.Trials), ErrBound)
+			return fmt.Errorf("trial %s: each of %d trials runs, or is what is served by: %w", spec.ID, len(s.Trials), ErrBound)
 		}
 		s.Trials = slices.Delete(s.Trials, i, i+1)
 	}
--- a/internal/fleet/trial/lead.go
+++ b/internal/fleet/trial/lead.go
@@ -28,6 +28,7 @@
 	at           map[lifeKey]int64 // when each was last heard of
 	first, since int64             // when it was first seen open, and in its present block
 	block        int
+	cells        int   // of all lives
 	won          int64 // since when the counts say B; only while they do
 	wins         bool
 }
@@ -71,7 +72,12 @@
 		life = &Life{Box: key.box, Incarnation: key.incarnation}
 		h.lives[key] = life
 	}
+	if h.cells+len(r.Life.Cells) > MaxHeard {
+		return fmt.Errorf("trial %s: %d cells have been reported: %w", r.Trial, MaxHeard, ErrBound)
+	}
+	h.cells -= len(life.Cells)
 	life.merge(&r.Life)
+	h.cells += len(life.Cells)
 	h.at[key] = now
 	return nil
 }
@@ -190,43 +196,36 @@
 // strata sums lives up by block and box. A unit without values that is past due, or whose process is gone, has the
 // values 0: no arm gains by what it takes down with it.
 func (e *evidence) strata(t *Trial) []sequential.Stratum {
-	type key struct {
-		block int
-		box   string
-	}
-	at := map[key]*sequential.Stratum{}
-	of := func(block int, box string) *sequential.Stratum {
-		s := at[key{block, box}]
-		if s == nil {
-			s = &sequential.Stratum{Box: box, Block: block}
-			at[key{block, box}] = s
+	boxes := 0
+	for i := range e.lives {
+		if i == 0 || e.lives[i-1].Box != e.lives[i].Box {
+			boxes++
 		}
-		return s
 	}
+	out := make([]sequential.Stratum, boxes*t.Spec.Blocks) // by block, and by box within it
+	box := -1
 	for i := range e.lives {
 		l := &e.lives[i]
+		if i == 0 || e.lives[i-1].Box != l.Box {
+			box++
+		}
+		of := func(block int) *sequential.Stratum {
+			s := &out[block*boxes+box]
+			s.Box, s.Block = l.Box, block
+			return s
+		}
 		for j := range l.Cells {
 			c := &l.Cells[j]
-			s := of(c.Block, l.Box)
+			s := of(c.Block)
 			for a := range c.Arms {
 				add(&s.Arms[a], &c.Arms[a], e.ended[i] || c.Block+lateBy <= l.Block)
 			}
 		}
-	}
-	if t.Spec.Split == Switchback {
-		for i := range e.lives {
-			if l := &e.lives[i]; e.died[i] && l.Block < t.Spec.Blocks {
-				of(l.Block, l.Box)
-			}
+		if t.Spec.Split == Switchback && e.died[i] && l.Block < t.Spec.Blocks {
+			of(l.Block)
 		}
 	}
-	out := make([]sequential.Stratum, 0, len(at))
-	for _, s := range at {
-		out = append(out, *s)
-	}
-	slices.SortFunc(out, func(a, b sequential.Stratum) int {
-		return cmp.Or(cmp.Compare(a.Block, b.Block), cmp.Compare(a.Box, b.Box))
-	})
+	out = slices.DeleteFunc(out, func(s sequential.Stratum) bool { return s.Box == "" })
 	if t.Spec.Split == Switchback {
 		return e.cells(t, out)
 	}
--- a/internal/fleet/trial/state.go
+++ b/internal/fleet/trial/state.go
@@ -18,6 +18,7 @@
 // Bounds of what is agreed.
 const (
 	MaxTrials  = 16   // kept, over ones included
+	MaxOpen    = 4    // that run at a time: a leader has up to 5 MB of counts for each
 	MaxBlocks  = 64   // of a trial
 	MaxKept    = 4096 // cells of lives that are over, of a trial
 	MinBlockMs = 5000 // longer than any unit takes to be due
--- a/internal/fleet/trial/trial_test.go
+++ b/internal/fleet/trial/trial_test.go
@@ -406,6 +406,27 @@
 	if !errors.Is(err, ErrBound) || len(tr.Kept) > MaxKept {
 		t.Errorf("%d lives: %v", len(tr.Kept), err)
 	}
+	err = nil
+	wide := NewLeader("w")
+	for i := uint64(1); err == nil && i < MaxLives; i++ {
+		for _, r := range Pages("t1", c.Life()) {
+			if r.Life.Incarnation, r.Life.Block = i, MaxBlocks; err == nil {
+				err = wide.Hear(s, &r, 0)
+			}
+		}
+	}
+	if !errors.Is(err, ErrBound) || wide.of("t1").cells > MaxHeard {
+		t.Errorf("%d cells: %v", wide.of("t1").cells, err)
+	}
+	many := begun(t, spec())
+	err = nil
+	for i := 2; err == nil && i < 2*MaxOpen; i++ {
+		sp.ID, sp.Thing = fmt.Sprintf("t%d", i), fmt.Sprintf("call%d", i)
+		err = many.Apply(uint64(i), &Entry{Kind: Start, Spec: sp})
+	}
+	if !errors.Is(err, ErrBound) || len(many.Trials) != MaxOpen {
+		t.Errorf("%d trials run: %v", len(many.Trials), err)
+	}
 	for i := 2; i <= MaxTrials+3; i++ { // those that are over make room, but for one by which is served
 		v := sequential.A
 		if i == 3 {
