--- a/internal/fleet/trial/fleet_test.go
+++ b/internal/fleet/trial/fleet_test.go
@@ -60,10 +60,12 @@
 	return s
 }
 
-// put appends an entry to the log, which the leader applies.
-func (s *sim) put(e Entry) {
-	s.log = append(s.log, e)
-	must(s.t, s.led.Apply(uint64(len(s.log)), &e))
+// put appends entries to the log, which the leader applies.
+func (s *sim) put(es ...Entry) {
+	for _, e := range es {
+		s.log = append(s.log, e)
+		must(s.t, s.led.Apply(uint64(len(s.log)), &e))
+	}
 }
 
 func (s *sim) step() {
@@ -71,9 +73,7 @@
 	for _, b := range s.boxes {
 		s.serve(b)
 	}
-	for _, e := range s.lead.Next(&s.led, 1000*int64(s.second)) {
-		s.put(e)
-	}
+	s.put(s.lead.Next(&s.led, 1000*int64(s.second))...)
 }
 
 func (s *sim) serve(b *simBox) {
@@ -87,11 +87,8 @@
 		}
 		return
 	}
-	if !b.cut {
-		for b.state.Index < uint64(len(s.log)) {
-			e := s.log[b.state.Index]
-			b.state.Apply(b.state.Index+1, &e)
-		}
+	for !b.cut && b.state.Index < uint64(len(s.log)) {
+		b.state.Apply(b.state.Index+1, &s.log[b.state.Index])
 	}
 	tr := b.state.Trial("t1")
 	if b.count == nil {
@@ -139,9 +136,9 @@
 	x := s.rng.Float64()
 	if x >= s.lose/3 {
 		s.hear(r)
-	}
-	if x < s.lose && x >= s.lose/3 {
-		s.late = append(s.late, r)
+		if x < s.lose {
+			s.late = append(s.late, r)
+		}
 	}
 	if len(s.late) > 0 && s.rng.IntN(4) == 0 {
 		i := s.rng.IntN(len(s.late))
--- a/internal/fleet/trial/trial_test.go
+++ b/internal/fleet/trial/trial_test.go
@@ -17,10 +17,8 @@
 )
 
 func must(t interface{ Fatal(...any) }, errs ...error) {
-	for _, err := range errs {
-		if err != nil {
-			t.Fatal(err)
-		}
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
 	}
 }
 
@@ -105,9 +103,7 @@
 		alike(t, want, before, *s)
 	}
 	sp := spec()
-	if err := known.Check(&sp); err != nil {
-		t.Error(err)
-	}
+	must(t, known.Check(&sp))
 }
 
 // The leader dies at the look that decides, and the next one decides otherwise by what it has heard, or an old one on
@@ -252,9 +248,7 @@
 			}
 		}
 		for _, i := range rng.Perm(len(all)) {
-			for range 1 + rng.IntN(2) {
-				must(t, mixed.Hear(s, &all[i], 0))
-			}
+			must(t, mixed.Hear(s, &all[i], 0), mixed.Hear(s, &all[rng.IntN(len(all))], 0))
 		}
 		a, b := plain.of("t1").evidence(tr, 0, false), mixed.of("t1").evidence(tr, 0, false)
 		alike(t, "merged", a.strata(tr), b.strata(tr))
@@ -284,11 +278,9 @@
 	}
 	tr.Block = tr.Spec.Blocks
 	for i := range 50 {
-		if arm, counts := tr.Assign(true, fmt.Sprint(i)); arm != 0 || counts {
-			t.Fatal("given out after the deadline")
-		}
-		if arm, counts := other.Assign(false, fmt.Sprint(i)); arm != 0 || counts {
-			t.Fatal("given out without a lease")
+		late, counted := tr.Assign(true, fmt.Sprint(i))
+		if arm, counts := other.Assign(false, fmt.Sprint(i)); late+arm != 0 || counted || counts {
+			t.Fatal("given out after the deadline, or without a lease")
 		}
 	}
 	sp.Split, sp.SettleMs = Switchback, 500
@@ -305,10 +297,9 @@
 	if math.Abs(float64(n)/2000-0.3) > 0.04 {
 		t.Errorf("%d of 2000 blocks to B", n)
 	}
-	for v, want := range map[sequential.Verdict]int{sequential.A: 0, sequential.B: 1, sequential.None: 0, sequential.Harm: 0, sequential.Void: 0,
-		sequential.Deadline: 0, sequential.Stopped: 0} {
-		if tr.Outcome.Verdict = v; tr.Winner() != want {
-			t.Errorf("%v: %d serves", v, tr.Winner())
+	for v, want := range []int{sequential.B: 1, sequential.Stopped: 0} {
+		if tr.Outcome.Verdict = sequential.Verdict(v); tr.Winner() != want {
+			t.Errorf("%v: %d serves", tr.Outcome.Verdict, tr.Winner())
 		}
 	}
 }
@@ -320,12 +311,7 @@
 	turns := 0
 	now := int64(5_000_000)
 	for i := range 100 {
-		switch now += 1000; i {
-		case 15:
-			now += 3_600_000
-		case 45:
-			now -= 3_600_000
-		}
+		now += 1000 + map[int]int64{15: 3_600_000, 45: -3_600_000}[i]
 		for _, e := range l.Next(s, now) {
 			if err := s.Apply(s.Index+1, &e); err != nil || e.Kind != Turn {
 				t.Fatal(e, err)
--- a/internal/sequential/sequential_test.go
+++ b/internal/sequential/sequential_test.go
@@ -122,11 +122,8 @@
 		s.Arms[arm].N = 1
 		s.Arms[arm].Values[0] = Sums{x, x * x}
 		u := newTerm(p, c, &s, 0)
-		y, fall := (float64(arm)-p)*(x-c), u.low
-		d := -sign * m * p * (1 - p)
-		if sign < 0 {
-			fall = u.high
-		}
+		y, d := (float64(arm)-p)*(x-c), -sign*m*p*(1-p)
+		fall := map[float64]float64{1: u.low, -1: u.high}[sign]
 		bet = min(bet, 0.9/(fall+sign*d))
 		if got, most := single([]term{u}, d, sign, bet), math.Log1p(bet*sign*(y-d)); !(got <= most+1e-9) {
 			t.Fatalf("%v over %v", got, most)
