Slices moved at a pace that keeps the calls added below under a budget, and the box to take out next

A move of a box's slices at once adds a peak of calls below that the services may not bear. NextOut orders candidates by what their loss adds.

--- a/cmd/measure/forecast.go
+++ b/cmd/measure/forecast.go
@@ -7,6 +7,7 @@
 	"unsafe"
 
 	"larchscale/internal/fleet/forecast"
+	"larchscale/internal/fleet/forecast/plan"
 	"larchscale/internal/fleet/forecast/simboxes"
 	"larchscale/internal/kept"
 )
@@ -105,6 +106,66 @@
 		}
 	}
 	x.rows(r)
+	return paced(r, w, c.Verbose)
+}
+
+// paced has a box leave and those that were out return slice by slice as planned, beside a fork where all move at once, and a fork that
+// stays as it is. Calls are counted in ticks of 5 s.
+func paced(r *report, w *simboxes.World, verbose bool) error {
+	const tick, ticks, window = 5000, 12, 30_000
+	budget := []float64{40, 40}
+	w.Run(120_000) // what is known of slices that moved just now is settled
+	before, after := w.Placement(), w.Placement()
+	after.Homes = simboxes.Weights([]float64{1, 1, 1, 0, 1, 1, 1, 1})
+	ask := forecast.Ask{Now: w.Now, MaxAge: 60_000, Before: before, After: after, Window: window}
+	f := w.Sketches()
+	moves, err := f.Excess(&ask, tick, ticks)
+	if err != nil {
+		return err
+	}
+	told, err := f.Foretell(&ask, nil)
+	if err != nil {
+		return err
+	}
+	p, err := plan.Make(&plan.Input{Now: w.Now, Tick: tick, Budget: budget, Moves: moves, Rise: told.Rise, Margin: 3})
+	if err != nil {
+		return err
+	}
+	if verbose {
+		fmt.Printf("# rise %.1f, steps %v\n", told.Rise, p.Steps)
+	}
+	still, once, began := w.Fork(), w.Fork(), w.Now
+	if err := once.Move(after.Homes); err != nil {
+		return err
+	}
+	end := p.Lasts + tick*ticks
+	homes := append([]uint16(nil), before.Homes...)
+	atOnce, planned := 0.0, 0.0
+	w.Reset()
+	for at, i := int64(0), 0; at < end; at += tick {
+		for ; i < len(p.Steps) && p.Steps[i].At <= began+at; i++ {
+			for _, s := range p.Steps[i].Slices {
+				homes[s] = after.Homes[s]
+			}
+			if err := w.Move(append([]uint16(nil), homes...)); err != nil {
+				return err
+			}
+		}
+		was := [3]simboxes.Tally{sum(w.Tally), sum(once.Tally), sum(still.Tally)}
+		w.Run(tick)
+		once.Run(tick)
+		still.Run(tick)
+		now := [3]simboxes.Tally{sum(w.Tally), sum(once.Tally), sum(still.Tally)}
+		for c := range budget {
+			calls := func(i int) float64 { return (now[i].By[c] - was[i].By[c]) / tick * 1000 }
+			planned = max(planned, calls(0)-calls(2))
+			atOnce = max(atOnce, calls(1)-calls(2))
+		}
+	}
+	r.row("simulated: added calls at once, peak", atOnce, "1/s")
+	r.most("simulated: added calls as planned, peak", planned, "1/s", budget[0])
+	r.row("simulated: plan lasts", float64(p.Lasts)/1000, "s")
+	r.row("simulated: no plan lasts less than", float64(p.AtLeast)/1000, "s")
 	return nil
 }
 
--- a/internal/fleet/forecast/forecast_test.go
+++ b/internal/fleet/forecast/forecast_test.go
@@ -205,3 +205,40 @@
 		t.Errorf("corrected past the bounds: %v, %v", e, s)
 	}
 }
+
+// The box to take out next is the one whose loss is found to add the fewest calls, too.
+func TestNextOut(t *testing.T) {
+	w := world(t, 1, simboxes.Options{Keys: 20_000, Rate: 1000, Bytes: 1 << 20})
+	weights := []float64{1, 1, 0.3, 1, 0.6, 1}
+	if err := w.Move(simboxes.Weights(weights)); err != nil {
+		t.Fatal(err)
+	}
+	w.Run(60_000)
+	without := func(box uint16) forecast.Placement {
+		p, less := w.Placement(), append([]float64(nil), weights...)
+		less[box] = 0
+		p.Homes = simboxes.Weights(less)
+		return p
+	}
+	ask, _ := out(w)
+	order, err := w.Sketches().NextOut(*ask, []uint16{5, 4, 2}, without, nil)
+	if err != nil || len(order) != 3 || order[0].ID != 2 || order[1].ID != 4 {
+		t.Fatalf("%+v %v", order, err)
+	}
+	last := 0.0
+	for _, o := range order {
+		x := w.Fork()
+		if err := x.Move(without(o.ID).Homes); err != nil {
+			t.Fatal(err)
+		}
+		x.Run(10_000)
+		calls := 0.0
+		for _, y := range x.Tally {
+			calls += y.Calls
+		}
+		if calls <= last {
+			t.Errorf("box %d costs %v calls, the one before it %v: %s", o.ID, calls, last, o.Why)
+		}
+		last = calls
+	}
+}
--- a/internal/fleet/forecast/foretell.go
+++ b/internal/fleet/forecast/foretell.go
@@ -64,7 +64,8 @@
 	Fleet   Outlook
 	Boxes   []Outlook
 	Added   []Range
-	Missing []uint16 // boxes that nothing is known of
+	Rise    []float64 // calls a second that stay added in the new steady state, by class; corrected as Added is
+	Missing []uint16  // boxes that nothing is known of
 	Why     string
 }
 
@@ -111,6 +112,7 @@
 			calls = max(calls, p.Calls[i])
 		}
 		v := out.Added[i].Value * c.scale()
+		out.Rise[i] *= c.scale()
 		sd := math.Sqrt(added[i] + 2*calls/window + sq(v*c.addedSpread()) + sq(m.share/2*calls))
 		out.Added[i] = Range{v, v - z90*sd, v + z90*sd}
 	}
@@ -163,7 +165,7 @@
 			put(&of(from).lost)
 		}
 	}
-	out := &Foretold{Classes: m.classes, Added: make([]Range, n)}
+	out := &Foretold{Classes: m.classes, Added: make([]Range, n), Rise: make([]float64, n)}
 	times := []float64{0}
 	for i := range points {
 		times = append(times, 2*float64(m.horizon)*math.Pow(2, -float64(points-1-i)/2))
@@ -238,6 +240,7 @@
 	out.Fleet = Outlook{Wants: wants, Before: 1 - total(before)/max(wants, 1e-9), Hit: Range{Value: 1 - total(final)/max(wants, 1e-9)}, Course: sum}
 	out.Fleet.finish()
 	for c := range n {
+		out.Rise[c] = final[c] - before[c]
 		out.Added[c].Value = out.Fleet.mean(float64(a.Window), func(p *Point) float64 { return p.Calls[c] }) - before[c]
 	}
 	return out
