Sketches whose parts do not belong together, or name a slice twice, are refused

Parts of one box that told of different classes were put together, and would have indexed past a row when merged; a slice named twice counted twice. Both are refused now, nothing of them applied, as are classes longer than the horizon and sketches of no time. At most 24 parts a sketch (all slices and eight classes), for 64. Tests cause each, and a part of the next version; without the check of the version its test fails.

--- a/internal/fleet/forecast/curves.go
+++ b/internal/fleet/forecast/curves.go
@@ -132,6 +132,9 @@
 	for _, k := range have {
 		seconds = max(seconds, k.Seconds)
 	}
+	if seconds <= 0 {
+		return nil, fmt.Errorf("the sketches are of no time at all: %w", ErrUnknown)
+	}
 	for i := range m.volume {
 		m.volume[i] = make([]float64, n)
 	}
--- a/internal/fleet/forecast/forecast_test.go
+++ b/internal/fleet/forecast/forecast_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"unsafe"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"larchscale/internal/fleet/forecast"
 	"larchscale/internal/fleet/forecast/simboxes"
 )
@@ -173,6 +175,31 @@
 	if got, err := f.Foretell(ask, nil); err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("from parts %+v, whole %+v, %v", got.Fleet.Hit, want.Fleet.Hit, err)
 	}
+	k := w.Sampler(0).Sketch(w.Now+1, 0)
+	other, twice := *k, *k
+	other.Classes = []forecast.Class{{Name: "fare", For: 10_000}}
+	twice.Volumes = append(append([]forecast.Volume(nil), k.Volumes[:5]...), k.Volumes[:5]...)
+	parts, _ := k.Parts()
+	others, _ := other.Parts()
+	twices, _ := twice.Parts()
+	old := struct {
+		V, I, Of uint8
+		Body     []byte
+		Sum      uint64
+	}{V: forecast.Version + 1, Of: 1}
+	next, _ := cbor.Marshal(old)
+	if err := f.Add(next); !errors.Is(err, forecast.ErrVersion) {
+		t.Error("of the next version:", err)
+	}
+	if err := errors.Join(f.Add(parts[0]), f.Add(others[1])); !errors.Is(err, forecast.ErrPart) {
+		t.Error("parts of two sketches:", err)
+	}
+	if err := f.Add(twices[0]); !errors.Is(err, forecast.ErrPart) {
+		t.Error("a slice twice:", err)
+	}
+	if got, err := f.Foretell(ask, nil); err != nil || !reflect.DeepEqual(got, want) {
+		t.Error("half of a sketch was applied:", err)
+	}
 	if err := f.Add(make([]byte, forecast.MaxPart+1)); !errors.Is(err, forecast.ErrLarge) {
 		t.Error(err)
 	}
--- a/internal/fleet/forecast/sketch.go
+++ b/internal/fleet/forecast/sketch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -13,7 +14,7 @@
 const (
 	Version  = 1
 	MaxPart  = 16 << 10 // bytes of one part
-	MaxParts = 64
+	MaxParts = 24
 	MaxBoxes = 300
 )
 
@@ -183,6 +184,11 @@
 	if h.at > k.At || h.parts[p.I] != nil {
 		return nil
 	}
+	for _, x := range h.parts {
+		if x != nil && (!slices.Equal(x.Classes, k.Classes) || x.Horizon != k.Horizon || x.Seconds != k.Seconds) {
+			return fmt.Errorf("part %d of %d is of another sketch than those before it: %w", p.I, p.Of, ErrPart)
+		}
+	}
 	h.parts[p.I] = k
 	if h.left--; h.left > 0 {
 		return nil
@@ -193,6 +199,9 @@
 		all.Groups = append(all.Groups, x.Groups...)
 	}
 	delete(f.half, k.Box)
+	if err := all.check(); err != nil {
+		return err
+	}
 	f.whole[k.Box] = &all
 	return nil
 }
@@ -212,19 +221,28 @@
 		}
 		return len(xs) == want
 	}
+	for _, c := range k.Classes {
+		if c.For < 1<<lives || c.For > k.Horizon {
+			return bad("a class")
+		}
+	}
+	var slice [Slices]bool
+	var group [Groups]bool
 	for _, v := range k.Volumes {
-		if v.Slice >= Slices || !row(v.N, n) {
+		if v.Slice >= Slices || slice[v.Slice] || !row(v.N, n) {
 			return bad("a volume")
 		}
+		slice[v.Slice] = true
 	}
 	for _, g := range k.Groups {
-		ok := g.Group < Groups && g.Cover > 0 && len(g.Miss) == n && len(g.Gaps) == n && row(g.Bytes, ages+1) && row(g.ByteMs, ages+1)
+		ok := g.Group < Groups && !group[g.Group] && g.Cover > 0 && len(g.Miss) == n && len(g.Gaps) == n && row(g.Bytes, ages+1) && row(g.ByteMs, ages+1)
 		for c := 0; ok && c < n; c++ {
 			ok = row(g.Miss[c], lives) && row(g.Gaps[c], ages+1)
 		}
 		if !ok {
 			return bad("a group")
 		}
+		group[g.Group] = true
 	}
 	return nil
 }
