--- a/internal/fleet/forecast/foretell.go
+++ b/internal/fleet/forecast/foretell.go
@@ -199,7 +199,6 @@
 		}
 		wants += o.Wants
 		if cold[id] {
-			old = 0
 			s.lost = newCurves(n)
 		}
 		end := m.age(bytes[id], func(t float64) float64 { return m.bytesAt(&s.stay, t) + m.bytesAt(&s.come, t) })
@@ -252,7 +251,7 @@
 	if held(high) <= bytes {
 		return high
 	}
-	for range 40 {
+	for range 24 { // to a hundredth of a ms
 		if mid := (low + high) / 2; held(mid) <= bytes {
 			low = mid
 		} else {
