Versus: the value is of steady callers, and a write is in hand only once it runs

The value now leaves out what is aimed at a box that is killed; a write counts as in hand if it had begun to run there.

--- a/internal/versus/fleet.go
+++ b/internal/versus/fleet.go
@@ -47,6 +47,7 @@
 	Script               func(seed uint64, names []string) faultnet.Script // what goes wrong meanwhile
 	Callers, Keyed       int                                               // that send repeatable requests, and keyed writes
 	Struck               int                                               // keyed writes in hand at a box that is killed
+	Planned              int                                               // boxes that a plan takes out meanwhile
 	Store                bool                                              // the boxes have one store of keys
 	Repeats              standin.Repeats                                   // of keyed writes
 	Fill                 int                                               // entries of 4 KB that the log gets first: with over 256 of them, 1 MB, it is made small
@@ -57,14 +58,14 @@
 // Default is the field of most games: short windows of keyed results, so that plans go on beside keyed writes, and
 // callers that repeat anywhere, as the shared store allows.
 func Default(program string, home func() string) Field {
-	return Field{Program: program, Boxes: 6, Zones: 3, Voters: 3, AtOnce: 2, Script: Drawn(16), Callers: 4, Keyed: 4, Struck: 6, Store: true,
+	return Field{Program: program, Boxes: 6, Zones: 3, Voters: 3, AtOnce: 2, Script: Drawn(16), Callers: 4, Keyed: 4, Struck: 6, Planned: 1, Store: true,
 		Repeats: standin.Repeats{Within: 2500 * time.Millisecond, Pause: 50 * time.Millisecond, Anywhere: true}, Home: home}
 }
 
 const (
 	window = time.Second            // of keyed results
 	work   = 60 * time.Millisecond  // of a run
-	heard  = 450 * time.Millisecond // a door says no before its process ends: a balancer's question and its patience
+	heard  = 400 * time.Millisecond // a door says no before its process ends: a balancer's question and its patience
 	settle = 40 * time.Second
 )
 
@@ -126,7 +127,8 @@
 }
 
 // Game is the game of fleets on a field. Its value is the worth served in time over the worth asked for, as the callers
-// saw it.
+// saw it, without the volleys at boxes that are killed: how many of those a box has in hand is a matter of chance, and
+// what became of them is counted.
 func (f Field) Game(name string) Game[Match] {
 	return Game[Match]{Name: name, Together: true, Play: f.play}
 }
@@ -187,8 +189,7 @@
 	defer p.Audit.Stop()
 	finish := p.Staff(50*time.Millisecond, func(s string) { p.Note("%s", s) })
 	names := p.Names()
-	steps := []string{names[1], names[len(names)-1]}
-	if err := p.propose(takeout.Plan{ID: plan, By: "versus", Reason: "games", Boxes: steps, Most: f.AtOnce + 1}); err != nil {
+	if err := p.propose(takeout.Plan{ID: plan, By: "versus", Reason: "games", Boxes: names[len(names)-f.Planned:], Most: f.AtOnce + 1}); err != nil {
 		return out, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -231,8 +232,8 @@
 // outcome makes the value and the counts.
 func (f Field) outcome(calls standin.Tally, keyed standin.Account, without time.Duration, done int) Outcome {
 	worth := func(served, late int) float64 { return float64(served-late) + lateWorth*float64(late) }
-	got := worth(int(calls.Served), int(calls.Late)) + worthKeyed*worth(keyed.Served, keyed.Late)
-	asked := float64(calls.Sent) + worthKeyed*float64(keyed.Asked)
+	got := worth(int(calls.Served), int(calls.Late)) + worthKeyed*worth(keyed.Steady.Served, keyed.Steady.Late)
+	asked := float64(calls.Sent) + worthKeyed*float64(keyed.Steady.Asked)
 	return Outcome{Value: got / max(1, asked), Counts: map[string]float64{
 		"asked": float64(calls.Sent) + float64(keyed.Asked), "unheard": float64(calls.Unheard), "twice": float64(len(keyed.Twice)), "lost": float64(keyed.Lost),
 		"leaderless s": without.Seconds(), "plan steps": float64(done), InHand: float64(keyed.Struck), Survived: float64(keyed.Survived),
@@ -314,16 +315,14 @@
 	return out
 }
 
-// roll replaces all boxes, zone by zone, at most so many at a time, for each make.
+// roll replaces all boxes, zones in turn, at most so many at a time, for each make.
 func (p *Played) roll(makes []standin.Make, atOnce int) error {
-	order := slices.Clone(p.Members)
-	slices.SortStableFunc(order, func(a, b *standin.Member) int { return strings.Compare(a.Zone, b.Zone) })
 	for i, k := range makes {
 		p.Note("roll %d", i+1)
 		room := make(chan struct{}, atOnce)
-		errs := make([]error, len(order))
+		errs := make([]error, len(p.Members))
 		var all sync.WaitGroup
-		for j, m := range order {
+		for j, m := range p.Members { // their zones take turns
 			room <- struct{}{}
 			all.Go(func() {
 				defer func() { <-room }()
--- a/internal/versus/orders_test.go
+++ b/internal/versus/orders_test.go
@@ -11,6 +11,7 @@
 // The order of takeout against plainer ones: zones in turn keep more of the worth, and the games end as soon as that is
 // shown. None passes the bound or the floor.
 func TestTheOrderOfTakeoutBesidePlainerOnes(t *testing.T) {
+	t.Parallel()
 	stop, err := Sequential(Rule{Full: 0.02, Alpha: 0.05, Least: 0.2, Seeds: 4})
 	if err != nil {
 		t.Fatal(err)
@@ -36,6 +37,7 @@
 // Games of even sides are seldom decided for one, those of uneven ones soon and for the better, and those of sides that
 // differ in nothing end as even.
 func TestASequentialStopper(t *testing.T) {
+	t.Parallel()
 	r := rand.New(rand.NewPCG(1, 1))
 	play := func(mean, spread float64) (why string) {
 		s, err := Sequential(Rule{Full: 0.02, Alpha: 0.05, Least: 0.2, Seeds: 4})
