Stand-ins: a fleet is founded once its first box takes part

Boxes that start at a time let the founder be asked before its part in the fleet was open: answered with 503, the fleet did not come about, and the audit's test failed each time. The same test let a killed box be back before all repeats had gone elsewhere; it waits for them.

--- a/internal/standin/audit_test.go
+++ b/internal/standin/audit_test.go
@@ -31,6 +31,9 @@
 			t.Fatal(err)
 		}
 		a.Strike(f.Members[0], 6)
+		if anywhere {
+			a.Stop() // before it is back
+		}
 		if err := f.Members[0].Start(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -123,6 +123,9 @@
 	if all.Wait(); errors.Join(errs...) != nil {
 		return errors.Join(errs...)
 	}
+	if err := Until("the first takes part", 10*time.Second, func() bool { _, err := f.Members[0].State(); return err == nil }); err != nil {
+		return err
+	}
 	return f.Members[0].Say(context.Background(), driver.Word{Found: true})
 }
 
