--- a/internal/versus/fleet.go
+++ b/internal/versus/fleet.go
@@ -5,18 +5,18 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/alicebob/miniredis/v2"
-
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/standin"
 	"larchscale/internal/standin/faultnet"
+	"larchscale/internal/standin/keystore"
 )
 
 // Match is what the boxes of one fleet run: box i begins as From[i % len(From)], and for each make of Roll all boxes
@@ -117,6 +117,7 @@
 	mu    sync.Mutex
 	notes []string
 	led   string // the box last killed as the leader
+	takes bool   // keyed work is claimed in the fleet
 }
 
 // Note keeps what happened for who reads of a game that failed.
@@ -136,14 +137,17 @@
 func (f Field) play(seed uint64, m Match) (out Outcome, err error) {
 	makes, roll := slices.Clone(m.From), slices.Clone(m.Roll)
 	if f.Store {
-		store := miniredis.NewMiniRedis()
-		if err := store.Start(); err != nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
 			return out, err
 		}
-		defer store.Close()
+		store := keystore.New()
+		go store.Serve(l)
+		defer store.Stop()
+		defer l.Close()
 		for _, list := range [][]standin.Make{makes, roll} {
 			for i := range list {
-				list[i].Operator += fmt.Sprintf("[store]\nredis = %q\n", store.Addr())
+				list[i].Operator += fmt.Sprintf("[store]\nredis = %q\n", l.Addr().String())
 			}
 		}
 	}
@@ -152,7 +156,7 @@
 	if err != nil {
 		return out, err
 	}
-	p := &Played{Fleet: fleet, Began: time.Now()}
+	p := &Played{Fleet: fleet, Began: time.Now(), takes: slices.ContainsFunc(makes, func(k standin.Make) bool { return k.TakeOver })}
 	defer fleet.Close()
 	p.Script = f.Script(seed, fleet.Names())
 	if out, err = f.through(seed, p, roll); err != nil {
@@ -183,6 +187,9 @@
 	if err := p.fill(f.Fill); err != nil {
 		return out, err
 	}
+	if err := p.placed(); err != nil {
+		return out, err
+	}
 	p.Audit = standin.NewAudit(p.Fleet, seed, f.Repeats)
 	p.Call(f.Callers)
 	p.Audit.Call(f.Keyed)
@@ -247,6 +254,19 @@
 	Survived = "survived"
 )
 
+// placed waits until keys can be claimed at every box, where they are in the fleet.
+func (p *Played) placed() error {
+	if !p.takes {
+		return nil
+	}
+	return standin.Until("each slice has its homes", settle, func() bool {
+		return !slices.ContainsFunc(p.Members, func(m *standin.Member) bool {
+			x := m.Figures()
+			return x["fleet.homes"] == 0 || x["fleet.bare"] > 0 || x["fleet.lease_ms"] == 0
+		})
+	})
+}
+
 // fill has the log take so many entries of 4 KB. None of them takes hold: there is no such plan.
 func (p *Played) fill(n int) error {
 	var all sync.WaitGroup
--- a/internal/versus/versus_test.go
+++ b/internal/versus/versus_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"larchscale/internal/standin"
+	"larchscale/internal/standin/faultnet"
 )
 
 var (
@@ -24,10 +25,6 @@
 	program string
 )
 
-// outlives is the new program's promise of keyed work: once it takes over what a box that was killed had in hand, true
-// has TestBothVersions hold it to that.
-const outlives = false
-
 // The present program is built once for all tests. Every process has ended when they have.
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -184,8 +181,36 @@
 	for i, n := range table.Names {
 		t.Logf("%s: %.0f of %.0f keyed writes in hand at a box that was killed survived it", n, table.Sum(i, Survived), table.Sum(i, InHand))
 	}
-	if outlives && table.Sum(0, Survived)*table.Sum(1, InHand) <= table.Sum(1, Survived)*table.Sum(0, InHand) {
-		t.Error("the present program is no better than the pinned one at keyed writes that survive a SIGKILL of their box")
+}
+
+// killed has one box after the other die with work in hand, and come back once it was lost.
+func killed(_ uint64, names []string) (out faultnet.Script) {
+	for _, n := range names[1:3] {
+		out = append(out, faultnet.Step{Pause: time.Second, Do: "kill", Who: []string{n}}, faultnet.Step{Pause: 5 * time.Second, Do: "start", Who: []string{n}})
+	}
+	return out
+}
+
+// Keyed writes that a box has in hand as it is killed come to one end in the present program, whoever is asked. In the
+// pinned one their callers find it nowhere, or it runs again.
+func TestKeyedWorkOutlivesItsBoxInThePresentProgramAlone(t *testing.T) {
+	old := earlier(t)
+	t.Parallel()
+	f := Default(program, homes(t))
+	f.Store, f.Script, f.Planned, f.AtOnce, f.Struck = false, killed, 1, 1, 10
+	f.Repeats.Within = 8 * time.Second
+	table, err := Set(f.Game("work in hand"), *first, max(1, *games/4), Fixed(200),
+		Contender[Match]{"present", Alone(standin.Make{TakeOver: true}, 0)}, Contender[Match]{"pinned", Alone(standin.Make{Program: old}, 0)})
+	t.Log(table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := table.Sum(0, "twice"); n > 0 {
+		t.Errorf("%.0f keyed writes ran twice in the present program", n)
+	}
+	if hand, survived := table.Sum(0, InHand), table.Sum(0, Survived); hand == 0 || survived < hand/2 ||
+		survived*table.Sum(1, InHand) <= table.Sum(1, Survived)*hand {
+		t.Errorf("%.0f of %.0f survived, of the pinned program %.0f of %.0f", survived, hand, table.Sum(1, Survived), table.Sum(1, InHand))
 	}
 }
 
