Desk: a lease of the next life holds nothing that was claimed under the last one

Between the first lease of a new life and the Disown of the old one the core could act on old claims: Holds looked at the clock alone. It compares the life now, and is false until the core has given all up.

--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -39,7 +39,9 @@
 	sink   func(core.Event)
 	log    *slog.Logger
 	in     chan func()
-	giving atomic.Bool                           // a Disown is on its way to the core
+	giving atomic.Int64                          // Disowns that are on their way to the core
+	lived  atomic.Uint64                         // the life under which hand acts
+	held   atomic.Uint64                         // the life that what the core has claimed is of; 0 = it is to give up
 	whole  atomic.Pointer[[hand.Slices / 8]byte] // a bit each
 	shown  atomic.Pointer[hand.Figures]
 
@@ -136,6 +138,7 @@
 func (d *Desk) take(v *ground.View) {
 	first := v.Life != d.life || !d.placed // under this life this box was no home before
 	d.life, d.placed = v.Life, v.Placed()
+	d.lived.Store(v.Life)
 	lives, pools := map[string]uint64{}, map[hand.Owner]string{}
 	for name, b := range v.Lives {
 		lives[name] = b.Life
@@ -180,8 +183,15 @@
 func (d *Desk) flush(ctx context.Context) {
 	out := d.hand.Drain(d.now())
 	if out.Disown {
-		d.giving.Store(true)
-		d.sink(core.Disown{Taken: func() { d.giving.Store(false) }})
+		d.giving.Add(1)
+		d.held.Store(0)
+		d.sink(core.Disown{Taken: func() {
+			if d.giving.Add(-1) == 0 {
+				d.held.Store(d.lived.Load())
+			}
+		}})
+	} else if d.giving.Load() == 0 {
+		d.held.Store(d.life)
 	}
 	for _, s := range out.Sends {
 		d.to(ctx, s.To).say(s.Msg)
@@ -245,7 +255,7 @@
 	x := hand.Piece{Key: d.theirs(p.Key), Sum: p.Sum, Body: p.Body, Handle: p.Handle, Cursor: d.opt.Cursor(), Tenant: tenant, Subject: p.Subject,
 		Caller: p.Caller, Rank: p.Rank, Memory: p.Memory, Work: p.Work, Due: p.Left, Life: p.Life}
 	return d.enter(func() {
-		if d.giving.Load() || !d.hand.Live(d.now()) {
+		if d.giving.Load() > 0 || !d.hand.Live(d.now()) {
 			d.verdict(hand.Verdict{Key: x.Key, State: hand.Down, Why: "this box holds no lease"})
 			return
 		}
@@ -276,7 +286,11 @@
 	}
 }
 
-// Holds implements core.Store. It is safe from any goroutine.
-func (d *Desk) Holds() bool { return !d.giving.Load() && d.ground.Holds() }
+// Holds implements core.Store. A lease of this process's next life holds nothing that was claimed under the last one. It
+// is safe from any goroutine.
+func (d *Desk) Holds() bool {
+	life := d.held.Load()
+	return life != 0 && d.giving.Load() == 0 && d.ground.Holds() && d.ground.Life() == life
+}
 
 var _ core.Store = (*Desk)(nil)
--- a/internal/fleet/ground/ground.go
+++ b/internal/fleet/ground/ground.go
@@ -43,7 +43,8 @@
 type Ground struct {
 	opt   Options
 	log   *slog.Logger
-	until atomic.Int64 // when the lease ends, by now; 0 = there is none
+	until atomic.Int64  // when the lease ends, by now; 0 = there is none
+	life  atomic.Uint64 // whose lease it is; 0 = nobody's
 	view  atomic.Pointer[View]
 	addrs atomic.Pointer[map[string]string]
 	told  func(*View)
@@ -69,6 +70,9 @@
 	return until != 0 && int64(now()) < until
 }
 
+// Life is the life that a lease is asked for; 0 = none.
+func (g *Ground) Life() uint64 { return g.life.Load() }
+
 // Until is when the lease ends, by Now; 0 = there is none.
 func (g *Ground) Until() time.Duration { return time.Duration(g.until.Load()) }
 
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -88,8 +88,14 @@
 	l.ground.publish(l, l.places, broken)
 }
 
-// hold publishes how long the lease runs.
-func (l *leases) hold() { l.ground.until.Store(int64(l.holder.Until())) }
+// hold publishes whose lease it is, and how long it runs: never a lease beside a life that it is not of.
+func (l *leases) hold() {
+	if life := l.holder.Life(); l.ground.life.Load() != life {
+		l.ground.until.Store(0)
+		l.ground.life.Store(life)
+	}
+	l.ground.until.Store(int64(l.holder.Until()))
+}
 
 // Tick implements driver.Module.
 func (l *leases) Tick(time.Time) {
