Hand: a lost process's pool is asked by its own try, and runs only what no other may have won

A key can have several lost claimers: the one that ran it, and boxes that a repeat of it came to and that died as well. The taker gave every one of their pools the run, by the handle of the first claim. A claimer whose earlier rival had given up would even have been asked by the rival's handle.

A candidate now carries the handle and the cursor of its own try, and a probe tells whether its process is alone in that it may have won. If not, its pool is listened to and never given the run: the end of the one that ran comes from its own pool, and what none of them tells fails honestly at its time. A home that hears that a key is held by a try it does not know asks for the piece first.

--- a/internal/fleet/desk/heirs.go
+++ b/internal/fleet/desk/heirs.go
@@ -17,7 +17,7 @@
 
 // heir brings what one lost process had in hand to its end, at that process's worker pool.
 type heir struct {
-	keys map[string]hand.Key // by handle
+	keys map[string]hand.Asked // by handle
 	stop context.CancelFunc
 }
 
@@ -26,28 +26,28 @@
 func (d *Desk) probe(ctx context.Context, p hand.Probe) {
 	if h := d.heirs[p.Owner]; h != nil {
 		for _, k := range p.Keys {
-			if piece, ok := d.hand.Piece(d.now(), k); ok && h.keys[piece.Handle] != k {
+			if h.keys[k.Handle] != k && k.Handle != "" {
 				h.stop() // begun again with all keys by the next probe
 				return
 			}
 		}
 		return
 	}
-	h := &heir{keys: map[string]hand.Key{}}
+	h := &heir{keys: map[string]hand.Asked{}}
 	var left []pool.Left
 	cursor, longest := ^uint64(0), time.Duration(0)
 	for _, k := range p.Keys {
-		piece, ok := d.hand.Piece(d.now(), k)
+		piece, ok := d.hand.Piece(d.now(), k.Key)
 		if !ok {
 			continue
 		}
-		if piece.Handle == "" {
-			d.hand.Proved(d.now(), k, p.Owner, hand.Proof{State: hand.Unknown})
+		if k.Handle == "" {
+			d.hand.Proved(d.now(), k.Key, p.Owner, hand.Proof{State: hand.Unknown})
 			continue
 		}
-		h.keys[piece.Handle] = k
-		left = append(left, pool.Left{Handle: piece.Handle, Class: k.Class, Body: piece.Body})
-		cursor, longest = min(cursor, piece.Cursor), max(longest, piece.Due)
+		h.keys[k.Handle] = k
+		left = append(left, pool.Left{Handle: k.Handle, Class: k.Key.Class, Body: piece.Body, Quiet: !k.Alone})
+		cursor, longest = min(cursor, k.Cursor), max(longest, piece.Due)
 	}
 	if len(left) == 0 {
 		return
@@ -68,7 +68,7 @@
 	}
 	var link *pool.Heir
 	err := pool.Inherit(ctx, p.Pool, cursor, left, func(x *pool.Heir) { link = x }, func(c pool.Came) {
-		k := h.keys[c.Handle]
+		k := h.keys[c.Handle].Key
 		if c.Call {
 			d.call(ctx, link, c, k.Class)
 			return
@@ -84,9 +84,9 @@
 			return
 		}
 		for _, k := range h.keys {
-			if _, open := d.hand.Piece(d.now(), k); open {
+			if _, open := d.hand.Piece(d.now(), k.Key); open {
 				d.last.unknown.Add(1)
-				d.hand.Proved(d.now(), k, p.Owner, hand.Proof{State: hand.Unknown})
+				d.hand.Proved(d.now(), k.Key, p.Owner, hand.Proof{State: hand.Unknown})
 			}
 		}
 	}
--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -136,7 +136,16 @@
 type Probe struct {
 	Owner Owner
 	Pool  string
-	Keys  []Key
+	Keys  []Asked
+}
+
+// Asked is what a Probe asks of one key. Unless the process is Alone in that it may have won the key, another's pool may
+// have run it, or be running it: this one may be listened to, but must not be given the run.
+type Asked struct {
+	Key    Key
+	Handle string // by which the pool knows it; "" = not known
+	Cursor uint64 // of the pool: what that tells of the piece comes later
+	Alone  bool
 }
 
 // Adopt gives the core a piece to run. Its key is this box's as if it had been claimed here and won.
--- a/internal/fleet/hand/home.go
+++ b/internal/fleet/hand/home.go
@@ -104,13 +104,25 @@
 	}
 	x := &r.cands[i]
 	if c.Try > x.Try {
-		x.Try, x.Held = c.Try, false
+		x.Try, x.Held, x.Handle, x.Cursor = c.Try, false, c.Handle, c.Cursor
+	}
+	if c.Try == x.Try && x.Handle == "" {
+		x.Handle, x.Cursor = c.Handle, c.Cursor
 	}
 	x.Held = x.Held || c.Held && c.Try == x.Try
 	x.Clear = x.Clear || c.Clear
 	return x
 }
 
+// candOf is a candidate as an item of its own tells of it.
+func candOf(o Owner, it *Item) Cand {
+	c := Cand{Owner: o, Try: it.Try}
+	if it.Piece != nil {
+		c.Handle, c.Cursor = it.Piece.Handle, it.Piece.Cursor
+	}
+	return c
+}
+
 // settle finds who has a key at its first home: whom it gave it, or the only one who may have it. Of several, none.
 func (h *Hand) settle(s *slice, r *record) {
 	if r.owner != (Owner{}) && r.cand(r.owner) >= 0 {
@@ -160,7 +172,7 @@
 		if s.place == 1 || !h.bug.ackFirst {
 			r = h.record(now, s, it.Key, it.Piece)
 			r.owner = from
-			h.add(r, Cand{Owner: from, Try: it.Try})
+			h.add(r, candOf(from, it))
 		}
 		say(kind, Won, nil, "")
 		return
@@ -171,7 +183,7 @@
 			return
 		}
 		if r.end == nil {
-			h.add(r, Cand{Owner: from, Try: it.Try})
+			h.add(r, candOf(from, it))
 		}
 		say(kind, Won, nil, "")
 		return
@@ -192,14 +204,14 @@
 	i := r.cand(from)
 	switch {
 	case r.owner == from && s.whole:
-		h.add(r, Cand{Owner: from, Try: it.Try})
+		h.add(r, candOf(from, it))
 		say(kind, Won, nil, "")
 	case r.owner != (Owner{}) && r.owner != from:
 		say(kind, Other, nil, "another box has it")
 	case i < 0 || !s.whole:
 		say(kind, Other, nil, "several boxes may have it")
 	default:
-		h.add(r, Cand{Owner: from, Try: it.Try}).waits = true
+		h.add(r, candOf(from, it)).waits = true
 		for _, c := range r.cands {
 			if !c.Clear && !(c.waits && h.lives(c.Owner)) {
 				say(kind, Other, nil, "several boxes may have it")
@@ -225,7 +237,13 @@
 		r = h.record(now, s, it.Key, it.Piece)
 	}
 	if r.end == nil {
-		c := h.add(r, Cand{Owner: from, Try: it.Try, Held: true})
+		if i := r.cand(from); it.Piece == nil && (i < 0 || r.cands[i].Try < it.Try) { // by which handle, only its piece tells
+			h.send(from.Box, Item{Kind: kWant, Key: it.Key, Try: it.Try})
+			return
+		}
+		x := candOf(from, it)
+		x.Held = true
+		c := h.add(r, x)
 		if c.Try != it.Try {
 			return // given up since
 		}
--- a/internal/fleet/hand/msg.go
+++ b/internal/fleet/hand/msg.go
@@ -68,6 +68,9 @@
 	Held  bool // it said that it won
 	Clear bool // its pool proved that it never ran the key, and is shut to it
 	waits bool // it said in this epoch that it has not won
+	// Of its try: its pool knows the run by it. Another try of the same piece has another.
+	Handle string `cbor:",omitempty"`
+	Cursor uint64 `cbor:",omitempty"`
 }
 
 func (h *Hand) send(to string, it Item) {
--- a/internal/fleet/hand/taker.go
+++ b/internal/fleet/hand/taker.go
@@ -76,7 +76,7 @@
 // home does the same.
 func (h *Hand) take(now time.Duration) {
 	var ready []*record
-	probes := map[Owner][]Key{}
+	probes := map[Owner][]Asked{}
 	for _, r := range h.open {
 		s := &h.slices[r.slice]
 		if s.recs[r.p.Key] != r || r.end != nil || r.take != 0 || s.place == 0 || s.place != 1 && !h.bug.ownClock {
@@ -115,16 +115,16 @@
 }
 
 // prove sorts a lost piece into those that are ready and those whose pool has to be asked, or fails it.
-func (h *Hand) prove(now time.Duration, r *record, who []int, probes map[Owner][]Key, ready *[]*record) {
-	var ask []Owner
+func (h *Hand) prove(now time.Duration, r *record, who []int, probes map[Owner][]Asked, ready *[]*record) {
+	var ask []Cand
 	for _, i := range who {
-		switch c := r.cands[i]; {
+		switch c := &r.cands[i]; {
 		case c.Clear || r.p.Repeat || h.bug.fenceSkipped:
 		case h.view.Pools[c.Owner] == "":
 			h.decide(now, r, &End{Why: "its box " + c.Box + " was lost and its pool is not known: it may have run"})
 			return
 		default:
-			ask = append(ask, c.Owner)
+			ask = append(ask, *c)
 		}
 	}
 	if len(ask) == 0 {
@@ -133,8 +133,9 @@
 	}
 	if r.probed == 0 || now-r.probed >= probeWait {
 		r.probed = now
-		for _, o := range ask {
-			probes[o] = append(probes[o], r.p.Key)
+		alone := len(ask) == 1 && h.slices[r.slice].whole
+		for _, c := range ask {
+			probes[c.Owner] = append(probes[c.Owner], Asked{r.p.Key, c.Handle, c.Cursor, alone})
 		}
 	}
 }
@@ -144,7 +145,7 @@
 	h.try++
 	h.adopted++
 	r.take, r.owner = h.try, h.me()
-	h.add(r, Cand{Owner: r.owner, Try: r.take})
+	h.add(r, Cand{Owner: r.owner, Try: r.take, Handle: r.p.Handle})
 	h.tell(now, r)
 	if h.bug.ownClock && r.take != 0 {
 		h.adopt(now, r)
--- a/internal/fleet/hand/world_test.go
+++ b/internal/fleet/hand/world_test.go
@@ -414,7 +414,8 @@
 func (w *world) probe(b *box, p Probe) {
 	pool := w.pools[p.Owner]
 	pool.fenced = pool.fenced || !pool.dead
-	for _, k := range p.Keys {
+	for _, a := range p.Keys {
+		k := a.Key
 		proof := Proof{State: NeverRan}
 		switch r := pool.runs[k]; {
 		case pool.dead:
--- a/internal/pool/heir.go
+++ b/internal/pool/heir.go
@@ -23,6 +23,7 @@
 type Left struct {
 	Handle, Class string
 	Body          []byte
+	Quiet         bool // another pool may have run it: it is listened for, and never asked for
 }
 
 // Came is what an heir heard of a run: its end, or a call that it waits for.
@@ -120,7 +121,7 @@
 	defer h.mu.Unlock()
 	for len(h.left) > 0 && len(h.open) < inHand {
 		l := h.left[0]
-		if h.left = h.left[1:]; !h.done[l.Handle] {
+		if h.left = h.left[1:]; !l.Quiet && !h.done[l.Handle] {
 			h.open[l.Handle] = true
 			h.box.Send(spawn(l.Handle, l.Class, l.Body)...)
 		}
--- a/internal/pool/heir_test.go
+++ b/internal/pool/heir_test.go
@@ -12,14 +12,15 @@
 )
 
 // A pool that has an end, a run that goes on and one that it was never asked for: each end is told once, the first as
-// it was, and a call of before is not made again.
+// it was, a call of before is not made again, and one that
+// another pool may have run is not asked for.
 func TestAnHeirReadsWhatEndedAndHasTheRestRunOnce(t *testing.T) {
 	for name, x := range map[string]struct {
 		replay string // notices of before the bind
 		want   string
 		err    error
 	}{
-		"all there":    {`{"cursor":8,"event":"finished","handle":"a","fate":"complete","arg":"cmE="}|{"cursor":9,"event":"blocked","handle":"b","arg":"Y2FsbA=="}`, "[a true ra b true rb call c cc c false ]", nil},
+		"all there":    {`{"cursor":8,"event":"finished","handle":"a","fate":"complete","arg":"cmE="}|{"cursor":9,"event":"blocked","handle":"b","arg":"Y2FsbA=="}`, "[a true ra b true rb call c cc c false  q true rq]", nil},
 		"one is gone":  {`{"cursor":9,"event":"finished","handle":"a","fate":"complete","arg":"cmE="}`, "[]", ErrGap},
 		"not a notice": {`nonsense`, "[]", errNotice},
 	} {
@@ -58,13 +59,14 @@
 						next++
 					case strings.Contains(line, `"supply","handle":"c"`):
 						say(`{"cursor":%d,"event":"finished","handle":"c","fate":"cancelled","arg":""}`, next)
+						say(`{"cursor":%d,"event":"finished","handle":"q","fate":"complete","arg":"cnE="}`, next+1)
 						next++
 					}
 				}
 			}()
 			var heir *Heir
 			told := []string{}
-			err = Inherit(context.Background(), l.Addr().String(), 7, []Left{{"a", "book", nil}, {"b", "book", nil}, {"c", "book", nil}},
+			err = Inherit(context.Background(), l.Addr().String(), 7, []Left{{Handle: "a", Class: "book"}, {Handle: "q", Class: "book", Quiet: true}, {Handle: "b", Class: "book"}, {Handle: "c", Class: "book"}},
 				func(h *Heir) { heir = h }, func(c Came) {
 					if c.Call {
 						told = append(told, "call", c.Handle, string(c.Body))
@@ -80,7 +82,9 @@
 			for line := range asked {
 				lines = append(lines, line)
 			}
-			if !strings.Contains(lines[0], `"cursor":7`) || slices.ContainsFunc(lines, func(l string) bool { return strings.Contains(l, `"spawn","handle":"a"`) }) {
+			if !strings.Contains(lines[0], `"cursor":7`) || slices.ContainsFunc(lines, func(l string) bool {
+				return strings.Contains(l, `"spawn","handle":"a"`) || strings.Contains(l, `"spawn","handle":"q"`)
+			}) {
 				t.Errorf("it asked %v", lines)
 			}
 		})
