--- a/internal/fleet/desk/fleet_test.go
+++ b/internal/fleet/desk/fleet_test.go
@@ -24,14 +24,15 @@
 func begin(t *testing.T, boxes int, seed uint64) *fleetTest {
 	t.Helper()
 	f, err := standin.NewFleet(program, t.TempDir(), standin.FleetOptions{Boxes: boxes, Zones: 3, Voters: 5, DrainMs: 300, SilentMs: 1500,
-		Work: 200 * time.Millisecond, Window: 6 * time.Second, TakeOver: true})
+		Work: 100 * time.Millisecond, Window: 3 * time.Second, TakeOver: true})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
 	x := &fleetTest{T: t, Fleet: f}
-	x.until("all live, and each slice has two homes", 30*time.Second, func() bool { return x.all(float64(boxes)) })
-	x.audit = standin.NewAudit(f, seed, standin.Repeats{Within: 8 * time.Second, Pause: 50 * time.Millisecond, Anywhere: true})
+	x.back()
+	x.audit = standin.NewAudit(f, seed, standin.Repeats{Within: 8 * time.Second, Pause: 50 * time.Millisecond, Anywhere: true,
+		Patience: 3 * time.Second})
 	return x
 }
 
@@ -62,18 +63,41 @@
 	x.Fatal(text)
 }
 
-// Work in hand at a box that is killed comes to its end at its worker pool, once; its callers have the result at other
-// boxes.
-func TestWorkInHandOutlivesItsBox(t *testing.T) {
-	x := begin(t, 5, 1)
-	x.audit.Call(4)
-	time.Sleep(time.Second)
-	x.audit.Strike(x.Members[1], 20)
-	time.Sleep(6 * time.Second)
+// back waits until all live, and each slice has two homes that know all of it.
+func (x *fleetTest) back() {
+	x.Helper()
+	x.until("all live, and each slice has two homes", 60*time.Second, func() bool { return x.all(float64(len(x.Members))) })
+}
+
+// over ends the callers and holds what they saw against the pools: nothing ran twice, and what was served is the first
+// result. What failed is told by cause.
+func (x *fleetTest) over() standin.Account {
+	x.Helper()
 	x.audit.Stop()
 	a := x.audit.Account()
-	t.Logf("%+v", a)
-	if len(a.Twice) > 0 || a.Wrong > 0 || a.Struck < 10 || a.Survived < a.Struck*8/10 {
-		x.fatal("%+v", a)
+	twice := a.Twice
+	a.Twice = nil
+	x.Logf("%+v, twice %d", a, len(twice))
+	if len(twice) > 0 || a.Wrong > 0 || a.Served == 0 {
+		text := ""
+		for _, w := range twice {
+			text += fmt.Sprintf("%+v\n", w)
+		}
+		x.fatal("%+v, twice:\n%s", a, text)
+	}
+	return a
+}
+
+// strike has a box hit with keyed work in hand, and says later whether enough of it came to its result.
+func (x *fleetTest) strike(what string, m *standin.Member, n int, least float64, blow func()) (check func()) {
+	began := time.Now()
+	ended := x.audit.StrikeBy(m, n, blow)
+	return func() {
+		x.Helper()
+		struck, survived := ended()
+		x.Logf("%s: %d of %d in hand came to their results, %.1f s", what, survived, struck, time.Since(began).Seconds())
+		if struck < n/2 || float64(survived) < least*float64(struck) {
+			x.fatal("%s: %d of %d in hand came to their results", what, survived, struck)
+		}
 	}
 }
--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -15,6 +15,7 @@
 	Within   time.Duration // from the first try on; then the caller gives up
 	Pause    time.Duration // before the next try
 	Anywhere bool          // at any box, as boxes with one store promise; else at the box of the first try alone
+	Patience time.Duration // for which a try's answer is waited for; 0 = as long as the write has, and a second
 }
 
 // Try is one sending of a keyed write.
@@ -134,7 +135,7 @@
 // try sends a request to a box once, on one of its fronts.
 func (a *Audit) try(r Request, m *Member, budget time.Duration) Try {
 	a.mu.Lock()
-	r.Handle, r.Budget = fmt.Sprintf("%016x", a.rand.Uint64()), max(budget, 10*time.Millisecond)
+	r.Handle, r.Budget, r.Wait = fmt.Sprintf("%016x", a.rand.Uint64()), max(budget, 10*time.Millisecond), a.how.Patience
 	t := Try{Box: m.Name, Front: "json", Sent: time.Now()}
 	if a.rand.IntN(2) == 1 {
 		t.Front = "uwsgi"
@@ -165,28 +166,56 @@
 // after a second. Their callers go on; Stop waits for them. With Anywhere it then asks elsewhere for as many results
 // that the box gave out before.
 func (a *Audit) Strike(m *Member, n int) {
+	a.StrikeBy(m, n, m.Kill)
+	if a.how.Anywhere {
+		a.ask(m, n)
+	}
+}
+
+// StrikeBy is Strike with another blow than a kill, and without asking for what the box gave out before. ended waits for
+// the callers, and tells how many writes were in hand, and how many of these were served, having run once.
+func (a *Audit) StrikeBy(m *Member, n int, blow func()) (ended func() (struck, survived int)) {
 	hand := make([]*Write, n)
 	firsts := make([]chan struct{}, n)
+	var own sync.WaitGroup
 	for i := range hand {
 		hand[i], firsts[i] = a.begin("strike"), make(chan struct{})
-		a.wg.Go(func() { a.follow(hand[i], m, firsts[i]) })
+		own.Add(1)
+		a.wg.Go(func() {
+			defer own.Done()
+			a.follow(hand[i], m, firsts[i])
+		})
 	}
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if !slices.ContainsFunc(hand, func(w *Write) bool { return len(m.Site.Ran(w.Body)) == 0 }) {
 			break
 		}
 	}
-	m.Kill()
+	at := time.Now()
+	blow()
+	var struck []*Write
 	for i, w := range hand {
 		<-firsts[i]
 		a.mu.Lock()
-		if w.Tries[0].End == "lost" {
-			a.struck = append(a.struck, w)
+		if t := &w.Tries[0]; t.End != "served" && t.Ended.After(at) {
+			struck = append(struck, w)
 		}
 		a.mu.Unlock()
 	}
-	if a.how.Anywhere {
-		a.ask(m, n)
+	a.mu.Lock()
+	a.struck = append(a.struck, struck...)
+	a.mu.Unlock()
+	return func() (int, int) {
+		own.Wait()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		n := 0
+		for _, w := range struck {
+			if w.End == "served" && len(a.ran(w)) == 1 {
+				n++
+			}
+		}
+		return len(struck), n
 	}
 }
 
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
@@ -31,8 +32,11 @@
 type Request struct {
 	Handle, Stand, Class, Token, Body string
 	Budget                            time.Duration
+	Wait                              time.Duration // for an answer, after which it counts as lost; 0 = Budget and a second
 }
 
+func (r *Request) wait() time.Duration { return cmp.Or(r.Wait, r.Budget+patience) }
+
 // Stream makes the requests of a mixed stream, from a seed.
 type Stream struct {
 	rand *rand.Rand
@@ -148,7 +152,7 @@
 		return s
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(r.Budget + patience))
+	c.SetDeadline(time.Now().Add(r.wait()))
 	var vars []byte
 	for _, kv := range [][2]string{{"PATH_INFO", "/" + r.Class}, {"CONTENT_LENGTH", strconv.Itoa(len(r.Body))}, {"HTTP_X_STAND", r.Stand},
 		{"HTTP_X_BUDGET_MS", strconv.FormatInt(r.Budget.Milliseconds(), 10)}, {"HTTP_IDEMPOTENCY_KEY", r.Token}} {
--- a/internal/standin/churn.go
+++ b/internal/standin/churn.go
@@ -99,7 +99,7 @@
 		return Seen{r.Stand, r.Class, "lost"}
 	}
 	defer line.Close()
-	defer time.AfterFunc(r.Budget+patience, line.Close).Stop()
+	defer time.AfterFunc(r.wait(), line.Close).Stop()
 	return line.Do(r)
 }
 
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -85,6 +85,13 @@
 	s.use = share
 }
 
+// SetWork sets how long a run takes that begins from now on.
+func (s *Site) SetWork(work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = work
+}
+
 // Runs tells how often each body has run.
 func (s *Site) Runs() map[string]int {
 	s.mu.Lock()
@@ -176,7 +183,7 @@
 	}
 	s.begun[handle] = class
 	body, _ := base64.StdEncoding.DecodeString(arg)
-	began := time.Now()
+	began, work := time.Now(), s.work
 	s.runs[string(body)] = append(s.runs[string(body)], began)
 	calls := len(s.begun)%3 == 0
 	var supplied chan string
@@ -200,7 +207,7 @@
 				s.mu.Unlock()
 			}
 		}
-		time.Sleep(s.work)
+		time.Sleep(work)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		result := base64.StdEncoding.EncodeToString([]byte("done: " + string(body)))
