--- a/internal/fleet/hand/taker.go
+++ b/internal/fleet/hand/taker.go
@@ -77,7 +77,7 @@
 func (h *Hand) take(now time.Duration) {
 	h.look = false
 	var ready []*record
-	probes := map[Owner][]Key{}
+	probes := map[Owner][]Asked{}
 	for _, r := range h.open {
 		s := &h.slices[r.slice]
 		if s.recs[r.p.Key] != r || r.end != nil || r.take != 0 || s.place == 0 || s.place != 1 && !h.bug.ownClock {
@@ -116,16 +116,16 @@
 }
 
 // prove sorts a lost piece into those that are ready and those whose pool has to be asked, or fails it.
-func (h *Hand) prove(now time.Duration, r *record, who []int, probes map[Owner][]Key, ready *[]*record) {
-	var ask []Owner
+func (h *Hand) prove(now time.Duration, r *record, who []int, probes map[Owner][]Asked, ready *[]*record) {
+	var ask []Cand
 	for _, i := range who {
-		switch c := r.cands[i]; {
+		switch c := &r.cands[i]; {
 		case c.Clear || r.p.Repeat || h.bug.fenceSkipped:
 		case h.view.Pools[c.Owner] == "":
 			h.decide(now, r, &End{Why: "its box " + c.Box + " was lost and its pool is not known: it may have run"})
 			return
 		default:
-			ask = append(ask, c.Owner)
+			ask = append(ask, *c)
 		}
 	}
 	if len(ask) == 0 {
@@ -134,8 +134,9 @@
 	}
 	if r.probed == 0 || now-r.probed >= probeWait {
 		r.probed = now
-		for _, o := range ask {
-			probes[o] = append(probes[o], r.p.Key)
+		alone := len(ask) == 1 && h.slices[r.slice].whole
+		for _, c := range ask {
+			probes[c.Owner] = append(probes[c.Owner], Asked{r.p.Key, c.Handle, c.Cursor, alone})
 		}
 	}
 }
@@ -145,7 +146,7 @@
 	h.try++
 	h.adopted++
 	r.take, r.owner = h.try, h.me()
-	h.add(r, Cand{Owner: r.owner, Try: r.take})
+	h.add(r, Cand{Owner: r.owner, Try: r.take, Handle: r.p.Handle})
 	h.tell(now, r)
 	if h.bug.ownClock && h.slices[r.slice].place == 2 {
 		h.adopt(now, r)
