Core and fleet: calls below carry their subject; modules take operators' words

The core's Caller is given the subject with a call, and a Judge hears once what each request that made a call was worth, at its final answer or when its caller goes; with nobody to hear it is a nil check. A word for the fleet may name a module's part with an entry as JSON, whose outcome is awaited as that of a plan's is; GET /fleet/state?part= tells how such a part stands. The driver knows nothing of what is inside.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -56,14 +56,28 @@
 	Verify(ticket string)
 }
 
-// Caller makes calls below. Its methods must not block; each Call ends with one CallEnded, unless it was
+// Caller makes calls below; a subject of 0 is of nobody. Its methods must not block; each Call ends with one CallEnded, unless it was
 // given up by Abandon or by a further Call for the same handle. One that must be made once is not repeated
 // whatever becomes of its connection.
 type Caller interface {
-	Call(handle, class string, patience time.Duration, once bool, body []byte)
+	Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte)
 	Abandon(handle string)
 }
 
+// Worth is what became of a request that made calls below, in shares of what was asked for.
+type Worth struct {
+	Value       float64 // of its worth: 1 in its aim, what its class gives for a late result, else 0
+	Served      bool
+	Late        bool
+	Calls, Lost int64 // calls that it made, and of them those that brought no reply
+}
+
+// Judge hears once of each request that made a call below, when it has its final answer or its caller has gone. It must
+// not block.
+type Judge interface {
+	Judge(handle string, w Worth)
+}
+
 // Lister tells the directory whether this server takes work. It must not block.
 type Lister interface{ Report(open bool) }
 
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -26,6 +26,7 @@
 		r.use.out = int64(len(a.Body))
 	}
 	c.endsAs(r, a.Kind)
+	c.judged(r, a.Kind)
 	if c.books != nil && a.Kind == Served && c.books.Strict() {
 		r.use.kept = &kept{answer: a}
 		return
@@ -35,6 +36,21 @@
 	c.left(r)
 }
 
+// judged tells what a request was worth that made calls below.
+func (c *Core) judged(r *request, k Kind) {
+	if c.trials == nil || r.use.calls == 0 {
+		return
+	}
+	w := Worth{Served: k == Served, Calls: r.use.calls, Lost: r.use.lost}
+	if w.Served {
+		w.Value = 1
+		if x := &c.site.Control.Classes[r.Class]; x.Aim > 0 && c.now-r.arrived > x.Aim {
+			w.Late, w.Value = true, x.LateWorth
+		}
+	}
+	c.trials.Judge(r.Handle, w)
+}
+
 // left takes an answered request off its connection.
 func (c *Core) left(r *request) {
 	r.session.open--
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,7 @@
 	lister Lister
 	store  Store  // nil = keys are this server's alone
 	books  Booker // nil = no ledger
+	trials Judge  // nil = nobody asks
 	log    *slog.Logger
 	events chan Event
 	ended  chan struct{} // closed when the loop is over
@@ -154,6 +155,9 @@
 // Start is when the core was made; its times count from there.
 func (c *Core) Start() time.Time { return c.start }
 
+// Tell names who hears what calls below were worth. It is called before Run.
+func (c *Core) Tell(j Judge) { c.trials = j }
+
 // Keep names the ledger. It is called before Run.
 func (c *Core) Keep(b Booker) { c.books = b }
 
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -119,6 +119,7 @@
 	}
 	r.answered = true
 	c.withdrawn(r)
+	c.judged(r, Failed)
 	r.session.idled++
 	c.left(r)
 	if r.state == claiming {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -19,6 +19,7 @@
 	replay  bool
 	earns   bool // its answer is the first with this result
 	calls   int64
+	lost    int64 // calls that brought no reply
 	out     int64
 	took    time.Duration // of its runs, as the worker pool measured them
 	since   time.Duration // its run began
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -28,8 +28,12 @@
 	r.state, r.began = calling, c.now
 	r.use.calls++
 	c.late.set(&r.patience, c.now+patience+callMargin)
+	subject := r.Subject
+	if r.adopted { // its answer is another try's, which is judged where that is answered
+		subject = 0
+	}
 	once := c.site.Control.Classes[r.Class].Effect != control.Safe
-	c.caller.Call(r.Handle, c.site.Classes[r.Class], patience, once, r.callBody)
+	c.caller.Call(r.Handle, c.site.Classes[r.Class], subject, patience, once, r.callBody)
 }
 
 // skip has a run go on without the call that it waits for. The command names that call's notice, so that a copy
@@ -61,6 +65,8 @@
 	if e.Outcome == control.OK && c.holds(r.entry) {
 		r.state = running
 		c.command(r, func() { c.runner.Supply(r.Handle, e.Body) })
+	} else {
+		r.use.lost++
 	}
 	c.ctl.CallDone(c.now, r.id, c.now-r.began, e.Outcome)
 }
@@ -70,6 +76,7 @@
 	switch r.state {
 	case calling:
 		c.figs.counts.Lost++
+		r.use.lost++
 		c.changed()
 		c.abandon(r)
 		c.ctl.CallDone(c.now, r.id, c.now-r.began, control.TimedOut)
--- a/internal/fleet/desk/heirs.go
+++ b/internal/fleet/desk/heirs.go
@@ -103,7 +103,7 @@
 		patience = min(patience, time.Until(end))
 	}
 	d.waits.add(c.Handle, link)
-	d.calls.Call(c.Handle, class, patience, true, c.Body)
+	d.calls.Call(c.Handle, class, 0, patience, true, c.Body)
 }
 
 // waits are the runs that wait for a reply, by handle. It is safe for concurrent use.
--- a/internal/fleet/driver/client.go
+++ b/internal/fleet/driver/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/url"
 	"slices"
 	"time"
 
@@ -20,6 +21,15 @@
 	return s, err
 }
 
+// Stands asks a box how a module's part stands, into s.
+func Stands(ctx context.Context, c *link.Client, part string, s any) error {
+	text, err := c.Get(ctx, "/fleet/state", url.Values{"part": {part}})
+	if err == nil {
+		err = json.Unmarshal(text, s)
+	}
+	return err
+}
+
 // Say gives a box an operator's word. An error tells what became of it, or that the box did not answer.
 func Say(ctx context.Context, c *link.Client, w Word) error {
 	body, err := json.Marshal(w)
--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -268,7 +268,7 @@
 		return err
 	}
 	for _, a := range out.Applied {
-		if w, ok := d.waiting[a.Token]; ok && a.Proposer == d.self.ID && a.Entry != nil {
+		if w, ok := d.waiting[a.Token]; ok && a.Proposer == d.self.ID && a.Change == nil {
 			delete(d.waiting, a.Token)
 			w.answer <- a.Err
 		}
--- a/internal/fleet/driver/http.go
+++ b/internal/fleet/driver/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -22,9 +23,11 @@
 // noPart is what a box says whose part in the fleet has ended, or not begun.
 const noPart = "this box takes no part in the fleet now"
 
-// Word is an operator's command as it is sent: found, or an entry.
+// Word is an operator's command as it is sent: found, a module's, or an entry.
 type Word struct {
 	Found bool
+	Part  string          `json:",omitempty"` // of the module that reads Data; "" = none
+	Data  json.RawMessage `json:",omitempty"`
 	Entry takeout.Entry
 }
 
@@ -40,7 +43,7 @@
 //	POST /fleet/report    how a box stands
 //	POST /fleet/knock     a box that wants to be let in
 //	POST /fleet/passed    the same, at a box that may lead, by one that does not
-//	GET  /fleet/state     Status as JSON
+//	GET  /fleet/state     Status as JSON; with ?part= how that module's part stands
 //	POST /fleet/command   a Word as JSON; the answer comes once it is agreed, or after 10 s
 func (d *Driver) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -86,10 +89,15 @@
 	mux.HandleFunc("POST /fleet/knock", noted(d, d.knocked))
 	mux.HandleFunc("POST /fleet/passed", noted(d, d.letIn))
 	mux.HandleFunc("GET /fleet/state", func(w http.ResponseWriter, r *http.Request) {
-		got := make(chan Status, 1)
-		if d.enter(func() { got <- d.status() }) {
+		got := make(chan any, 1)
+		part := r.URL.Query().Get("part")
+		if d.enter(func() { got <- d.stands(part) }) {
 			select {
 			case s := <-got:
+				if s == nil {
+					http.Error(w, fmt.Sprintf("this box has no part %q", part), http.StatusNotFound)
+					return
+				}
 				json.NewEncoder(w).Encode(s)
 				return
 			case <-d.done:
@@ -146,6 +154,10 @@
 			got <- d.found()
 			return
 		}
+		if word.Part != "" {
+			d.ordered(word, got)
+			return
+		}
 		d.command(word.Entry, got)
 	}) {
 		late := time.NewTimer(outcome)
--- a/internal/fleet/driver/modules.go
+++ b/internal/fleet/driver/modules.go
@@ -38,6 +38,15 @@
 	End()
 }
 
+// Ordered is a module that operators give words to. Its methods are as Module's.
+type Ordered interface {
+	// Order reads an operator's word and gives the entry that follows, whose outcome is the operator's; an error = the
+	// word cannot be, in one line for people.
+	Order(word []byte) (entry any, err error)
+	// Stands is how the part stands, as JSON will have it. It shares nothing with what the module changes.
+	Stands() any
+}
+
 // maxWord bounds one message of a module, and its part of a report.
 const maxWord = 48 << 10
 
@@ -124,6 +133,41 @@
 // Log is the box's log.
 func (h *Host) Log() *slog.Logger { return h.d.log }
 
+// ordered has a module read an operator's word, and proposes what follows; answer hears what became of it.
+func (d *Driver) ordered(w Word, answer chan error) {
+	m, ok := d.module(w.Part).(Ordered)
+	if !ok {
+		answer <- fmt.Errorf("this box has no part %q that takes a word", w.Part)
+		return
+	}
+	entry, err := m.Order(w.Data)
+	var data []byte
+	if err == nil {
+		data, err = agree.Encode(entry)
+	}
+	if err != nil {
+		answer <- err
+		return
+	}
+	d.token++
+	d.waiting[d.token] = pending{answer, d.ticks + int(outcome/tick)}
+	if err := d.node.ProposePart(d.token, w.Part, data, false); err != nil {
+		delete(d.waiting, d.token)
+		answer <- err
+	}
+}
+
+// stands is how the fleet stands, or a module's part; nil = there is no such part.
+func (d *Driver) stands(part string) any {
+	if part == "" {
+		return d.status()
+	}
+	if m, ok := d.module(part).(Ordered); ok {
+		return m.Stands()
+	}
+	return nil
+}
+
 // reading is a read that a module waits for.
 type reading struct {
 	part  string
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -82,8 +82,8 @@
 	c.idle = nil
 }
 
-// Call makes a call. The class is not told here: the body says it all.
-func (c *Client) Call(handle, _ string, patience time.Duration, once bool, body []byte) {
+// Call makes a call. Class and subject are not told here: the body says it all.
+func (c *Client) Call(handle, _ string, _ uint64, patience time.Duration, once bool, body []byte) {
 	ms := max(1, patience.Milliseconds())
 	line := fmt.Appendf(make([]byte, 0, len(body)+64), "GET %s %d %d\r\n", handle, ms, len(body))
 	x := &call{handle: handle, line: append(append(line, body...), '\r', '\n'), once: once, fresh: once}
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -24,7 +24,7 @@
 	return &bench{index.New(addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, events}
 }
 
-func (b *bench) call(handle string, once bool) { b.Call(handle, "quote", time.Second, once, nil) }
+func (b *bench) call(handle string, once bool) { b.Call(handle, "quote", 0, time.Second, once, nil) }
 
 func (b *bench) expect(handle string, how control.Outcome, body []byte) {
 	b.t.Helper()
@@ -37,7 +37,7 @@
 func TestCallsAndReplies(t *testing.T) {
 	stand := scenario.Listen(t)
 	c := client(t, stand.Addr, 8)
-	c.Call("a", "quote", 250*time.Millisecond, false, []byte("x\r\ny"))
+	c.Call("a", "quote", 0, 250*time.Millisecond, false, []byte("x\r\ny"))
 	p := stand.Accept()
 	for _, line := range []string{`^GET a 250 4$`, `^x$`, `^y$`} {
 		p.Expect(line)
@@ -50,7 +50,7 @@
 		body          []byte
 	}{{"b", "HIT 0\r\n", control.OK, []byte{}}, {"c", "SHED", control.Rejected, nil}, {"d", "BROKEN", control.Errored, nil},
 		{"e", "SLOW", control.TimedOut, nil}, {"f", "NOBODY", control.Moot, nil}} {
-		c.Call(x.handle, "quote", time.Microsecond, false, nil)
+		c.Call(x.handle, "quote", 0, time.Microsecond, false, nil)
 		p.Expect("^GET " + x.handle + " 1 0$")
 		p.Send(x.handle, " ", x.reply, "\r\n")
 		c.expect(x.handle, x.how, x.body)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -283,7 +283,7 @@
 	})
 }
 
-func (c caller) Call(h, class string, patience time.Duration, _ bool, body []byte) {
+func (c caller) Call(h, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
 	c.w.note("call %s %s %v %s", h, class, patience.Round(100*time.Millisecond), body)
 }
 func (c caller) Abandon(h string) { c.w.note("abandon %s", h) }
--- a/internal/uwsgi/client.go
+++ b/internal/uwsgi/client.go
@@ -41,7 +41,7 @@
 }
 
 // Call makes a call; a further one for the same handle gives up the first.
-func (c *Client) Call(handle, class string, patience time.Duration, _ bool, body []byte) {
+func (c *Client) Call(handle, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	x := &call{cancel}
 	c.mu.Lock()
--- a/internal/uwsgi/client_test.go
+++ b/internal/uwsgi/client_test.go
@@ -40,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			stand := scenario.Listen(t)
 			cl, events := below(stand.Addr)
-			cl.Call("h", "quote", 5*time.Second, false, []byte("body"))
+			cl.Call("h", "quote", 0, 5*time.Second, false, []byte("body"))
 			p := stand.Accept()
 			p.Bytes(string(uwsgi.Packet("REQUEST_METHOD", "POST", "PATH_INFO", "/quote", "CONTENT_LENGTH", "4",
 				"HTTP_X_BUDGET_MS", "5000", "HTTP_IDEMPOTENCY_KEY", "h.1")) + "body")
@@ -61,7 +61,7 @@
 func TestCallDeadlinesAndRoom(t *testing.T) {
 	stand := scenario.Listen(t)
 	cl, events := below(stand.Addr)
-	cl.Call("slow", "quote", 50*time.Millisecond, false, nil)
+	cl.Call("slow", "quote", 0, 50*time.Millisecond, false, nil)
 	stand.Accept()
 	expect := func(handle string, how control.Outcome) {
 		t.Helper()
@@ -70,17 +70,17 @@
 		}
 	}
 	expect("slow", control.TimedOut)
-	cl.Call("a", "quote", 5*time.Second, false, nil)
+	cl.Call("a", "quote", 0, 5*time.Second, false, nil)
 	a := stand.Accept()
-	cl.Call("b", "quote", 5*time.Second, false, nil)
+	cl.Call("b", "quote", 0, 5*time.Second, false, nil)
 	b := stand.Accept()
-	cl.Call("c", "quote", 5*time.Second, false, nil)
+	cl.Call("c", "quote", 0, 5*time.Second, false, nil)
 	expect("c", control.Unreachable)
 	cl.Abandon("a")
 	a.Rest() // its connection is closed
 	b.Send("HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n")
 	expect("b", control.TimedOut)
 	stand.Close()
-	cl.Call("d", "quote", 5*time.Second, false, nil)
+	cl.Call("d", "quote", 0, 5*time.Second, false, nil)
 	expect("d", control.Unreachable)
 }
