Trials: two addresses for calls below are split over the fleet, and one outcome ends it

Package trials is a module of the fleet's driver (part trial.1) and the core's Caller: it chooses each call's address by the agreed trial and the lease, counts each unit from its first call to its request's final answer, and as the leader looks each second. fleet.trial_calls names the addresses besides the index; larchctl fleet trial start, status and stop drive it. Trials need fleet.take_over, for the lease.

--- a/cmd/larchctl/fleet.go
+++ b/cmd/larchctl/fleet.go
@@ -31,6 +31,7 @@
 	Replan   replanCmd   `cmd:"" help:"Derive a plan's order anew."`
 	Cancel   cancelCmd   `cmd:"" help:"End a plan: who drains comes back, who is out stays counted until it is back."`
 	Back     backCmd     `cmd:"" help:"This box's work is done, and its process went on."`
+	Trial    trialCmd    `cmd:"" help:"Trials of two addresses for calls below."`
 	WriteOff writeOffCmd `cmd:"" help:"Count a box no longer that will not come back."`
 }
 
--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -19,6 +19,7 @@
 	"larchscale/internal/fleet/hand"
 	"larchscale/internal/fleet/place"
 	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/fleet/trials"
 	"larchscale/internal/index"
 	"larchscale/internal/keeper"
 	"larchscale/internal/link"
@@ -27,7 +28,7 @@
 
 // joinOthers opens the way to the other boxes, and on it what this box has to say to them: the ledger's sums, its part
 // in the fleet. The channel is closed once the fleet's part has ended, after ctx; lines are its figures, nil = none.
-func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, figures func() *core.Figures,
+func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, g *ground.Ground, tests *trials.Trials, figures func() *core.Figures,
 	holder *admin.Holder, log *slog.Logger) (over <-chan struct{}, lines func() []byte, err error) {
 	way := own.Ledger.Peers.Options
 	l, err := link.New(way, log)
@@ -45,11 +46,10 @@
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		modules := func() []driver.Module { return nil }
 		if keys != nil {
-			g := ground.New(ground.Options{Pool: cfg.Pool, Whole: keys.Whole, Moves: maxMoves}, keys.View, log)
 			keys.Stand(g, l, index.New(cfg.Index, leftCalls, keys.Reply, log))
 			go keys.Run(ctx)
 			mux.Handle("/hand/", keys)
-			modules = g.Modules
+			modules = func() []driver.Module { return append(g.Modules(), tests.Module()) }
 		}
 		part := driver.NewPart(func() (*driver.Driver, error) {
 			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Others(), l, body, log, modules()...)
@@ -117,6 +117,15 @@
 		Limits: hand.Limits{Records: int(bytes / 1024), Bytes: bytes, Longest: longest}}, sink, log)
 }
 
+// newTrials makes what sends calls below where trials have them go.
+func newTrials(cfg *config.Config, own *config.Operator, calls core.Caller, g *ground.Ground, sink func(core.Event), log *slog.Logger) *trials.Trials {
+	others := map[string]core.Caller{}
+	for _, a := range own.Fleet.TrialCalls {
+		others[a] = index.New(a, cfg.Limits.Calls, sink, log)
+	}
+	return trials.New(trials.Options{Classes: cfg.Site.Classes, Present: calls, Others: others, Holds: g.Holds, Now: g.Now}, log)
+}
+
 // listenEach is how often an address that is in use is asked for again.
 const listenEach = 250 * time.Millisecond
 
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -25,6 +25,8 @@
 	"larchscale/internal/directory"
 	"larchscale/internal/export"
 	"larchscale/internal/fleet/desk"
+	"larchscale/internal/fleet/ground"
+	"larchscale/internal/fleet/trials"
 	"larchscale/internal/handoff"
 	"larchscale/internal/index"
 	"larchscale/internal/jsonrpc"
@@ -167,7 +169,7 @@
 	if doors != nil {
 		others += admin.MaxConns
 	}
-	others += own.Ledger.Peers.Sockets()
+	others += own.Ledger.Peers.Sockets() + len(own.Fleet.TrialCalls)*cfg.Limits.Calls
 	conns := cfg.Limits.Conns(others)
 	cfg.SetConns(conns)
 	c := core.New(cfg.Site, log)
@@ -180,9 +182,17 @@
 	}
 	var keys core.Store
 	var claims *desk.Desk
+	var g *ground.Ground
+	var tests *trials.Trials
 	if own.Fleet.TakeOver {
 		claims = newDesk(cfg, own, workers.Cursor, c.Send, log)
 		keys = claims
+		g = ground.New(ground.Options{Pool: cfg.Pool, Whole: claims.Whole, Moves: maxMoves}, claims.View, log)
+		tests = newTrials(cfg, own, below, g, c.Send, log)
+		if len(own.Fleet.TrialCalls) > 0 { // without, no call takes the way through it
+			below = tests
+			c.Tell(tests)
+		}
 	} else if own.Store.Redis != "" {
 		db := store.New(own.Store, store.Owner(cfg.Name), cfg.Site.Classes, c.Send, log)
 		go db.Run(ctx)
@@ -213,7 +223,7 @@
 	defer holder.Close()
 	var figures func() []byte
 	if own.Ledger.Peers.Listen != "" {
-		fleet, lines, err := joinOthers(ctx, cfg, own, books, claims, c.Figures, holder, log)
+		fleet, lines, err := joinOthers(ctx, cfg, own, books, claims, g, tests, c.Figures, holder, log)
 		if err != nil {
 			return err
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -63,7 +64,7 @@
 		}
 		u.Listen = net.JoinHostPort(host, u.Listen[1:])
 	}
-	for _, a := range append([]string{u.Listen, o.Store.Redis}, u.Below...) {
+	for _, a := range slices.Concat([]string{u.Listen, o.Store.Redis}, u.Below, o.Fleet.TrialCalls) {
 		if a == "" {
 			continue
 		}
@@ -88,6 +89,10 @@
 		return errors.New("fleet.dir is ledger.dir; each needs a directory of its own")
 	case o.Fleet.TakeOver && o.Store.Redis != "":
 		return errors.New("fleet.take_over and store.redis are two places for the same keys: set one")
+	case len(o.Fleet.TrialCalls) > 0 && len(u.Below) > 0:
+		return errors.New("fleet.trial_calls are places like the platform's index, and uwsgi.below takes its place: set one")
+	case len(o.Fleet.TrialCalls) > 0 && platform.Index == "":
+		return errors.New("fleet.trial_calls: this box makes no calls below")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
--- a/internal/fleet/driver/options.go
+++ b/internal/fleet/driver/options.go
@@ -5,6 +5,9 @@
 	"fmt"
 )
 
+// maxTrialCalls bounds the addresses of trials: each may have as many connections as the index has.
+const maxTrialCalls = 2
+
 // Options are the operator's table [fleet].
 type Options struct {
 	Dir      string `toml:"dir"`  // where the log is kept; "" = no part in a fleet
@@ -14,10 +17,12 @@
 	DrainMs  int    `toml:"drain_ms"` // a box's health says no for so long before it is out
 	// TakeOver has keyed work claimed at homes in the fleet, which outlives this box.
 	TakeOver bool `toml:"take_over"`
+	// TrialCalls are addresses like the platform's index that calls below may go to in a trial.
+	TrialCalls []string `toml:"trial_calls"`
 }
 
 // Defaults are the options that a file need not name.
-func Defaults() Options { return Options{Voters: 3, SilentMs: 3000, DrainMs: 5000} }
+func Defaults() Options { return Options{Voters: 3, SilentMs: 3000, DrainMs: 5000, TrialCalls: []string{}} }
 
 // Check finds what cannot be.
 func (o *Options) Check() error {
@@ -30,6 +35,10 @@
 		return fmt.Errorf("fleet.drain_ms is %d, 0 to 600000", o.DrainMs)
 	case o.Dir != "" && o.Zone == "":
 		return errors.New("fleet.dir needs fleet.zone")
+	case len(o.TrialCalls) > maxTrialCalls:
+		return fmt.Errorf("fleet.trial_calls names %d addresses, up to %d can be", len(o.TrialCalls), maxTrialCalls)
+	case len(o.TrialCalls) > 0 && !o.TakeOver:
+		return errors.New("fleet.trial_calls needs fleet.take_over: a box without a lease could miss an outcome")
 	case o.TakeOver && o.Dir == "":
 		return errors.New("fleet.take_over needs fleet.dir")
 	}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -30,6 +30,7 @@
 // Request is one request of a stream.
 type Request struct {
 	Handle, Stand, Class, Token, Body string
+	Subject                           string // "" = none
 	Budget                            time.Duration
 }
 
@@ -107,7 +108,10 @@
 func (l *Line) Do(r Request) Seen {
 	s := Seen{r.Stand, r.Class, "lost"}
 	w := make(chan gjson.Result, 1)
-	token := ""
+	token, subject := "", ""
+	if r.Subject != "" {
+		subject = fmt.Sprintf(`"obj":%q,`, r.Subject)
+	}
 	if r.Token != "" {
 		token = fmt.Sprintf(`"token":%q,`, r.Token)
 	}
@@ -118,8 +122,8 @@
 	}
 	l.id++
 	l.open[l.id] = w
-	_, err := fmt.Fprintf(l.conn, `{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":%q,"budget":%d,"mem":24.5,"prio":0.9,%s"bytes":%q}}`+"\n",
-		l.id, r.Class, r.Handle, time.Now().UnixMilli(), r.Stand, r.Budget.Milliseconds(), token, base64.StdEncoding.EncodeToString([]byte(r.Body)))
+	_, err := fmt.Fprintf(l.conn, `{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":%q,"budget":%d,"mem":24.5,"prio":0.9,%s%s"bytes":%q}}`+"\n",
+		l.id, r.Class, r.Handle, time.Now().UnixMilli(), r.Stand, r.Budget.Milliseconds(), token, subject, base64.StdEncoding.EncodeToString([]byte(r.Body)))
 	l.mu.Unlock()
 	if err != nil {
 		return s
--- a/internal/standin/churn.go
+++ b/internal/standin/churn.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		r := s.Next()
-		r.Class, r.Token = Classes[0], ""
+		r.Class, r.Token, r.Subject = Classes[0], "", r.Handle
 		c.sent.Add(1)
 		began := time.Now()
 		switch once(addr, r).End {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -30,6 +30,7 @@
 	DrainMs, SilentMs    int
 	Work                 time.Duration // of a run
 	TakeOver             bool
+	TrialCalls           []string      // addresses that calls may go to in a trial
 	Window               time.Duration // for which a keyed result is kept; 0 = Window
 	Makes                []Make        // box i runs Makes[i % len(Makes)]; none = all run the fleet's program
 	Certs                string        // a directory with ca.crt, and NAME.crt and NAME.key of each box and of ops; "" = without
@@ -39,6 +40,14 @@
 // given any.
 var overs = map[bool]string{true: "take_over = true\n"}
 
+// arms is the line of an operator's file that names where calls may go in a trial.
+func arms(addrs []string) string {
+	if len(addrs) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("trial_calls = [\"%s\"]\n", strings.Join(addrs, "\", \""))
+}
+
 // Fleet is real processes that settle among themselves who is taken out. What one says to another passes a relay of
 // Net; operators, balancers and staff reach each box directly.
 type Fleet struct {
@@ -112,7 +121,7 @@
 		}
 		m.text = func(k Make) (string, string) {
 			return cmp.Or(k.Program, program), fmt.Sprintf("%s[ledger.peers]\nlisten = %q\nboxes = [%s]\n%s[fleet]\ndir = %q\nzone = %q\nvoters = %d\ndrain_ms = %d\nsilent_ms = %d\n%s",
-				k.Operator, m.Addr, ways, lines, m.dir, m.Zone, o.Voters, cmp.Or(k.DrainMs, o.DrainMs), cmp.Or(k.SilentMs, o.SilentMs), overs[k.TakeOver || o.TakeOver])
+				k.Operator, m.Addr, ways, lines, m.dir, m.Zone, o.Voters, cmp.Or(k.DrainMs, o.DrainMs), cmp.Or(k.SilentMs, o.SilentMs), overs[k.TakeOver || o.TakeOver]+arms(o.TrialCalls))
 		}
 		k := Make{}
 		if len(o.Makes) > 0 {
@@ -529,3 +538,15 @@
 	m.worked = false
 	return errors.Join(err, m.start())
 }
+
+// Stands is how a part of what the fleet agrees on stands as this box sees it, into s.
+func (m *Member) Stands(part string, s any) error {
+	c, err := m.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	return driver.Stands(ctx, c, part, s)
+}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -189,9 +189,11 @@
 		fate := "complete"
 		if calls {
 			select {
-			case _, ok := <-supplied:
+			case reply, ok := <-supplied:
 				if !ok {
 					fate = "cancelled"
+				} else if reply == base64.StdEncoding.EncodeToString([]byte(noTaxi)) {
+					fate = "error"
 				}
 			case <-time.After(callWithin): // its request is over, as far as anybody can tell
 				fate = "cancelled"
@@ -212,28 +214,7 @@
 }
 
 // index answers calls below.
-func (s *Site) index(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return
-		}
-		f := strings.Fields(line)
-		if len(f) != 4 || f[0] != "GET" {
-			continue
-		}
-		n, err := strconv.Atoi(f[3])
-		if err != nil || n < 0 || n > 1<<20 {
-			return
-		}
-		if _, err := in.Discard(n + 2); err != nil {
-			return
-		}
-		fmt.Fprintf(c, "%s HIT 4\r\ntaxi\r\n", f[1])
-	}
-}
+func (s *Site) index(c net.Conn) { calls(c, func() string { return "HIT 4\r\ntaxi\r\n" }) }
 
 // directory answers reports.
 func (s *Site) directory(c net.Conn) {
