Trials: a process that ends in order is none that was lost; calls of lost runs follow what was found

A restart counted as a process that an arm took down, so one rolling restart could end a trial as harm. A process that was told to leave counts no new units, and says once those it has are judged that it ended in order; every voter hears that, not only the one that led. Calls for runs of lost boxes, which are nobody's units, went to the index whatever had won; they go by the outcome too. With no process to be lost, a box was stopped and started in a trial of five real processes: B won as before.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -46,7 +46,11 @@
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		modules := func() []driver.Module { return nil }
 		if keys != nil {
-			keys.Stand(g, l, index.New(cfg.Index, leftCalls, keys.Reply, log))
+			left := &left{map[string]*index.Client{trials.Present: index.New(cfg.Index, leftCalls, keys.Reply, log)}, tests}
+			for _, a := range own.Fleet.TrialCalls {
+				left.to[a] = index.New(a, leftCalls, keys.Reply, log)
+			}
+			keys.Stand(g, l, left)
 			go keys.Run(ctx)
 			mux.Handle("/hand/", keys)
 			modules = func() []driver.Module { return append(g.Modules(), tests.Module()) }
@@ -102,6 +106,17 @@
 // leftCalls bounds the calls below that runs of lost boxes make at a time.
 const leftCalls = 8
 
+// left makes the calls below of runs of lost boxes, where trials that are over have them go.
+type left struct {
+	to    map[string]*index.Client
+	tests *trials.Trials
+}
+
+// Call implements desk.Calls.
+func (l *left) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
+	l.to[l.tests.Found(class)].Call(handle, class, subject, patience, once, body)
+}
+
 // newDesk makes the box's desk at which keyed work is claimed in the fleet.
 func newDesk(cfg *config.Config, own *config.Operator, cursor func() uint64, sink func(core.Event), log *slog.Logger) *desk.Desk {
 	longest := time.Duration(0)
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -257,6 +257,9 @@
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
+				if tests != nil {
+					tests.Leave()
+				}
 				leave(c, fronts, listener, started, &cfg.Site, log)
 				continue
 			}
--- a/internal/fleet/trials/fleet_test.go
+++ b/internal/fleet/trials/fleet_test.go
@@ -42,7 +42,7 @@
 // start has an operator at a box start a trial between two addresses.
 func (w *world) start(m *standin.Member, id, a, b string) error {
 	s := trial.Spec{ID: id, By: "ops", Reason: "which is better", Split: trial.Subject, Thing: standin.Classes[0], Values: [2]string{a, b}, Salt: 7,
-		BlockMs: trial.MinBlockMs, Blocks: 20, MostLost: 2, Plan: sequential.Plan{Alpha: 0.05, Futility: 0.05, Harm: 0.01, Void: 0.001, Base: 0.8, Effect: 0.3, Margin: 0.15, Ratio: 0.5, Least: 30,
+		BlockMs: trial.MinBlockMs, Blocks: 20, MostLost: 0, Plan: sequential.Plan{Alpha: 0.05, Futility: 0.05, Harm: 0.01, Void: 0.001, Base: 0.8, Effect: 0.3, Margin: 0.15, Ratio: 0.5, Least: 30,
 			Guards: []sequential.Guard{{Name: trials.Failures, Base: 0.9, Tolerance: 0.05}, {Name: trials.Below, Base: 0.9, Tolerance: 0.05}}}}
 	data, err := json.Marshal(trials.Word{Start: &s})
 	if err != nil {
@@ -141,6 +141,13 @@
 	if err := w.start(f.Members[2], "other", "index", "127.0.0.1:9"); err == nil || !strings.Contains(err.Error(), `"127.0.0.1:9" of arm B`) || strings.Contains(err.Error(), "\n") {
 		t.Errorf("an address that no box knows: %v", err)
 	}
+	w.wait("units are counted", 10*time.Second, w.all(f.Members, func(m *standin.Member) bool { return m.Figures()["fleet.trial_b"] > 5 }))
+	if code, err := f.Members[4].Stop(); code != 0 || err != nil { // in order: it is none that was lost
+		t.Fatal(code, err)
+	}
+	if err := f.Members[4].Box.Start(); err != nil {
+		t.Fatal(err)
+	}
 	w.wait("a box has the outcome", 40*time.Second, w.any("better"))
 	leader := f.Leader()
 	leader.Kill()
--- a/internal/fleet/trials/split.go
+++ b/internal/fleet/trials/split.go
@@ -22,7 +22,6 @@
 // way is where calls of a class go, as the agreed state has it. It does not change; the tally does.
 type way struct {
 	trial trial.Trial
-	arms  [2]core.Caller
 	tally *tally // nil = nothing counts: the trial is over, or a process that is new was not heard of yet
 }
 
@@ -32,6 +31,7 @@
 	count *trial.Counter
 	sent  int      // reports
 	units [2]int64 // assigned
+	open  int      // of them those that are not judged
 }
 
 // unit is one request that is counted, until it is judged.
@@ -43,7 +43,7 @@
 
 // Call implements core.Caller, on the core's loop.
 func (t *Trials) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
-	to := t.choose(handle, class, subject)
+	to := t.to(t.choose(handle, class, subject))
 	for _, c := range t.callers { // the call before may have gone elsewhere
 		if c != to {
 			c.Abandon(handle)
@@ -52,19 +52,27 @@
 	to.Call(handle, class, subject, patience, once, body)
 }
 
+// to is the caller of an address that this box knows.
+func (t *Trials) to(addr string) core.Caller {
+	if c := t.others[addr]; c != nil {
+		return c
+	}
+	return t.present
+}
+
 // choose gives where a call goes, and counts the unit that it is of.
-func (t *Trials) choose(handle, class string, subject uint64) core.Caller {
+func (t *Trials) choose(handle, class string, subject uint64) string {
 	w := (*t.ways.Load())[class]
 	if w == nil {
-		return t.present
+		return Present
 	}
 	arm, counts := w.trial.Assign(t.holds(), strconv.FormatUint(subject, 10))
 	if subject == 0 && w.trial.Open() { // it is nobody's: it can be no unit
 		arm, counts = 0, false
 	}
 	if _, again := t.units[handle]; counts && !again {
-		if w.tally == nil || !w.tally.assigned(w.trial.Block, arm) {
-			return w.arms[0]
+		if w.tally == nil || t.leaves.Load() || !w.tally.assigned(w.trial.Block, arm) {
+			return w.trial.Spec.Values[0]
 		}
 		u := unit{w.tally, w.trial.Block, arm, nil}
 		for _, g := range w.trial.Spec.Plan.Guards {
@@ -72,9 +80,27 @@
 		}
 		t.units[handle] = u
 	}
-	return w.arms[arm]
+	return w.trial.Spec.Values[arm]
+}
+
+// Found is where the calls of a class go that are nobody's unit: by what was found if a trial is over, else as A. It is
+// safe from any goroutine.
+func (t *Trials) Found(class string) (addr string) {
+	w := (*t.ways.Load())[class]
+	if w == nil {
+		return Present
+	}
+	arm := 0
+	if !w.trial.Open() {
+		arm, _ = w.trial.Assign(t.holds(), "")
+	}
+	return w.trial.Spec.Values[arm]
 }
 
+// Leave tells that this process ends in order: it counts no new units, and once those it has are judged, it says that
+// it is none that was lost. It is safe from any goroutine.
+func (t *Trials) Leave() { t.leaves.Store(true) }
+
 // Abandon implements core.Caller, on the core's loop.
 func (t *Trials) Abandon(handle string) {
 	for _, c := range t.callers {
@@ -102,6 +128,7 @@
 	}
 	u.tally.mu.Lock()
 	defer u.tally.mu.Unlock()
+	u.tally.open--
 	if err := u.tally.count.Value(u.block, u.arm, w.Value, guards...); err != nil {
 		t.log.Error("fleet", "do", "trial", "err", err)
 	}
@@ -122,5 +149,6 @@
 		return false
 	}
 	c.units[arm]++
+	c.open++
 	return true
 }
--- a/internal/fleet/trials/trials.go
+++ b/internal/fleet/trials/trials.go
@@ -58,6 +58,7 @@
 	holds   func() bool
 	now     func() time.Duration
 	log     *slog.Logger
+	leaves  atomic.Bool
 	ways    atomic.Pointer[map[string]*way] // by class
 
 	units map[string]unit // of the core's loop, by handle
@@ -90,15 +91,14 @@
 	host    *driver.Host
 	tallies map[string]*tally             // of open trials, by id
 	told    map[string]sequential.Verdict // what was logged of each trial
-	leader  *trial.Leader                 // nil = this box does not lead
-	term    uint64
+	leader  *trial.Leader                 // hears as any voter does, so that what one that led heard last is not lost
 	looked  time.Duration
 	units   [2]int64 // of trials that are over
 }
 
 // Begin implements driver.Module.
 func (m *module) Begin(h *driver.Host) {
-	m.host = h
+	m.host, m.leader = h, trial.NewLeader(h.Self().Name)
 	m.publish()
 }
 
@@ -125,11 +125,6 @@
 		}
 		w := &way{trial: *t}
 		w.trial.Kept = nil
-		for a, v := range t.Spec.Values {
-			if w.arms[a] = m.trials.others[v]; v == Present {
-				w.arms[a] = m.trials.present
-			}
-		}
 		if t.Open() {
 			c := m.tallies[t.Spec.ID]
 			if c == nil {
@@ -142,6 +137,9 @@
 		}
 		ways[t.Spec.Thing] = w
 	}
+	if !slices.ContainsFunc(m.State.Trials, func(t trial.Trial) bool { return t.Open() }) { // what was heard is of no use any longer
+		m.leader = trial.NewLeader(m.host.Self().Name)
+	}
 	m.told = told
 	m.trials.ways.Store(&ways)
 }
@@ -212,22 +210,14 @@
 }
 
 // Tick implements driver.Module.
-func (m *module) Tick(time.Time) {
-	if _, leads := m.host.Leads(); !leads {
-		m.leader = nil
-	}
-}
+func (m *module) Tick(time.Time) {}
 
 // Lead implements driver.Module: what the boxes say is looked at each second.
 func (m *module) Lead(time.Time) {
 	now := m.trials.now()
-	term, leads := m.host.Leads()
-	if !leads || !m.Began() || m.leader != nil && m.term == term && now-m.looked < lookEach {
+	if !m.Began() || now-m.looked < lookEach {
 		return
 	}
-	if m.leader == nil || m.term != term {
-		m.leader, m.term = trial.NewLeader(m.host.Self().Name), term
-	}
 	m.looked = now
 	for _, r := range m.reports() {
 		m.hear(r)
@@ -250,7 +240,7 @@
 	for _, id := range slices.Sorted(maps.Keys(m.tallies)) {
 		c := m.tallies[id]
 		c.mu.Lock()
-		out = append(out, c.count.Report(m.State.Trial(id).Block, false))
+		out = append(out, c.count.Report(m.State.Trial(id).Block, m.trials.leaves.Load() && c.open == 0))
 		c.mu.Unlock()
 	}
 	return out
@@ -279,7 +269,7 @@
 
 // Heard implements driver.Module.
 func (m *module) Heard(from agree.Member, data []byte, _ time.Time) {
-	if m.leader == nil || len(data) == 0 {
+	if len(data) == 0 {
 		return
 	}
 	var list []trial.Report
