Kept replies in the program: calls of a class made once in the fleet while a reply is kept

Need: boxes make the same call below many times over, each for itself; package kept decides what to keep and whom to ask, and nothing carried it out.

Change: internal/fleet/keep is a core.Caller in front of the calls below. A call of a class in [kept] is answered by what is kept, by the call that another makes already, by the home of its slice over a line of its own, or below; what a call below brought goes to its home, which has others wait for it. Without [kept] the client of the calls below is wired as before. Figures kept.hits, home, below, served and bytes.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -17,6 +17,7 @@
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/ground"
 	"larchscale/internal/fleet/hand"
+	"larchscale/internal/fleet/keep"
 	"larchscale/internal/fleet/place"
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/index"
@@ -27,7 +28,7 @@
 
 // joinOthers opens the way to the other boxes, and on it what this box has to say to them: the ledger's sums, its part
 // in the fleet. The channel is closed once the fleet's part has ended, after ctx; lines are its figures, nil = none.
-func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, figures func() *core.Figures,
+func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, stays *keep.Keep, figures func() *core.Figures,
 	holder *admin.Holder, log *slog.Logger) (over <-chan struct{}, lines func() []byte, err error) {
 	way := own.Ledger.Peers.Options
 	l, err := link.New(way, log)
@@ -45,7 +46,18 @@
 		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
 		modules := func() []driver.Module { return nil }
 		if keys != nil {
-			g := ground.New(ground.Options{Pool: cfg.Pool, Whole: keys.Whole, Moves: maxMoves}, keys.View, log)
+			told := keys.View
+			if stays != nil {
+				told = func(v *ground.View) {
+					keys.View(v)
+					stays.View(v)
+				}
+				mux.Handle("/kept/", stays)
+			}
+			g := ground.New(ground.Options{Pool: cfg.Pool, Whole: keys.Whole, Moves: maxMoves}, told, log)
+			if stays != nil {
+				stays.Stand(g, l, ways(own))
+			}
 			keys.Stand(g, l, index.New(cfg.Index, leftCalls, keys.Reply, log))
 			go keys.Run(ctx)
 			mux.Handle("/hand/", keys)
@@ -109,12 +121,33 @@
 		longest = max(longest, core.ClaimLife(&k))
 	}
 	bytes := cfg.Limits.HomeBytes()
-	ways := map[string]string{}
+	return desk.New(desk.Options{Box: cfg.Name, Site: &cfg.Site, Cursor: cursor, Ways: ways(own),
+		Limits: hand.Limits{Records: int(bytes / 1024), Bytes: bytes, Longest: longest}}, sink, log)
+}
+
+// ways are the other boxes' addresses as the operator wrote them, by name.
+func ways(own *config.Operator) map[string]string {
+	out := map[string]string{}
 	for _, b := range own.Ledger.Peers.Others() {
-		ways[b.Name] = b.Addr
+		out[b.Name] = b.Addr
 	}
-	return desk.New(desk.Options{Box: cfg.Name, Site: &cfg.Site, Cursor: cursor, Ways: ways,
-		Limits: hand.Limits{Records: int(bytes / 1024), Bytes: bytes, Longest: longest}}, sink, log)
+	return out
+}
+
+// newKeep makes the keeper of replies of calls below; nil = it is off.
+func newKeep(cfg *config.Config, own *config.Operator, sink func(core.Event), log *slog.Logger) (*keep.Keep, error) {
+	if own.Kept.Bytes == 0 {
+		return nil, nil
+	}
+	return keep.New(own.Kept, cfg.Name, &cfg.Site, sink, log)
+}
+
+// together gives the figures of both; nil = there are none.
+func together(a, b func() []byte) func() []byte {
+	if a == nil {
+		return b
+	}
+	return func() []byte { return append(a(), b()...) }
 }
 
 // listenEach is how often an address that is in use is asked for again.
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -173,10 +173,22 @@
 	c := core.New(cfg.Site, log)
 	workers := pool.New(cfg.Pool, c.Send, log)
 	list := directory.New(cfg.Lookup, cfg.Name, log)
-	calls := index.New(cfg.Index, cfg.Limits.Calls, c.Send, log)
+	ended := c.Send
+	stays, err := newKeep(cfg, own, c.Send, log)
+	if err != nil {
+		return err
+	}
+	if stays != nil {
+		ended = stays.Ended
+	}
+	calls := index.New(cfg.Index, cfg.Limits.Calls, ended, log)
 	var below core.Caller = calls
 	if len(own.UWSGI.Below) > 0 {
-		below = uwsgi.NewClient(own.UWSGI, c.Send)
+		below = uwsgi.NewClient(own.UWSGI, ended)
+	}
+	if stays != nil {
+		stays.Attach(below)
+		below = stays
 	}
 	var keys core.Store
 	var claims *desk.Desk
@@ -213,7 +225,7 @@
 	defer holder.Close()
 	var figures func() []byte
 	if own.Ledger.Peers.Listen != "" {
-		fleet, lines, err := joinOthers(ctx, cfg, own, books, claims, c.Figures, holder, log)
+		fleet, lines, err := joinOthers(ctx, cfg, own, books, claims, stays, c.Figures, holder, log)
 		if err != nil {
 			return err
 		}
@@ -221,6 +233,10 @@
 		figures = lines
 		defer stop() // its last words are written before the process ends
 	}
+	if stays != nil {
+		go stays.Run(ctx)
+		figures = together(figures, stays.Lines)
+	}
 	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
 		desks, err := sock.Listen(own.UWSGI.Listen)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,6 +48,9 @@
 // HomeBytes is what a box keeps of keyed work as a home in its fleet.
 func (l *Limits) HomeBytes() int64 { return int64(l.MemoryMB) << 20 / 8 }
 
+// KeptBytes bounds the replies of calls below that a box keeps: a sixteenth of its memory.
+func (l *Limits) KeptBytes() int64 { return int64(l.MemoryMB) << 20 / 16 }
+
 // KeyFiles bounds the bytes of keys in $TMPDIR, which counts as memory: a sixteenth of it.
 func (l *Limits) KeyFiles() int64 { return int64(l.MemoryMB) << 20 / 16 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,6 +11,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/export"
 	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/keep"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -69,7 +70,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults()}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults(), keep.Defaults()}
 		if path != "" {
 			want.UWSGI.Listen, want.UWSGI.Below, want.Ledger.Peers.Boxes = "127.0.0.4:6566", []string{}, []string{}
 		}
@@ -108,6 +109,9 @@
 		"no way":       "[fleet]\ndir = 'x'\nzone = 'a'",
 		"one place":    "[fleet]\ndir = 'x'\nzone = 'a'\n[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
 		"half a pair":  "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
+		"kept unknown": "[kept]\nbytes = 100000\nclasses = { \"nothing\" = 5 }",
+		"kept keyed":   "[kept]\nbytes = 100000\nclasses = { \"book\" = 5 }",
+		"kept, off":    "[kept]\nclasses = { \"book\" = 5 }",
 		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
 	} {
 		path := filepath.Join(t.TempDir(), "o.toml")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,6 +11,7 @@
 
 	"larchscale/internal/export"
 	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/keep"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -23,6 +24,7 @@
 	Store  store.Options  `toml:"store"`
 	Ledger Ledger         `toml:"ledger"`
 	Fleet  driver.Options `toml:"fleet"`
+	Kept   keep.Options   `toml:"kept"`
 }
 
 // Ledger is the table of that name.
@@ -35,7 +37,7 @@
 // LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
 // it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults()}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults(), Kept: keep.Defaults()}
 	if path == "" {
 		return o, nil
 	}
@@ -71,11 +73,14 @@
 			return err
 		}
 	}
-	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check()); err != nil {
+	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check(), o.Kept.Check(&platform.Site, platform.Limits.KeptBytes())); err != nil {
 		return err
 	}
 	if o.Fleet.TakeOver { // what keys are claimed by does not wait behind what the fleet settles
 		o.Ledger.Peers.Lines = 2
+		if o.Kept.Bytes > 0 { // nor does what homes are asked wait behind claims
+			o.Ledger.Peers.Lines = 3
+		}
 	}
 	switch {
 	case o.Ledger.Collector.URL != "" && o.Ledger.Dir == "":
--- /dev/null
+++ b/internal/fleet/keep/home.go
@@ -0,0 +1,183 @@
+package keep
+
+import (
+	"context"
+
+	"larchscale/control"
+	"larchscale/internal/fleet/ground"
+	"larchscale/internal/kept"
+)
+
+const (
+	maxRemotes = 4096   // questions of other boxes that wait here
+	maxLeft    = 60_000 // ms that another box may have for a call
+	skew       = 2000   // ms that two boxes' clocks may differ by, as in package kept
+)
+
+// kind tells what a message means.
+type kind uint8
+
+const (
+	question kind = iota + 1 // is a reply kept
+	word                     // what a home says to it
+	reply                    // what a call below brought, for the home
+	failure                  // the call that a home waits for failed
+)
+
+// message is what one box says to another.
+type message struct {
+	Kind  kind
+	ID    uint64 // of the question; a reply has none
+	Class string
+	Sum   [32]byte
+	Ask   int64 // question: ms until an answer is too late
+	Left  int64 // question: ms until the call is; word: ms that the reply is good for
+	Epoch uint64
+	Has   bool
+	Leads bool // word: there is none, and the home waits for the one that the asker gets
+	Reply []byte
+	Born  int64 // Unix ms
+}
+
+// remote is another box that wants a reply of this home.
+type remote struct {
+	box      string
+	id       uint64
+	key      kept.Key
+	ask, due int64
+	leads    bool // it makes the call below
+}
+
+func (r *remote) until() int64 {
+	if r.leads {
+		return r.due
+	}
+	return r.ask
+}
+
+// View takes which box is home of what, on the fleet's loop.
+func (k *Keep) View(v *ground.View) {
+	k.enter(func(context.Context) {
+		homes := make([]uint16, kept.Slices)
+		for i := range homes {
+			homes[i] = kept.Nobody
+			if first, _ := v.Homes(i); first != "" && v.Life != 0 {
+				homes[i] = k.number(first)
+			}
+		}
+		if err := k.kept.Place(v.Epoch, homes); err != nil {
+			k.log.Warn("kept", "do", "place", "err", err)
+			return
+		}
+		k.homes, k.epoch = homes, v.Epoch
+	})
+}
+
+// number gives a box its number; it keeps it for as long as the process lives.
+func (k *Keep) number(box string) uint16 {
+	n, ok := k.numbers[box]
+	if !ok {
+		if len(k.names) >= kept.Nobody {
+			return kept.Nobody
+		}
+		n = uint16(len(k.names))
+		k.numbers[box], k.names = n, append(k.names, box)
+	}
+	return n
+}
+
+// at gives the number of a key's home.
+func (k *Keep) at(key kept.Key) uint16 {
+	if k.homes == nil {
+		return kept.Nobody
+	}
+	return k.homes[kept.Slice(key.Hash())]
+}
+
+// ask sends the question of one who wants a reply to its home.
+func (k *Keep) ask(ctx context.Context, w *want, a kept.Answer) []kept.Answer {
+	at := now()
+	w.ask, w.home = w.who, k.names[a.Box]
+	if k.to(ctx, w.home).say(message{Kind: question, ID: w.ask, Class: w.key.Class, Sum: w.key.Sum, Ask: a.Until - at, Left: w.due - at}) {
+		return nil
+	}
+	return k.kept.HomeFailed(w.key, a.Box)
+}
+
+// unasked takes a question that did not come to its home.
+func (k *Keep) unasked(ctx context.Context, box string, m message) {
+	k.tell(ctx, k.kept.HomeFailed(kept.Key{Class: m.Class, Sum: m.Sum}, k.number(box)), control.TimedOut)
+}
+
+// put tells a key's home what a call below brought: it waits for it, or will be asked for it.
+func (k *Keep) put(ctx context.Context, key kept.Key, body []byte, born int64) {
+	if n := k.at(key); n != self && n != kept.Nobody && len(body) <= maxReply {
+		k.to(ctx, k.names[n]).say(message{Kind: reply, Class: key.Class, Sum: key.Sum, Reply: body, Born: born})
+	}
+}
+
+// receive takes what another box said.
+func (k *Keep) receive(ctx context.Context, from string, m message) {
+	key, at := kept.Key{Class: m.Class, Sum: m.Sum}, now()
+	switch m.Kind {
+	case question:
+		k.who++
+		left := min(max(1, m.Left), maxLeft)
+		r := &remote{box: from, id: m.ID, key: key, due: at + left, ask: at + min(max(1, m.Ask), left)}
+		if k.at(key) != self || k.lasts[m.Class] == 0 || len(k.remotes) >= maxRemotes {
+			k.say(ctx, r)
+			return
+		}
+		k.remotes[k.who] = r
+		k.tell(ctx, []kept.Answer{k.kept.Want(at, key, k.who, r.due)}, control.TimedOut)
+	case word:
+		w := k.wants[m.ID]
+		if w == nil || w.ask != m.ID || w.home != from { // its time is over, and nothing comes of it
+			if m.Leads {
+				k.to(ctx, from).say(message{Kind: failure, ID: m.ID})
+			}
+			return
+		}
+		w.leads = m.Leads && key == w.key
+		k.tell(ctx, k.kept.HomeSaid(at, w.key, k.number(from), kept.Word{Epoch: m.Epoch, Class: m.Class, Sum: m.Sum, Has: m.Has, Reply: m.Reply, Born: m.Born, Left: m.Left}), control.TimedOut)
+	case reply:
+		if born := min(m.Born, at); k.at(key) == self && len(m.Reply) <= maxReply && m.Born <= at+skew && born+k.lasts[m.Class] > at {
+			k.tell(ctx, k.kept.Got(born, key, m.Reply), control.OK)
+		}
+	case failure:
+		for who, r := range k.remotes {
+			if r.box == from && r.id == m.ID {
+				delete(k.remotes, who)
+				if r.leads {
+					k.tell(ctx, k.kept.Failed(r.key, who), control.Errored)
+				} else {
+					k.tell(ctx, k.kept.Leave(r.key, who), control.Errored)
+				}
+				return
+			}
+		}
+	}
+}
+
+// answer does what kept says to another box.
+func (k *Keep) answer(ctx context.Context, a kept.Answer, r *remote) {
+	switch a.Do {
+	case kept.CallBelow:
+		r.leads = true
+		k.to(ctx, r.box).say(message{Kind: word, ID: r.id, Class: r.key.Class, Sum: r.key.Sum, Epoch: k.epoch, Leads: true})
+	case kept.Hit, kept.GiveUp:
+		delete(k.remotes, a.Who)
+		if !r.leads {
+			k.say(ctx, r)
+		}
+	}
+}
+
+// say tells another box what is kept here.
+func (k *Keep) say(ctx context.Context, r *remote) {
+	w := k.kept.Serve(now(), r.key)
+	if w.Has {
+		k.served.Add(1)
+	}
+	k.to(ctx, r.box).say(message{Kind: word, ID: r.id, Class: w.Class, Sum: w.Sum, Epoch: w.Epoch, Has: w.Has, Reply: w.Reply, Born: w.Born, Left: w.Left})
+}
--- /dev/null
+++ b/internal/fleet/keep/keep.go
@@ -0,0 +1,280 @@
+// Package keep is the core's Caller in front of the calls below: it carries out package kept on a goroutine of its own.
+// A call of a kept class is answered by a reply that is kept, by the call that another makes already, by the home of
+// its slice in the fleet, or below. Calls of other classes go below as they are.
+package keep
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/fleet/ground"
+	"larchscale/internal/kept"
+	"larchscale/internal/link"
+)
+
+const (
+	self       = 0    // this box, among the numbers of boxes
+	maxQueue   = 4096 // of what other boxes sent
+	maxSpoilt  = 4096 // handles whose call was given up
+	lastWord   = 50   // ms past its patience within which a call's own end is still heard
+	stoppedFor = time.Hour
+)
+
+// want is a call of the core that is not answered yet.
+type want struct {
+	who           uint64
+	handle, class string
+	body          []byte
+	key           kept.Key
+	due           int64
+	calling       bool   // below
+	ask           uint64 // number of its question to a home; 0 = none
+	home          string
+	leads         bool // the home waits for what becomes of its call
+}
+
+// Keep is one process's. Its methods are safe from any goroutine.
+type Keep struct {
+	box   string
+	ways  map[string]string
+	sink  func(core.Event)
+	log   *slog.Logger
+	wake  chan struct{}
+	mu    sync.Mutex
+	queue []func(context.Context)
+
+	below core.Caller
+	link  *link.Link // nil = no homes are asked
+	where func(box string) string
+
+	// Of the loop.
+	kept    *kept.Kept
+	lasts   map[string]int64 // ms, by kept class
+	who     uint64
+	wants   map[uint64]*want
+	handles map[string]*want
+	spoilt  *simplelru.LRU[string, struct{}] // a reply that was on its way must not pass for that of the handle's next call
+	remotes map[uint64]*remote
+	homes   []uint16 // nil = no placement yet
+	epoch   uint64
+	numbers map[string]uint16
+	names   []string // by number
+	lines   map[string]*line
+
+	hits, home, calls, served, bytes atomic.Int64
+}
+
+// New makes the keeper of a box that is off unless Options.Bytes is over 0; sink is told how calls end.
+func New(opt Options, box string, site *core.Site, sink func(core.Event), log *slog.Logger) (*Keep, error) {
+	store, err := opt.store(site)
+	if err != nil {
+		return nil, err
+	}
+	spoilt, err := simplelru.NewLRU[string, struct{}](maxSpoilt, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Keep{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
+		remotes: map[uint64]*remote{}, numbers: map[string]uint16{box: self}, names: []string{box}, lines: map[string]*line{}}, nil
+}
+
+// Attach gives it the calls below, whose sink is Ended. It comes before Run.
+func (k *Keep) Attach(below core.Caller) { k.below = below }
+
+// Stand gives it its ways to the homes, by name as the box's own, else as the fleet knows them. It comes before Run.
+func (k *Keep) Stand(g *ground.Ground, l *link.Link, ways map[string]string) {
+	k.link, k.where, k.ways = l, g.Addr, ways
+}
+
+// enter has f run on the loop. What the core asks for is as bounded as its open requests.
+func (k *Keep) enter(f func(context.Context)) {
+	k.mu.Lock()
+	k.queue = append(k.queue, f)
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keep) full() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.queue) >= maxQueue
+}
+
+// Run is the loop, until ctx ends.
+func (k *Keep) Run(ctx context.Context) {
+	timer := time.NewTimer(stoppedFor)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		case <-timer.C:
+		}
+		k.mu.Lock()
+		work := k.queue
+		k.queue = nil
+		k.mu.Unlock()
+		for _, f := range work {
+			f(ctx)
+		}
+		next := k.late(ctx)
+		k.bytes.Store(k.kept.Bytes())
+		timer.Reset(next)
+	}
+}
+
+func now() int64 { return time.Now().UnixMilli() }
+
+// late ends what has waited for too long, and gives when it is to be called again.
+func (k *Keep) late(ctx context.Context) time.Duration {
+	at := now()
+	next := k.kept.Next()
+	if next <= at {
+		k.tell(ctx, k.kept.Due(at), control.TimedOut)
+		next = k.kept.Next()
+	}
+	for who, r := range k.remotes {
+		if at >= r.until() {
+			delete(k.remotes, who)
+			k.tell(ctx, k.kept.Leave(r.key, who), control.TimedOut)
+		} else {
+			next = min(next, r.until())
+		}
+	}
+	if next == math.MaxInt64 {
+		return stoppedFor
+	}
+	return time.Duration(max(1, next-at)) * time.Millisecond
+}
+
+// Call implements core.Caller.
+func (k *Keep) Call(handle, class string, patience time.Duration, once bool, body []byte) {
+	k.enter(func(ctx context.Context) {
+		k.giveUp(ctx, handle)
+		if once || k.lasts[class] == 0 || k.spoilt.Contains(handle) {
+			k.below.Call(handle, class, patience, once, body)
+			return
+		}
+		at := now()
+		k.who++
+		w := &want{who: k.who, handle: handle, class: class, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
+		k.wants[w.who], k.handles[handle] = w, w
+		k.tell(ctx, []kept.Answer{k.kept.Want(at, w.key, w.who, w.due)}, control.TimedOut)
+	})
+}
+
+// Abandon implements core.Caller.
+func (k *Keep) Abandon(handle string) {
+	k.enter(func(ctx context.Context) {
+		if !k.giveUp(ctx, handle) {
+			k.below.Abandon(handle)
+		}
+	})
+}
+
+// giveUp drops what the core no longer wants; false = it is not wanted here.
+func (k *Keep) giveUp(ctx context.Context, handle string) bool {
+	w := k.handles[handle]
+	if w == nil {
+		return false
+	}
+	k.drop(ctx, w, true)
+	k.tell(ctx, k.kept.Leave(w.key, w.who), control.TimedOut)
+	return true
+}
+
+// drop takes a want out. A call below that is in hand for it goes with it.
+func (k *Keep) drop(ctx context.Context, w *want, failed bool) {
+	delete(k.wants, w.who)
+	delete(k.handles, w.handle)
+	if w.calling {
+		k.spoilt.Add(w.handle, struct{}{})
+		k.below.Abandon(w.handle)
+	}
+	if w.leads && failed {
+		k.to(ctx, w.home).say(message{Kind: failure, ID: w.ask})
+	}
+}
+
+// Ended takes how a call below ended, as the sink of the calls below.
+func (k *Keep) Ended(e core.Event) {
+	k.enter(func(ctx context.Context) {
+		c, ok := e.(core.CallEnded)
+		w := k.handles[c.Handle]
+		if !ok || w == nil {
+			k.sink(e)
+			return
+		}
+		if !w.calling {
+			return
+		}
+		w.calling = false
+		k.drop(ctx, w, c.Outcome != control.OK)
+		k.sink(c)
+		switch at := now(); c.Outcome {
+		case control.OK:
+			k.put(ctx, w.key, c.Body, at)
+			k.tell(ctx, k.kept.Got(at, w.key, c.Body), control.OK)
+		case control.Moot: // its own run is over, which says nothing of the service
+			k.tell(ctx, k.kept.Leave(w.key, w.who), control.TimedOut)
+		default:
+			k.tell(ctx, k.kept.Failed(w.key, w.who), c.Outcome)
+		}
+	})
+}
+
+// tell does what kept says to those who want a reply; those who are to give up end as told.
+func (k *Keep) tell(ctx context.Context, all []kept.Answer, end control.Outcome) {
+	for len(all) > 0 {
+		a := all[0]
+		all = all[1:]
+		if r := k.remotes[a.Who]; r != nil {
+			k.answer(ctx, a, r)
+			continue
+		}
+		w := k.wants[a.Who]
+		if w == nil {
+			continue
+		}
+		switch a.Do {
+		case kept.Hit:
+			if a.Box != self {
+				k.home.Add(1)
+			} else {
+				k.hits.Add(1)
+			}
+			k.drop(ctx, w, false)
+			k.sink(core.CallEnded{Handle: w.handle, Outcome: control.OK, Body: a.Reply})
+		case kept.GiveUp:
+			k.drop(ctx, w, true)
+			k.sink(core.CallEnded{Handle: w.handle, Outcome: end})
+		case kept.CallBelow:
+			k.calls.Add(1)
+			w.calling = true
+			k.below.Call(w.handle, w.class, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
+		case kept.AskHome:
+			all = append(all, k.ask(ctx, w, a)...)
+		}
+	}
+}
+
+// Lines are the figures for the door.
+func (k *Keep) Lines() []byte {
+	return fmt.Appendf(nil, "kept.hits=%d\nkept.home=%d\nkept.below=%d\nkept.served=%d\nkept.bytes=%d\n",
+		k.hits.Load(), k.home.Load(), k.calls.Load(), k.served.Load(), k.bytes.Load())
+}
+
+var _ core.Caller = (*Keep)(nil)
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -12,11 +13,21 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 )
 
-// callWithin is how long a run waits for the reply to its call.
-const callWithin = 300 * time.Millisecond
+// callWithin is how long a run waits for the reply to its call, and asksWithin where all runs make one.
+const (
+	callWithin = 300 * time.Millisecond
+	asksWithin = 3 * time.Second
+)
+
+// The body of a call below and the reply to it; where runs make different calls a number follows in both.
+const (
+	callBody  = "fleet-match"
+	callReply = "taxi"
+)
 
 // Site is what stands behind a box: its worker pool, the calls below and the directory. It outlives the box, and
 // counts how often each request's body has run.
@@ -35,11 +46,15 @@
 	notices []string // of this start of the box, numbered from 1
 	begun   map[string]string
 	waiting map[string]chan string // runs at a call, by handle
+	asks    int                    // different calls that runs make; 0 = one, by every third
+	below   time.Duration          // that a call below takes
+	asked   map[string]int         // made below, by body
+	wrong   int                    // runs that were given the reply to another call
 }
 
 // NewSite starts a site on loopback. A run takes work, and every third makes a call below.
 func NewSite(work time.Duration) (*Site, error) {
-	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, begun: map[string]string{}, waiting: map[string]chan string{}}
+	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, begun: map[string]string{}, waiting: map[string]chan string{}, asked: map[string]int{}}
 	for _, x := range []struct {
 		l      *net.Listener
 		addr   *string
@@ -85,6 +100,20 @@
 	s.use = share
 }
 
+// SetAsks has every run make one of so many different calls below, by its request's body, each of which takes so long.
+func (s *Site) SetAsks(n int, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asks, s.below = n, took
+}
+
+// Asked tells how often each call was made below, by its body, and how many runs were given the reply to another one.
+func (s *Site) Asked() (calls map[string]int, wrong int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.asked), s.wrong
+}
+
 // Runs tells how often each body has run.
 func (s *Site) Runs() map[string]int {
 	s.mu.Lock()
@@ -178,22 +207,29 @@
 	body, _ := base64.StdEncoding.DecodeString(arg)
 	began := time.Now()
 	s.runs[string(body)] = append(s.runs[string(body)], began)
-	calls := len(s.begun)%3 == 0
+	calls, number, within := len(s.begun)%3 == 0, "", callWithin
+	if s.asks > 0 {
+		calls, number, within = true, fmt.Sprintf(" %d", xxhash.Sum64(body)%uint64(s.asks)), asksWithin
+	}
 	var supplied chan string
 	if calls {
 		supplied = make(chan string, 1)
 		s.waiting[handle] = supplied
-		s.notice(`"event":"blocked","handle":%q,"arg":%q`, handle, base64.StdEncoding.EncodeToString([]byte("fleet-match")))
+		s.notice(`"event":"blocked","handle":%q,"arg":%q`, handle, base64.StdEncoding.EncodeToString([]byte(callBody+number)))
 	}
 	go func() {
 		fate := "complete"
 		if calls {
 			select {
-			case _, ok := <-supplied:
+			case arg, ok := <-supplied:
 				if !ok {
 					fate = "cancelled"
+				} else if got, _ := base64.StdEncoding.DecodeString(arg); string(got) != callReply+number {
+					s.mu.Lock()
+					s.wrong++
+					s.mu.Unlock()
 				}
-			case <-time.After(callWithin): // its request is over, as far as anybody can tell
+			case <-time.After(within): // its request is over, as far as anybody can tell
 				fate = "cancelled"
 				s.mu.Lock()
 				delete(s.waiting, handle)
@@ -228,10 +264,18 @@
 		if err != nil || n < 0 || n > 1<<20 {
 			return
 		}
-		if _, err := in.Discard(n + 2); err != nil {
+		body := make([]byte, n+2)
+		if _, err := io.ReadFull(in, body); err != nil {
 			return
 		}
-		fmt.Fprintf(c, "%s HIT 4\r\ntaxi\r\n", f[1])
+		call := string(body[:n])
+		s.mu.Lock()
+		s.asked[call]++
+		took := s.below
+		s.mu.Unlock()
+		time.Sleep(took)
+		reply := callReply + strings.TrimPrefix(call, callBody)
+		fmt.Fprintf(c, "%s HIT %d\r\n%s\r\n", f[1], len(reply), reply)
 	}
 }
 
