--- a/internal/fleet/driver/options.go
+++ b/internal/fleet/driver/options.go
@@ -22,7 +22,9 @@
 }
 
 // Defaults are the options that a file need not name.
-func Defaults() Options { return Options{Voters: 3, SilentMs: 3000, DrainMs: 5000, TrialCalls: []string{}} }
+func Defaults() Options {
+	return Options{Voters: 3, SilentMs: 3000, DrainMs: 5000, TrialCalls: []string{}}
+}
 
 // Check finds what cannot be.
 func (o *Options) Check() error {
--- a/internal/standin/below.go
+++ b/internal/standin/below.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -41,7 +42,7 @@
 	return b, nil
 }
 
-func (b *Below) reply() string {
+func (b *Below) reply(string) string {
 	b.calls.Add(1)
 	if rand.Uint64N(1000) < b.fails.Load() {
 		return "HIT 4\r\n" + noTaxi + "\r\n"
@@ -56,7 +57,7 @@
 func (b *Below) Close() { b.in.Close() }
 
 // calls answers calls below on one connection.
-func calls(c net.Conn, reply func() string) {
+func calls(c net.Conn, reply func(call string) string) {
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
@@ -72,9 +73,10 @@
 		if err != nil || n < 0 || n > 1<<20 {
 			return
 		}
-		if _, err := in.Discard(n + 2); err != nil {
+		body := make([]byte, n+2)
+		if _, err := io.ReadFull(in, body); err != nil {
 			return
 		}
-		fmt.Fprintf(c, "%s %s", f[1], reply())
+		fmt.Fprintf(c, "%s %s", f[1], reply(string(body[:n])))
 	}
 }
