Kept replies: a late home is left alone for a while, and nobody waits long for a lost box

Need: each call of a key at a home that is late cost a share of its time; at a home, who waited behind the call of a box that was gone ran out of time.

--- a/internal/fleet/keep/home.go
+++ b/internal/fleet/keep/home.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	maxRemotes = 4096   // questions of other boxes that wait here
-	maxLeft    = 60_000 // ms that another box may have for a call
-	skew       = 2000   // ms that two boxes' clocks may differ by, as in package kept
+	maxRemotes = 4096 // questions of other boxes that wait here
+	maxHold    = 1000 // ms that a question waits here, and that others wait for the call of who asked
+	holdShare  = 0.75 // of the time that an answer may take: it has to be on its way before
+	skew       = 2000 // ms that two boxes' clocks may differ by, as in package kept
 )
 
 // kind tells what a message means.
@@ -31,7 +32,7 @@
 	Class string
 	Sum   [32]byte
 	Ask   int64 // question: ms until an answer is too late
-	Left  int64 // question: ms until the call is; word: ms that the reply is good for
+	Left  int64 // word: ms that the reply is good for
 	Epoch uint64
 	Has   bool
 	Leads bool // word: there is none, and the home waits for the one that the asker gets
@@ -41,18 +42,11 @@
 
 // remote is another box that wants a reply of this home.
 type remote struct {
-	box      string
-	id       uint64
-	key      kept.Key
-	ask, due int64
-	leads    bool // it makes the call below
-}
-
-func (r *remote) until() int64 {
-	if r.leads {
-		return r.due
-	}
-	return r.ask
+	box   string
+	id    uint64
+	key   kept.Key
+	until int64
+	leads bool // it makes the call below
 }
 
 // View takes which box is home of what, on the fleet's loop.
@@ -98,9 +92,10 @@
 func (k *Keep) ask(ctx context.Context, w *want, a kept.Answer) []kept.Answer {
 	at := now()
 	w.ask, w.home = w.who, k.names[a.Box]
-	if k.to(ctx, w.home).say(message{Kind: question, ID: w.ask, Class: w.key.Class, Sum: w.key.Sum, Ask: a.Until - at, Left: w.due - at}) {
+	if k.to(ctx, w.home).say(message{Kind: question, ID: w.ask, Class: w.key.Class, Sum: w.key.Sum, Ask: a.Until - at}) {
 		return nil
 	}
+	w.ask = 0
 	return k.kept.HomeFailed(w.key, a.Box)
 }
 
@@ -122,14 +117,13 @@
 	switch m.Kind {
 	case question:
 		k.who++
-		left := min(max(1, m.Left), maxLeft)
-		r := &remote{box: from, id: m.ID, key: key, due: at + left, ask: at + min(max(1, m.Ask), left)}
+		r := &remote{box: from, id: m.ID, key: key, until: at + min(max(1, int64(holdShare*float64(m.Ask))), maxHold)}
 		if k.at(key) != self || k.lasts[m.Class] == 0 || len(k.remotes) >= maxRemotes {
 			k.say(ctx, r)
 			return
 		}
 		k.remotes[k.who] = r
-		k.tell(ctx, []kept.Answer{k.kept.Want(at, key, k.who, r.due)}, control.TimedOut)
+		k.tell(ctx, []kept.Answer{k.kept.Want(at, key, k.who, r.until)}, control.TimedOut)
 	case word:
 		w := k.wants[m.ID]
 		if w == nil || w.ask != m.ID || w.home != from { // its time is over, and nothing comes of it
@@ -138,7 +132,7 @@
 			}
 			return
 		}
-		w.leads = m.Leads && key == w.key
+		w.heard, w.leads = true, m.Leads && key == w.key
 		k.tell(ctx, k.kept.HomeSaid(at, w.key, k.number(from), kept.Word{Epoch: m.Epoch, Class: m.Class, Sum: m.Sum, Has: m.Has, Reply: m.Reply, Born: m.Born, Left: m.Left}), control.TimedOut)
 	case reply:
 		if born := min(m.Born, at); k.at(key) == self && len(m.Reply) <= maxReply && m.Born <= at+skew && born+k.lasts[m.Class] > at {
@@ -147,7 +141,7 @@
 	case failure:
 		for who, r := range k.remotes {
 			if r.box == from && r.id == m.ID {
-				delete(k.remotes, who)
+				k.dropRemote(who, r)
 				if r.leads {
 					k.tell(ctx, k.kept.Failed(r.key, who), control.Errored)
 				} else {
@@ -159,14 +153,21 @@
 	}
 }
 
+func (k *Keep) dropRemote(who uint64, r *remote) {
+	delete(k.remotes, who)
+	if k.led[r.key] == who {
+		delete(k.led, r.key)
+	}
+}
+
 // answer does what kept says to another box.
 func (k *Keep) answer(ctx context.Context, a kept.Answer, r *remote) {
 	switch a.Do {
 	case kept.CallBelow:
-		r.leads = true
+		r.leads, k.led[r.key] = true, a.Who
 		k.to(ctx, r.box).say(message{Kind: word, ID: r.id, Class: r.key.Class, Sum: r.key.Sum, Epoch: k.epoch, Leads: true})
 	case kept.Hit, kept.GiveUp:
-		delete(k.remotes, a.Who)
+		k.dropRemote(a.Who, r)
 		if !r.leads {
 			k.say(ctx, r)
 		}
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -39,7 +39,9 @@
 	calling       bool   // below
 	ask           uint64 // number of its question to a home; 0 = none
 	home          string
-	leads         bool // the home waits for what becomes of its call
+	heard         bool  // the home has answered
+	leads         bool  // the home waits for what becomes of its call
+	until         int64 // it waits no longer behind a call that another box makes; 0 = it does not
 }
 
 // Keep is one process's. Its methods are safe from any goroutine.
@@ -64,7 +66,8 @@
 	handles map[string]*want
 	spoilt  *simplelru.LRU[string, struct{}] // a reply that was on its way must not pass for that of the handle's next call
 	remotes map[uint64]*remote
-	homes   []uint16 // nil = no placement yet
+	led     map[kept.Key]uint64 // keys of this home that another box makes the call of, with who
+	homes   []uint16            // nil = no placement yet
 	epoch   uint64
 	numbers map[string]uint16
 	names   []string // by number
@@ -84,7 +87,7 @@
 		return nil, err
 	}
 	return &Keep{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
-		remotes: map[uint64]*remote{}, numbers: map[string]uint16{box: self}, names: []string{box}, lines: map[string]*line{}}, nil
+		remotes: map[uint64]*remote{}, led: map[kept.Key]uint64{}, numbers: map[string]uint16{box: self}, names: []string{box}, lines: map[string]*line{}}, nil
 }
 
 // Attach gives it the calls below, whose sink is Ended. It comes before Run.
@@ -146,12 +149,24 @@
 		k.tell(ctx, k.kept.Due(at), control.TimedOut)
 		next = k.kept.Next()
 	}
-	for who, r := range k.remotes {
-		if at >= r.until() {
-			delete(k.remotes, who)
+	for who, r := range k.remotes { // those that no flight knows of are late too
+		if at >= r.until {
+			k.dropRemote(who, r)
 			k.tell(ctx, k.kept.Leave(r.key, who), control.TimedOut)
-		} else {
-			next = min(next, r.until())
+		}
+		next = min(next, r.until)
+	}
+	if len(k.led) > 0 {
+		for _, w := range k.wants {
+			_, theirs := k.led[w.key]
+			switch {
+			case w.calling || w.until == 0 || !theirs:
+			case at >= w.until:
+				k.kept.Leave(w.key, w.who)
+				k.callBelow(w)
+			default:
+				next = min(next, w.until)
+			}
 		}
 	}
 	if next == math.MaxInt64 {
@@ -172,6 +187,9 @@
 		k.who++
 		w := &want{who: k.who, handle: handle, class: class, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
 		k.wants[w.who], k.handles[handle] = w, w
+		if _, theirs := k.led[w.key]; theirs { // that box may be gone
+			w.until = at + int64(askShare*float64(w.due-at))
+		}
 		k.tell(ctx, []kept.Answer{k.kept.Want(at, w.key, w.who, w.due)}, control.TimedOut)
 	})
 }
@@ -262,15 +280,22 @@
 			k.drop(ctx, w, true)
 			k.sink(core.CallEnded{Handle: w.handle, Outcome: end})
 		case kept.CallBelow:
-			k.calls.Add(1)
-			w.calling = true
-			k.below.Call(w.handle, w.class, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
+			if w.ask != 0 && !w.heard {
+				k.to(ctx, w.home).pause("it is late")
+			}
+			k.callBelow(w)
 		case kept.AskHome:
 			all = append(all, k.ask(ctx, w, a)...)
 		}
 	}
 }
 
+func (k *Keep) callBelow(w *want) {
+	k.calls.Add(1)
+	w.calling = true
+	k.below.Call(w.handle, w.class, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
+}
+
 // Lines are the figures for the door.
 func (k *Keep) Lines() []byte {
 	return fmt.Appendf(nil, "kept.hits=%d\nkept.home=%d\nkept.below=%d\nkept.served=%d\nkept.bytes=%d\n",
--- a/internal/fleet/keep/lines.go
+++ b/internal/fleet/keep/lines.go
@@ -19,7 +19,7 @@
 	batch      = 32      // messages of one request
 	maxBody    = 1 << 20 // bytes of one request
 	speakFor   = time.Second
-	restFor    = 250 * time.Millisecond // a box that was not reached is not asked
+	restFor    = 500 * time.Millisecond // a box that was late or not reached is not asked
 	path       = "/kept/messages"
 )
 
@@ -35,7 +35,7 @@
 	name string
 	addr string
 	wait chan message
-	rest atomic.Int64 // Unix ms until which nothing is sent
+	rest atomic.Int64 // Unix ms until which it is asked nothing
 	stop context.CancelFunc
 }
 
@@ -65,7 +65,7 @@
 
 // say takes a message; false = it does not get there.
 func (l *line) say(m message) bool {
-	if l == nil || now() < l.rest.Load() {
+	if l == nil || m.Kind == question && now() < l.rest.Load() {
 		return false
 	}
 	select {
@@ -76,6 +76,16 @@
 	}
 }
 
+// pause has the box be asked nothing for a while: what it may have is got below.
+func (l *line) pause(why string) {
+	if l == nil {
+		return
+	}
+	if at := now(); l.rest.Swap(at+restFor.Milliseconds()) <= at {
+		l.k.log.Info("kept", "do", "pause", "box", l.name, "ms", restFor.Milliseconds(), "why", why)
+	}
+}
+
 func (l *line) run(ctx context.Context, c *link.Client) {
 	defer c.Close()
 	for {
@@ -90,11 +100,10 @@
 			out.Messages = append(out.Messages, <-l.wait)
 		}
 		if err := l.post(ctx, c, &out); err != nil && ctx.Err() == nil {
-			l.rest.Store(now() + restFor.Milliseconds())
+			l.pause(err.Error())
 			for len(l.wait) > 0 {
 				out.Messages = append(out.Messages, <-l.wait)
 			}
-			l.k.log.Info("kept", "do", "send", "to", l.name, "messages", len(out.Messages), "err", err)
 			l.k.enter(func(ctx context.Context) {
 				for _, m := range out.Messages {
 					if m.Kind == question {
