--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// Who waits behind a call that is given up makes it in its place, at once.
+func TestACallThatIsGivenUpIsTheNextOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.below.takes = 10 * time.Millisecond
+		for _, h := range []string{"a", "b"} {
+			r.Call(h, "fare", time.Second, false, []byte("one"))
+		}
+		r.Abandon("a")
+		time.Sleep(11 * time.Millisecond)
+		synctest.Wait()
+		if a, b := r.told("a"), r.told("b"); len(a) != 0 || len(b) != 1 || string(b[0].Body) != "re one" || r.below.calls != 2 {
+			t.Errorf("%+v, %+v, %d calls below", a, b, r.below.calls)
+		}
+	})
+}
+
 // A reply that was on its way when its call was given up is not taken for that of the handle's next call.
 func TestALateReplyIsNotTheNextCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
