--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -53,12 +53,12 @@
 				left.to[a] = index.New(a, leftCalls, keys.Reply, log)
 			}
 			if stays != nil {
-				mux.Handle("/kept/", stays)
+				mux.Handle("/kept/", stays.Handler())
 				stays.Stand(g, l, ways(own))
 			}
 			keys.Stand(g, l, left)
 			go keys.Run(ctx)
-			mux.Handle("/hand/", keys)
+			mux.Handle("/hand/", keys.Handler())
 			modules = func() []driver.Module { return append(g.Modules(), tests.Module()) }
 		}
 		part := driver.NewPart(func() (*driver.Driver, error) {
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -13,6 +13,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/fleet/ground"
 	"larchscale/internal/fleet/hand"
+	"larchscale/internal/fleet/post"
 	"larchscale/internal/link"
 )
 
@@ -35,7 +36,6 @@
 type Desk struct {
 	opt    Options
 	ground *ground.Ground
-	link   *link.Link
 	sink   func(core.Event)
 	log    *slog.Logger
 	in     chan func()
@@ -50,7 +50,7 @@
 	life   uint64 // of the view that hand has
 	placed bool   // slices had homes in it
 	next   *ground.View
-	lines  map[string]*line
+	lines  *post.Lines[*hand.Msg]
 	heirs  map[hand.Owner]*heir
 	calls  Calls
 	last   tally
@@ -70,12 +70,13 @@
 // New makes a desk. It is the core's store from its start; what it is asked for before the fleet has a placement, it
 // refuses.
 func New(opt Options, sink func(core.Event), log *slog.Logger) *Desk {
-	return &Desk{opt: opt, sink: sink, log: log, in: make(chan func(), maxQueue), hand: hand.New(opt.Limits), lines: map[string]*line{}, heirs: map[hand.Owner]*heir{}}
+	return &Desk{opt: opt, sink: sink, log: log, in: make(chan func(), maxQueue), hand: hand.New(opt.Limits), heirs: map[hand.Owner]*heir{}}
 }
 
 // Stand gives the desk its ground and its ways, before Run.
 func (d *Desk) Stand(g *ground.Ground, l *link.Link, calls Calls) {
-	d.ground, d.link, d.calls = g, l, calls
+	d.ground, d.calls = g, calls
+	d.lines = d.newLines(l)
 }
 
 // Run is the loop, until ctx ends.
@@ -194,7 +195,7 @@
 		d.held.Store(d.life)
 	}
 	for _, s := range out.Sends {
-		d.to(ctx, s.To).say(s.Msg)
+		d.lines.Send(ctx, s.To, s.Msg)
 	}
 	for _, v := range out.Verdicts {
 		d.verdict(v)
