Measure: what keyed work that outlives its box costs, beside the same program without

Two fleets of three real processes in the same minute, one with take_over off: requests with and without a key at each in turn, keyed throughput in half seconds in turn, a kill with keyed work in hand, and a home's memory for a piece. Boxes of a stand-in fleet can reach each other without relays, and have more memory.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast
+.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand
 
 check: lint build size test
 
@@ -27,6 +27,9 @@
 measure-fleet: build
 	bin/measure fleet
 
+measure-hand: build
+	bin/measure hand
+
 measure-stopper: build
 	bin/measure stopper
 
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,6 +15,7 @@
 	Ledger   ledgerCmd   `cmd:"" help:"The ledger of use."`
 	Ops      opsCmd      `cmd:"" help:"The operators' door, its drain, and a handoff between two processes."`
 	Fleet    fleetCmd    `cmd:"" help:"Taking boxes out: a plan over real processes, a change of leader, what it costs a box."`
+	Hand     handCmd     `cmd:"" help:"Keyed work that outlives its box, beside the same program without."`
 	Stopper  stopperCmd  `cmd:"" help:"Trials of two ways: wrong winners over looks at every second, and units until a stop."`
 	Forecast forecastCmd `cmd:"" help:"Hits of kept replies foretold over moves of slices, with simulated boxes."`
 
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -32,6 +32,9 @@
 	Window = 34668 * time.Millisecond
 )
 
+// Memory is how many megabytes a box may use, unless its maker says otherwise.
+const Memory = 32
+
 // Build builds the real program into dir.
 func Build(dir string) (program string, err error) {
 	program = filepath.Join(dir, "larchscale")
@@ -66,6 +69,7 @@
 	program, home string
 	operator      string // the text of its operator's file, as given
 	window        time.Duration
+	memory        int // MB that it may use
 	cmd           *exec.Cmd
 	log           *tail
 	ended         chan struct{}
@@ -74,11 +78,11 @@
 // NewBox writes a box's files under home. operator is the text of its operator's file beyond the uwsgi front;
 // $DIR in it is the ledger's directory.
 func NewBox(program, home, name string, site *Site, operator string) (*Box, error) {
-	return newBox(program, home, name, site, operator, Window)
+	return newBox(program, home, name, site, operator, Window, Memory)
 }
 
-func newBox(program, home, name string, site *Site, operator string, window time.Duration) (*Box, error) {
-	b := &Box{Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), window: window, log: &tail{}}
+func newBox(program, home, name string, site *Site, operator string, window time.Duration, memory int) (*Box, error) {
+	b := &Box{memory: memory, Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), window: window, log: &tail{}}
 	var err error
 	if b.Listen, err = FreeAddr(); err != nil {
 		return nil, err
@@ -89,7 +93,7 @@
 // Twin is the next process of box b, as a replacement starts it: the same name and clients' address, the same
 // $TMPDIR, another door, uwsgi front and site under home.
 func (b *Box) Twin(home string, site *Site) (*Box, error) {
-	t := &Box{Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, window: b.window, log: &tail{}}
+	t := &Box{memory: b.memory, Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, window: b.window, log: &tail{}}
 	return t, t.write(site, b.operator)
 }
 
@@ -120,7 +124,7 @@
 		tenants = append(tenants, map[string]any{"Name": s, "Fraction": 0.25, "QuotaPerS": 1000})
 	}
 	config, err := json.Marshal(map[string]any{"name": name, "listen": b.Listen, "pool": site.Pool, "index": site.Index, "lookup": site.Lookup,
-		"seed": "1", "stop_ms": 1200, "limits": map[string]any{"memory_mb": 32, "sockets": 1024},
+		"seed": "1", "stop_ms": 1200, "limits": map[string]any{"memory_mb": b.memory, "sockets": 1024},
 		"settings": map[string]any{"Servers": 1, "RequestClasses": classes, "Tenants": tenants,
 			"FamilyInfo": map[string]any{"Cpus": 6, "Upstreams": 4, "Advert": "level", "MemoryKb": 8_000_000, "RunFactor": 8, "OwnStats": []string{"core_use", "on_cores", "heap_share", "links"},
 				"Below": "tier", "ClassCalls": []bool{true, true, true}, "HangupSeen": true, "Preemption": "drop"},
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -31,6 +31,8 @@
 	Work                 time.Duration // of a run
 	TakeOver             bool
 	Window               time.Duration // for which a keyed result is kept; 0 = Window
+	Memory               int           // MB that a box may use; 0 = Memory
+	Direct               bool          // they reach each other without Net: nothing goes wrong on the way, or takes longer
 	Makes                []Make        // box i runs Makes[i % len(Makes)]; none = all run the fleet's program
 	Certs                string        // a directory with ca.crt, and NAME.crt and NAME.key of each box and of ops; "" = without
 }
@@ -91,8 +93,8 @@
 	for i, m := range f.Members {
 		ways := ""
 		for _, to := range f.Members {
-			addr := m.Addr
-			if to != m {
+			addr := to.Addr
+			if to != m && !o.Direct {
 				if addr, err = f.Net.Relay(m.Name, to.Name, to.Addr); err != nil {
 					return err
 				}
@@ -119,7 +121,7 @@
 			k = o.Makes[i%len(o.Makes)]
 		}
 		runs, operator := m.text(k)
-		if m.Box, err = newBox(runs, at, m.Name, m.Site, operator, cmp.Or(o.Window, Window)); err != nil {
+		if m.Box, err = newBox(runs, at, m.Name, m.Site, operator, cmp.Or(o.Window, Window), cmp.Or(o.Memory, Memory)); err != nil {
 			return err
 		}
 		if err = m.Start(); err != nil {
