--- a/cmd/measure/stopper.go
+++ b/cmd/measure/stopper.go
@@ -16,6 +16,7 @@
 type stopperCmd struct {
 	Trials int    `default:"2000" help:"Trials of A against A; a quarter as many of each other kind."`
 	Seed   uint64 `default:"1" help:"Of all that is drawn."`
+	Boxes  int    `default:"5" help:"Real processes under a trial; 0 = none."`
 }
 
 // What the trials of the measure are planned for.
@@ -81,7 +82,10 @@
 	r.most("units to a stop, twice the effect", median(twice), "of fixed", 0.4)
 	r.most("winners missed in twice the fixed units", 100*(1-share(gain, ends(sequential.B))), "%", 10)
 	r.most("of them ended as none", 100*share(gain, ends(sequential.None)), "%", bound(p.Futility, len(gain)))
-	return nil
+	if c.Boxes == 0 {
+		return nil
+	}
+	return c.stops(r)
 }
 
 // fixedUnits is how many units, both arms together, a two-sided z-test with one look needs for a power. A unit is worth
--- a/internal/standin/below.go
+++ b/internal/standin/below.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // noTaxi is a reply that fails its run.
@@ -18,6 +19,7 @@
 	Addr  string
 	fails atomic.Uint64 // calls of 1000 whose reply spoils their run
 	calls atomic.Int64
+	last  atomic.Int64 // when the newest came, in Unix ns
 	in    net.Listener
 }
 
@@ -43,6 +45,7 @@
 
 func (b *Below) reply() string {
 	b.calls.Add(1)
+	b.last.Store(time.Now().UnixNano())
 	if rand.Uint64N(1000) < b.fails.Load() {
 		return "HIT 4\r\n" + noTaxi + "\r\n"
 	}
@@ -52,6 +55,9 @@
 // Calls tells how many calls have come.
 func (b *Below) Calls() int64 { return b.calls.Load() }
 
+// Last tells when the newest call came.
+func (b *Below) Last() time.Time { return time.Unix(0, b.last.Load()) }
+
 // Close ends the place.
 func (b *Below) Close() { b.in.Close() }
 
