larchctl: the commands of trials read an operator's file by itself

The check that a box makes calls below needs the platform's file, which an operator's command does not have: every command was refused with fleet.trial_calls set. A box without an index knows no calls that could be split instead.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -134,11 +134,14 @@
 
 // newTrials makes what sends calls below where trials have them go.
 func newTrials(cfg *config.Config, own *config.Operator, calls core.Caller, g *ground.Ground, sink func(core.Event), log *slog.Logger) *trials.Trials {
-	others := map[string]core.Caller{}
+	classes, others := cfg.Site.Classes, map[string]core.Caller{}
+	if cfg.Index == "" { // no class makes calls here
+		classes = nil
+	}
 	for _, a := range own.Fleet.TrialCalls {
 		others[a] = index.New(a, cfg.Limits.Calls, sink, log)
 	}
-	return trials.New(trials.Options{Classes: cfg.Site.Classes, Present: calls, Others: others, Holds: g.Holds, Now: g.Now}, log)
+	return trials.New(trials.Options{Classes: classes, Present: calls, Others: others, Holds: g.Holds, Now: g.Now}, log)
 }
 
 // listenEach is how often an address that is in use is asked for again.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -91,8 +91,6 @@
 		return errors.New("fleet.take_over and store.redis are two places for the same keys: set one")
 	case len(o.Fleet.TrialCalls) > 0 && len(u.Below) > 0:
 		return errors.New("fleet.trial_calls are places like the platform's index, and uwsgi.below takes its place: set one")
-	case len(o.Fleet.TrialCalls) > 0 && platform.Index == "":
-		return errors.New("fleet.trial_calls: this box makes no calls below")
 	case !strings.HasPrefix(u.Prefix, "/"):
 		return errors.New("uwsgi.prefix does not begin with a slash")
 	case u.MaxBody < 1 || u.MaxBody > 1<<20:
