--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -71,7 +71,7 @@
 // Limits are bounds and times. Zero fields take the values of Defaults.
 type Limits struct {
 	Records int           // at this home, and of this box's own; claims past it are refused
-	Bytes   int64         // of bodies and results at this home
+	Bytes   int64         // of bodies and results, at this home and again of this box's own
 	Longest time.Duration // the longest Life of any piece
 	Lag     time.Duration // the longest that a box whose lease holds can be behind a view
 	Adopted int           // pieces taken over and not ended at this box at a time
@@ -88,6 +88,7 @@
 	copyWait  = 2 * time.Second        // a source that is silent for it is not waited for
 	copyMost  = 64                     // records of a slice on their way to one box
 	copyBytes = 64 << 10               // and bytes of them
+	tellMost  = 2048                   // keys that a holder tells again in one tick
 	flyMost   = 2048                   // records on their way to all boxes; past it no copy of a slice begins
 	comeBack  = 500 * time.Millisecond // when to try again at homes that are not ready
 )
@@ -136,7 +137,16 @@
 type Probe struct {
 	Owner Owner
 	Pool  string
-	Keys  []Key
+	Keys  []Asked
+}
+
+// Asked is what a Probe asks of one key. Unless the process is Alone in that it may have won the key, another's pool may
+// have run it, or be running it: this one may be listened to, but must not be given the run.
+type Asked struct {
+	Key    Key
+	Handle string // by which the pool knows it; "" = not known
+	Cursor uint64 // of the pool: what that tells of the piece comes later
+	Alone  bool
 }
 
 // Adopt gives the core a piece to run. Its key is this box's as if it had been claimed here and won.
@@ -154,6 +164,13 @@
 }
 
 // Hand is one box's part: holder of what it claimed, home of the slices that the view gives it, and taker.
+//
+// Its driver gives it each view in the order of the log, beginning with the first in which the process's own entry
+// lives; extends the lease as the log renews it; ticks it every Retry; and drains it after each input or batch of
+// inputs, with the time of the draining. It sends what comes out as it comes: messages may be lost, doubled or late. An
+// order to the pool goes out by Won or Adopt alone, an answer by Finished or a Done verdict alone, both while Live.
+// Release is for keys that no pool was told of. After Disown all that the core has in hand is no longer the box's; the
+// driver takes a new life from the log and goes on with the same Hand, or a new one.
 type Hand struct {
 	lim    Limits
 	bug    defects
@@ -165,6 +182,7 @@
 	try  uint64
 	mine map[Key]*hold
 	busy []*hold
+	own  int64 // bytes of bodies and results in mine
 
 	slices  [Slices]slice
 	homed   []int     // slices that this box is home of, or keeps for the view
@@ -173,7 +191,8 @@
 	bytes   int64
 	flying  int // records of copies that are not acknowledged
 	expiry  expiries
-	adopted int // of mine, and on the way to be
+	adopted int  // of mine, and on the way to be
+	look    bool // lost pieces are to be looked at before the next drain
 
 	out    Outputs
 	place  map[string]int // of a box in out.Sends
@@ -213,7 +232,7 @@
 func (h *Hand) disown() {
 	h.over, h.out, h.place, h.self = true, Outputs{Disown: true}, nil, nil
 	h.mine, h.busy, h.open, h.expiry, h.homed = nil, nil, nil, nil, nil
-	h.slices, h.records, h.bytes, h.adopted, h.flying = [Slices]slice{}, 0, 0, 0, 0
+	h.slices, h.records, h.bytes, h.adopted, h.flying, h.own = [Slices]slice{}, 0, 0, 0, 0, 0
 }
 
 // Drain takes what is to be done. It looks at the lease once more: a box that stopped between an input and this
@@ -222,6 +241,10 @@
 	if !h.over && !h.live(now) {
 		return Outputs{}
 	}
+	if !h.over && h.look {
+		h.take(now)
+		h.loop(now)
+	}
 	out := h.out
 	h.out, h.place = Outputs{}, nil
 	return out
@@ -262,9 +285,7 @@
 	for _, k := range sortedKeys(h.mine) {
 		h.moved(now, h.mine[k])
 	}
-	if h.live(now) {
-		h.take(now)
-	}
+	h.look = true
 	h.loop(now)
 }
 
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -33,6 +33,7 @@
 type want struct {
 	who           uint64
 	handle, class string
+	subject       uint64
 	body          []byte
 	key           kept.Key
 	due           int64
@@ -176,16 +177,16 @@
 }
 
 // Call implements core.Caller.
-func (k *Keep) Call(handle, class string, patience time.Duration, once bool, body []byte) {
+func (k *Keep) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
 	k.enter(func(ctx context.Context) {
 		k.giveUp(ctx, handle)
 		if once || k.lasts[class] == 0 || k.spoilt.Contains(handle) {
-			k.below.Call(handle, class, patience, once, body)
+			k.below.Call(handle, class, subject, patience, once, body)
 			return
 		}
 		at := now()
 		k.who++
-		w := &want{who: k.who, handle: handle, class: class, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
+		w := &want{who: k.who, handle: handle, class: class, subject: subject, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
 		k.wants[w.who], k.handles[handle] = w, w
 		if _, theirs := k.led[w.key]; theirs { // that box may be gone
 			w.until = at + int64(askShare*float64(w.due-at))
@@ -293,7 +294,7 @@
 func (k *Keep) callBelow(w *want) {
 	k.calls.Add(1)
 	w.calling = true
-	k.below.Call(w.handle, w.class, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
+	k.below.Call(w.handle, w.class, w.subject, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
 }
 
 // Lines are the figures for the door.
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
@@ -30,9 +31,13 @@
 // Request is one request of a stream.
 type Request struct {
 	Handle, Stand, Class, Token, Body string
+	Subject                           string // "" = none
 	Budget                            time.Duration
+	Wait                              time.Duration // for an answer, after which it counts as lost; 0 = Budget and a second
 }
 
+func (r *Request) wait() time.Duration { return cmp.Or(r.Wait, r.Budget+patience) }
+
 // Stream makes the requests of a mixed stream, from a seed.
 type Stream struct {
 	rand *rand.Rand
@@ -107,7 +112,10 @@
 func (l *Line) Do(r Request) Seen {
 	s := Seen{r.Stand, r.Class, "lost"}
 	w := make(chan gjson.Result, 1)
-	token := ""
+	token, subject := "", ""
+	if r.Subject != "" {
+		subject = fmt.Sprintf(`"obj":%q,`, r.Subject)
+	}
 	if r.Token != "" {
 		token = fmt.Sprintf(`"token":%q,`, r.Token)
 	}
@@ -118,8 +126,8 @@
 	}
 	l.id++
 	l.open[l.id] = w
-	_, err := fmt.Fprintf(l.conn, `{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":%q,"budget":%d,"mem":24.5,"prio":0.9,%s"bytes":%q}}`+"\n",
-		l.id, r.Class, r.Handle, time.Now().UnixMilli(), r.Stand, r.Budget.Milliseconds(), token, base64.StdEncoding.EncodeToString([]byte(r.Body)))
+	_, err := fmt.Fprintf(l.conn, `{"jsonrpc":"2.0","id":%d,"method":%q,"params":{"rid":%q,"t0":%d,"peer":1,"acct":%q,"budget":%d,"mem":24.5,"prio":0.9,%s%s"bytes":%q}}`+"\n",
+		l.id, r.Class, r.Handle, time.Now().UnixMilli(), r.Stand, r.Budget.Milliseconds(), token, subject, base64.StdEncoding.EncodeToString([]byte(r.Body)))
 	l.mu.Unlock()
 	if err != nil {
 		return s
@@ -148,7 +156,7 @@
 		return s
 	}
 	defer c.Close()
-	c.SetDeadline(time.Now().Add(r.Budget + patience))
+	c.SetDeadline(time.Now().Add(r.wait()))
 	var vars []byte
 	for _, kv := range [][2]string{{"PATH_INFO", "/" + r.Class}, {"CONTENT_LENGTH", strconv.Itoa(len(r.Body))}, {"HTTP_X_STAND", r.Stand},
 		{"HTTP_X_BUDGET_MS", strconv.FormatInt(r.Budget.Milliseconds(), 10)}, {"HTTP_IDEMPOTENCY_KEY", r.Token}} {
--- a/internal/standin/churn.go
+++ b/internal/standin/churn.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		r := s.Next()
-		r.Class, r.Token = Classes[0], ""
+		r.Class, r.Token, r.Subject = Classes[0], "", r.Handle
 		c.sent.Add(1)
 		began := time.Now()
 		switch once(addr, r).End {
@@ -99,7 +99,7 @@
 		return Seen{r.Stand, r.Class, "lost"}
 	}
 	defer line.Close()
-	defer time.AfterFunc(r.Budget+patience, line.Close).Stop()
+	defer time.AfterFunc(r.wait(), line.Close).Stop()
 	return line.Do(r)
 }
 
