--- a/internal/fleet/keep/fleet_test.go
+++ b/internal/fleet/keep/fleet_test.go
@@ -142,3 +142,30 @@
 		}
 	}
 }
+
+// A box that is in no fleet keeps replies for itself.
+func TestABoxAlone(t *testing.T) {
+	t.Parallel()
+	site, err := standin.NewSite(5 * time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	site.SetAsks(1, 30*time.Millisecond)
+	b, err := standin.NewBox(program, t.TempDir(), "n1", site, on)
+	if err == nil {
+		err = b.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Kill()
+	c := standin.NewChurn(b.Listen, 4)
+	time.Sleep(2500 * time.Millisecond)
+	got := c.Stop()
+	calls, wrong := site.Asked()
+	t.Logf("%+v, %v", got, calls)
+	if n := calls["fleet-match 0"]; len(calls) != 1 || n < 1 || n > 3 || wrong > 0 || got.Served < 50 || got.Served < got.Sent-4 {
+		t.Errorf("%+v, %v, %d wrong\n%s", got, calls, wrong, b.Log())
+	}
+}
