--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"larchscale/control"
 	"larchscale/internal/core"
 	"larchscale/internal/kept"
+	"larchscale/internal/link"
 )
 
 // service is the calls below, of which some fail and some never end.
@@ -206,3 +208,32 @@
 		})
 	}
 }
+
+// A home that does not answer costs one call its share of the time left; then the home is asked nothing for a while.
+func TestALateHomeCostsItsShareOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.below.takes = 10 * time.Millisecond
+		r.enter(func(context.Context) {
+			r.link, r.where = &link.Link{}, func(string) string { return "there" }
+			l := &line{k: r.Keep, name: "n2", addr: "there", wait: make(chan message, maxWaiting)} // nobody carries what it is given
+			homes := slices.Repeat([]uint16{r.number("n2")}, kept.Slices)
+			r.lines["n2"], r.homes = l, homes
+			if err := r.kept.Place(1, homes); err != nil {
+				t.Error(err)
+			}
+		})
+		share := time.Duration(askShare*float64(time.Second+lastWord*time.Millisecond)) + 10*time.Millisecond
+		for i, want := range []time.Duration{share, 10 * time.Millisecond, 10 * time.Millisecond} {
+			h, began := fmt.Sprint(i), time.Now()
+			r.Call(h, "fare", 0, time.Second, false, []byte(h))
+			for len(r.told(h)) == 0 && time.Since(began) < time.Second {
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+			}
+			if took := time.Since(began); took < want || took > want+2*time.Millisecond {
+				t.Errorf("call %d took %v, want %v", i, took, want)
+			}
+		}
+	})
+}
