Where reading is dear, what is read is held while less than the queuing time waits

Change: a request under the cursor is held where the last window's reading took over dearRead of the cores, that window did not queue too long, and what is held is less than the queuing time of an overloaded window. No constant is new.

--- a/control/control.go
+++ b/control/control.go
@@ -199,9 +199,7 @@
 		stood: line{less: before}, dues: newHeap(), keys: newHeap(), lapsed: newHeap(), below: newHeap(),
 		now: now, born: now, opened: now, ticked: now, idle: cfg.IdleMax,
 		shortest: math.MaxInt64, least: math.MaxFloat64, healthy: true, said: -1, reading: math.Inf(1)}
-	c.cfg.Cores = max(1, cfg.Cores)
-	c.cfg.RunFactor = max(1, cfg.RunFactor)
-	c.cfg.Crowd = cmp.Or(cfg.Crowd, 2)
+	c.cfg.Cores, c.cfg.RunFactor, c.cfg.Crowd = max(1, cfg.Cores), max(1, cfg.RunFactor), cmp.Or(cfg.Crowd, 2)
 	if c.cfg.CallShare = cmp.Or(cfg.CallShare, 1); cfg.CallShare <= 0 && cfg.CallsTier {
 		c.cfg.CallShare = c.cfg.Crowd * float64(c.cfg.Cores) / callPart // only the crowd bounds the calls
 	}
@@ -280,11 +278,13 @@
 	}
 	b := min(int(r.Rank*bins), bins-1)
 	c.count[b]++
+	// Guards against a fleet, most of it cold, that reads each request several times and holds none.
+	paid := c.readUse > dearRead && c.over <= 1 && c.backlog() < queuePart*c.shortest.Seconds()
 	c.hold.add(r)
 	switch {
 	case c.leaving && r.arrived > c.notice+c.cfg.DrainGrace-c.cfg.Quantum:
 		c.refuse(r)
-	case b < c.cursor && !c.spare():
+	case b < c.cursor && !c.spare() && !paid:
 		c.wasQueued(r)
 		c.refuse(r)
 	case c.now+c.ahead(r)+c.serve(r) > r.aim:
