--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -17,7 +17,6 @@
 	"larchscale/control"
 	"larchscale/internal/core"
 	"larchscale/internal/fleet/ground"
-	"larchscale/internal/fleet/post"
 	"larchscale/internal/kept"
 	"larchscale/internal/link"
 )
@@ -69,9 +68,9 @@
 	homes   []uint16            // nil = no placement yet
 	epoch   uint64
 	numbers map[string]uint16
-	names   []string             // by number
-	lines   *post.Lines[message] // nil = there is nobody else
-	rests   map[string]int64     // boxes that are asked nothing, until when
+	names   []string         // by number
+	lines   sender           // nil = there is nobody else
+	rests   map[string]int64 // boxes that are asked nothing, until when
 
 	hits, home, calls, served, bytes atomic.Int64
 }
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -14,7 +14,6 @@
 	"larchscale/control"
 	"larchscale/internal/core"
 	"larchscale/internal/kept"
-	"larchscale/internal/link"
 )
 
 // service is the calls below, of which some fail and some never end.
@@ -209,16 +208,19 @@
 	}
 }
 
+// deaf takes all messages, and brings them nowhere.
+type deaf struct{}
+
+func (deaf) Send(context.Context, string, message) bool { return true }
+
 // A home that does not answer costs one call its share of the time left; then the home is asked nothing for a while.
 func TestALateHomeCostsItsShareOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		r.below.takes = 10 * time.Millisecond
 		r.enter(func(context.Context) {
-			r.link, r.where = &link.Link{}, func(string) string { return "there" }
-			l := &line{k: r.Keep, name: "n2", addr: "there", wait: make(chan message, maxWaiting)} // nobody carries what it is given
 			homes := slices.Repeat([]uint16{r.number("n2")}, kept.Slices)
-			r.lines["n2"], r.homes = l, homes
+			r.lines, r.homes = deaf{}, homes
 			if err := r.kept.Place(1, homes); err != nil {
 				t.Error(err)
 			}
--- a/internal/fleet/keep/lines.go
+++ b/internal/fleet/keep/lines.go
@@ -19,8 +19,13 @@
 	path       = "/kept/messages"
 )
 
+// sender brings a message to a box; false = it does not get there.
+type sender interface {
+	Send(ctx context.Context, box string, m message) bool
+}
+
 // newLines makes the lines to other boxes. A question that does not get there is as one that was not asked.
-func (k *Keep) newLines(l *link.Link, where func(string) string, ways map[string]string) *post.Lines[message] {
+func (k *Keep) newLines(l *link.Link, where func(string) string, ways map[string]string) sender {
 	return post.New(post.Options[message]{Box: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch, Within: speakFor, Rest: 0, // only questions rest, see pause
 		Addr: func(box string) string { return cmp.Or(ways[box], where(box)) },
 		Lost: func(to string, list []message, err error) {
