--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -127,7 +127,8 @@
 	// Release gives up the claim of what never ran. It touches no claim of before a Disown.
 	Release(k Key)
 	// Holds tells that what this server has claimed is still its own. It is asked at the moment of acting, by the
-	// loop, and must cost no more than an atomic read and a clock. Once false it stays so until a Disown is taken.
+	// loop, and must cost no more than an atomic read and a clock. Where claims may be another's it stays false until a
+	// Disown is taken; where it only could not be told for a while, it may hold again.
 	Holds() bool
 }
 
