Stand-ins: a port that a box will listen on again is given to no other test process

Seen: listen tcp 127.0.0.1:27243: address already in use, as packages with fleets ran beside each other and one drew the port of a box that was down. The port is marked by an abstract socket until the process that was given it ends.

--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -148,22 +148,26 @@
 // Operator is the path of its operator's file.
 func (b *Box) Operator() string { return filepath.Join(b.home, "operator.toml") }
 
-// given are the ports that FreeAddr has given in this process: who asks for many listens on none of them yet.
+// given are the ports that FreeAddr has given in this process, each with what keeps other processes from being given it:
+// who asks for many listens on none of them yet, and a box that is down on none of its own.
 var given sync.Map
 
 // FreeAddr gives an address of loopback that nobody listens on, below the ports that connections get: while a box is
-// down no connection takes its port. It gives none twice.
+// down no connection takes its port. It gives none twice, nor one that another process here was given and still runs.
 func FreeAddr() (string, error) {
 	var err error
 	for range 1000 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000))
-		if _, taken := given.LoadOrStore(addr, true); taken {
+		mark, taken := net.Listen("unix", "@larchscale-"+addr) // an abstract name: it ends with the process
+		if taken != nil {
 			continue
 		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", addr); err == nil {
+			given.Store(addr, mark)
 			return addr, l.Close()
 		}
+		mark.Close()
 	}
 	return "", errors.Join(errors.New("no free address"), err)
 }
