--- a/internal/fleet/desk/cases_test.go
+++ b/internal/fleet/desk/cases_test.go
@@ -43,7 +43,7 @@
 	t.Parallel()
 	times, callers, writes := 8, 6, 0
 	if *kills > 0 {
-		times, callers, writes = *kills, 24, 250**kills
+		times, callers, writes = *kills, 48, 250**kills
 	}
 	x := begin(t, nine, 1)
 	r := rand.New(rand.NewPCG(1, 5))
--- a/internal/fleet/hand/taker.go
+++ b/internal/fleet/hand/taker.go
@@ -167,6 +167,7 @@
 // adopt gives the core a piece that is this box's now at both homes.
 func (h *Hand) adopt(now time.Duration, r *record) {
 	x := &hold{p: r.p, try: r.take, state: holding, adopted: true, due: r.due, until: r.until, sent: now}
+	x.p.Cursor = 0 // it was of another pool
 	p := x.piece(now, true)
 	r.take = 0
 	h.mine[r.p.Key] = x
