Measure hand: a home's memory alone for a piece, without its holder's

The piece was claimed at its own home, so what its holder keeps was counted too: 1,335 bytes. A home keeps 867 bytes for a piece of 256 bytes in hand and 916 for one that ended.

--- a/cmd/measure/hand.go
+++ b/cmd/measure/hand.go
@@ -62,8 +62,13 @@
 	if err := c.loss(r, fleets[1]); err != nil {
 		return err
 	}
-	r.row("memory of a piece in hand at a home", pieceBytes(false), "bytes")
-	r.row("memory of a piece that ended at a home", pieceBytes(true), "bytes")
+	for i, name := range []string{"in hand", "that ended"} {
+		bytes, err := pieceBytes(i == 1)
+		if err != nil {
+			return err
+		}
+		r.row("memory of a piece "+name+" at a home", bytes, "bytes")
+	}
 	return nil
 }
 
@@ -226,8 +231,8 @@
 	return nil
 }
 
-// pieceBytes is what a home's record of a piece takes, with a body of 256 bytes, and with a result as long once it has ended.
-func pieceBytes(ended bool) float64 {
+// pieceBytes is what a home's record of a piece takes, with a body of 256 bytes, or with a result as long once it has ended.
+func pieceBytes(ended bool) (float64, error) {
 	const pieces = 20_000
 	heap := func() uint64 {
 		runtime.GC()
@@ -235,19 +240,37 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	}
+	const home, holder = "n1", "n2"
+	box := func(name string) *hand.Hand {
+		h := hand.New(hand.Limits{})
+		h.SetView(0, hand.View{Epoch: 1, Self: name, Life: 1, Lives: map[string]uint64{home: 1, holder: 1},
+			Homes: func(int) []string { return []string{home} }, Fresh: func(int) bool { return true }}, time.Hour)
+		return h
+	}
 	before := heap()
-	h := hand.New(hand.Limits{})
-	h.SetView(0, hand.View{Epoch: 1, Self: "n1", Life: 1, Lives: map[string]uint64{"n1": 1},
-		Homes: func(int) []string { return []string{"n1"} }, Fresh: func(int) bool { return true }}, time.Hour)
+	h := box(home)
+	from := box(holder) // gone when the home is measured
+	carry := func() {
+		for _, m := range from.Drain(0).Sends {
+			h.Receive(0, holder, m.Msg)
+		}
+		for _, m := range h.Drain(0).Sends {
+			from.Receive(0, home, m.Msg)
+		}
+	}
 	for i := range pieces {
 		k := hand.Key{Class: standin.Classes[1], Token: fmt.Sprintf("%032d", i)}
-		h.Claim(0, hand.Piece{Key: k, Body: make([]byte, 256), Handle: fmt.Sprintf("%016x", i), Due: time.Minute, Life: time.Minute})
+		from.Claim(0, hand.Piece{Key: k, Body: make([]byte, 256), Handle: fmt.Sprintf("%016x", i), Due: time.Minute, Life: time.Minute})
+		carry()
 		if ended {
-			h.Finish(0, k, true, make([]byte, 256), "")
+			from.Finish(0, k, true, make([]byte, 256), "")
+			carry()
 		}
-		h.Drain(0)
 	}
+	from = nil
 	after := heap()
-	runtime.KeepAlive(h)
-	return float64(after-before) / pieces
+	if n := h.Figures().Records; n != pieces {
+		return 0, fmt.Errorf("a home has %d of %d pieces", n, pieces)
+	}
+	return float64(after-before) / pieces, nil
 }
