--- a/internal/fleet/agree/parts.go
+++ b/internal/fleet/agree/parts.go
@@ -155,12 +155,3 @@
 
 // arrayType is CBOR's major type of an array.
 const arrayType = 4
-
-// strict reads what this version wrote, and nothing that has more in it.
-var strict = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 10, MaxNestedLevels: 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
-	if err != nil {
-		panic(err) // the library's own options
-	}
-	return m
-}()
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -183,11 +183,16 @@
 	return m
 }()
 
-// bounded keeps what a peer sends from sizing memory.
-var bounded = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 10, MaxNestedLevels: 16}.DecMode()
+// bounded keeps what a peer sends from sizing memory; strict takes nothing that has more in it than this version wrote.
+var (
+	bounded = reader(cbor.ExtraDecErrorNone)
+	strict  = reader(cbor.ExtraDecErrorUnknownField)
+)
+
+func reader(refuse cbor.ExtraDecErrorCond) cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 10, MaxNestedLevels: 16, ExtraReturnErrors: refuse}.DecMode()
 	if err != nil {
-		panic(err)
+		panic(err) // the library's own options
 	}
 	return m
-}()
+}
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -151,12 +152,7 @@
 }
 
 func (l *leases) member(name string) bool {
-	for _, m := range l.host.Members() {
-		if m.Name == name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.host.Members(), func(m agree.Member) bool { return m.Name == name })
 }
 
 // round has a majority asked for the renewals that wait.
