A server's connections end by a lingering close, and newcomers wait for room

Seen: a connection closed over unread bytes, or met by bytes just after, is reset, and what the system has not delivered goes with it. Now the writing half is closed, and the connection's own goroutine reads and drops until the other side has closed, for 500 ms and 64 KiB at most; a lingering connection keeps its place, and only an eighth may linger (TestPeersThatNeverCloseKeepNoPlace).

Seen: with no room left Server.take closed a connection unseen, with the request that it had brought (TestAFullServerKeepsNewcomersWaiting). Room is taken before the accept now, so that newcomers wait in the listener's queue, and an accept that fails backs off up to a second instead of each 5 ms.

Ruled out: TCP_NODELAY is set by the standard library, so small last writes are not held back. The uwsgi front's own lingering is the server's now.

--- a/internal/sock/box.go
+++ b/internal/sock/box.go
@@ -34,8 +34,12 @@
 	size    int
 	limit   int
 	budget  *Budget // nil = none
+	lingers bool    // a server's: Close ends the writing, and the connection's own goroutine the rest
 	writing bool
-	closing bool // close once all is written
+	quit    bool          // nothing more is read
+	closing bool          // end once all is written
+	flushed chan struct{} // closed when that is so
+	ended   bool          // flushed is closed
 	dead    bool
 	why     error // it is dead for another reason than Close or Kill
 	done    chan struct{}
@@ -43,7 +47,7 @@
 
 // NewBox makes the box of a connection, which is closed with it.
 func NewBox(conn net.Conn) *Box {
-	return &Box{conn: conn, limit: maxWaiting, done: make(chan struct{})}
+	return &Box{conn: conn, limit: maxWaiting, flushed: make(chan struct{}), done: make(chan struct{})}
 }
 
 // Send queues parts to be written together; the box keeps them. False = the connection is gone.
@@ -106,20 +110,65 @@
 	}
 	b.writing = false
 	if b.closing {
-		b.kill()
+		b.end()
 	}
 }
 
-// Close closes the connection once all that was queued is written.
+// Close ends the connection once all that was queued is written. Of a server's connection that is the writing half:
+// reading is given up at once, and its goroutine closes it after a lingering close (see Server).
 func (b *Box) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closing = true
+	if b.lingers {
+		b.conn.SetReadDeadline(past)
+	}
 	if !b.writing {
+		b.end()
+	}
+}
+
+// end is the end of the writing.
+func (b *Box) end() {
+	switch {
+	case !b.lingers:
 		b.kill()
+	case !b.ended && !b.dead:
+		b.ended = true
+		if h, ok := b.conn.(halfCloser); ok {
+			h.CloseWrite()
+		}
+		close(b.flushed)
 	}
 }
 
+// Wait bounds how long the connection's reader waits for what comes next; the zero time is no bound. It does nothing
+// once the connection is to end: a reader is not to wait beyond that.
+func (b *Box) Wait(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.closing && !b.quit {
+		b.conn.SetReadDeadline(until)
+	}
+}
+
+// stopReading ends the wait of the connection's reader and all that follow. What it has read it still answers.
+func (b *Box) stopReading() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.quit = true
+	b.conn.SetReadDeadline(past)
+}
+
+// Wake ends the wait of the connection's reader, which finds os.ErrDeadlineExceeded.
+func (b *Box) Wake() { b.Wait(past) }
+
+// halfCloser is a connection of which one half can be closed.
+type halfCloser interface{ CloseWrite() error }
+
+// past is a deadline that is over.
+var past = time.Unix(1, 0)
+
 // Kill closes the connection at once.
 func (b *Box) Kill() {
 	b.mu.Lock()
@@ -135,6 +184,10 @@
 		}
 		b.waiting = nil
 		b.conn.Close()
+		if !b.ended {
+			b.ended = true
+			close(b.flushed)
+		}
 		close(b.done)
 	}
 }
--- /dev/null
+++ b/internal/sock/read.go
@@ -0,0 +1,73 @@
+package sock
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Reader reads a connection, and can be asked for what has come already.
+type Reader struct {
+	Conn   net.Conn
+	NoWait bool // a read gives what has come, and os.ErrDeadlineExceeded if nothing has
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if !r.NoWait {
+		return r.Conn.Read(p)
+	}
+	s, ok := r.Conn.(syscall.Conn)
+	if !ok { // what has no queue of its own has nothing waiting
+		return 0, os.ErrDeadlineExceeded
+	}
+	rc, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	var rerr error
+	err = rc.Read(func(fd uintptr) bool {
+		for {
+			if n, rerr = unix.Read(int(fd), p); !errors.Is(rerr, unix.EINTR) {
+				return true
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(rerr, unix.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case rerr != nil:
+		return 0, os.NewSyscallError("read", rerr)
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Broken tells that the other side of a connection is known to be gone: a connection of which it closed only its
+// writing half is not.
+func Broken(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return true // a pipe has no halves
+	}
+	rc, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	broken := true
+	if rc.Control(func(fd uintptr) {
+		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		broken = err != nil || code != 0
+	}) != nil {
+		return true
+	}
+	return broken
+}
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -2,92 +2,121 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// Server accepts connections, each with a goroutine of its own.
+const (
+	lingerFor   = 500 * time.Millisecond // a connection that ended is read so long at the most
+	lingerBytes = 64 << 10               // and so far
+	acceptWait  = 5 * time.Millisecond   // after an accept that failed; doubled up to a second
+)
+
+// Server accepts connections, each with a goroutine of its own, and owns how they end.
+//
+// A connection ends by a lingering close: after the last write its writing half is closed, and what still comes is
+// read and dropped until the peer has closed too, for lingerFor and lingerBytes at the most. Closing over unread bytes,
+// or bytes that come just after, would reset the connection, and what the system had not yet delivered would go with
+// it. A connection that lingers keeps its place among those that are served; an eighth of all may linger at a time,
+// and beyond that one is closed at once: peers that never close must not keep the others out.
 type Server struct {
-	listener net.Listener
-	room     chan struct{}
-	budget   *Budget
-	handle   func(net.Conn, *Box)
-	mu       sync.Mutex
-	boxes    map[*Box]struct{}
+	listener  net.Listener
+	room      chan struct{} // one for each connection, and for the next one that is accepted
+	lingering chan struct{}
+	open      atomic.Int64
+	budget    *Budget
+	handle    func(net.Conn, *Box)
+	mu        sync.Mutex
+	boxes     map[*Box]struct{}
 }
 
 // NewServer serves up to limit connections at a time by handle, which returns when its connection is over.
 // What waits to be written to them is bounded by budget.
 func NewServer(l net.Listener, limit int, budget *Budget, handle func(net.Conn, *Box)) *Server {
-	return &Server{listener: l, room: make(chan struct{}, limit), budget: budget, handle: handle, boxes: map[*Box]struct{}{}}
+	return &Server{listener: l, room: make(chan struct{}, limit), lingering: make(chan struct{}, max(1, limit/8)), budget: budget,
+		handle: handle, boxes: map[*Box]struct{}{}}
 }
 
-// Serve accepts until the listener is closed. A connection beyond the limit is closed unseen: that proves
-// to its caller that nothing ran.
+// Serve accepts until the listener is closed. Where there is no room, connections wait in the listener's queue: to
+// close one unseen would lose the request that it may have brought.
 func (s *Server) Serve() error {
+	wait := acceptWait
 	for {
+		s.room <- struct{}{}
 		conn, err := s.listener.Accept()
+		if err == nil {
+			wait = acceptWait
+			s.take(conn)
+			continue
+		}
+		<-s.room
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // out of descriptors, or the caller was gone again: both pass
-			time.Sleep(5 * time.Millisecond)
-			continue
-		}
-		s.take(conn)
+		time.Sleep(wait) // out of descriptors, or the caller was gone again: both pass
+		wait = min(2*wait, time.Second)
 	}
 }
 
-// take serves conn where there is room, and closes it unseen where there is none.
+// take serves conn, for which there is room.
 func (s *Server) take(conn net.Conn) {
-	select {
-	case s.room <- struct{}{}:
-		go s.serve(conn)
-	default:
-		conn.Close()
-	}
+	s.open.Add(1)
+	go s.serve(conn)
 }
 
+// Conns is how many connections are served or linger.
+func (s *Server) Conns() int { return int(s.open.Load()) }
+
 func (s *Server) serve(conn net.Conn) {
 	b := NewBox(conn)
-	b.limit, b.budget = s.budget.Peer, s.budget
+	b.limit, b.budget, b.lingers = s.budget.Peer, s.budget, true
 	s.mu.Lock()
 	s.boxes[b] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
-		b.Close()
-		<-b.Done()
+		s.linger(b)
 		s.mu.Lock()
 		delete(s.boxes, b)
 		s.mu.Unlock()
+		s.open.Add(-1)
 		<-s.room
 	}()
 	s.handle(conn, b)
 }
 
-// Shut takes what waits in the listener's queue and closes it at once after: Serve returns, and the
-// connections go on. Closing alone would reset every connection still queued; what comes in the instant
+// linger ends a connection that nobody reads any longer.
+func (s *Server) linger(b *Box) {
+	defer b.Kill()
+	b.Close()
+	<-b.flushed
+	if _, ok := b.conn.(halfCloser); !ok {
+		return
+	}
+	select {
+	case s.lingering <- struct{}{}:
+		defer func() { <-s.lingering }()
+	default:
+		return
+	}
+	if b.conn.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+		io.Copy(io.Discard, io.LimitReader(b.conn, lingerBytes))
+	}
+}
+
+// Shut takes what waits in the listener's queue, as far as there is room, and closes it at once after: Serve returns,
+// and the connections go on. Closing alone would reset every connection still queued; what comes in the instant
 // between the last take and the close is still lost, where the kernel has no other listener to steer to.
 func (s *Server) Shut() {
 	if t, ok := s.listener.(*net.TCPListener); ok {
 		if rc, err := t.SyscallConn(); err == nil {
 			var taken []int
-			rc.Control(func(fd uintptr) {
-				for {
-					c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-					if err != nil {
-						if err == unix.EINTR || err == unix.ECONNABORTED {
-							continue
-						}
-						return
-					}
-					taken = append(taken, c)
-				}
-			})
+			rc.Control(func(fd uintptr) { taken = s.drain(int(fd)) })
 			s.listener.Close()
 			for _, fd := range taken {
 				s.adopt(fd)
@@ -98,18 +127,40 @@
 	s.listener.Close()
 }
 
+// drain takes the queue of a listening socket. Each connection has its place in room.
+func (s *Server) drain(listening int) (taken []int) {
+	for {
+		select {
+		case s.room <- struct{}{}:
+		default:
+			return taken
+		}
+		c, _, err := unix.Accept4(listening, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == nil {
+			taken = append(taken, c)
+			continue
+		}
+		<-s.room
+		if err != unix.EINTR && err != unix.ECONNABORTED {
+			return taken
+		}
+	}
+}
+
 // adopt serves a connection taken from the queue by hand, as Serve would.
 func (s *Server) adopt(fd int) {
 	f := os.NewFile(uintptr(fd), "")
 	conn, err := net.FileConn(f)
 	f.Close()
 	if err != nil {
+		<-s.room
 		return
 	}
 	s.take(conn)
 }
 
-// Stop closes the listener, and every connection after its last write; it waits for these up to limit.
+// Stop closes the listener, and every connection once its reader has returned, which gets nothing more to read, and
+// after its last write; it waits for these up to limit.
 func (s *Server) Stop(limit time.Duration) {
 	s.listener.Close()
 	s.mu.Lock()
@@ -120,7 +171,7 @@
 	s.mu.Unlock()
 	end := time.After(limit)
 	for _, b := range boxes {
-		b.Close()
+		b.stopReading()
 	}
 	for _, b := range boxes {
 		select {
@@ -130,3 +181,21 @@
 		}
 	}
 }
+
+// Servers are all that let connections in.
+type Servers []*Server
+
+// Shut takes what waits in the queues of all, and closes the listeners. It does not block.
+func (all Servers) Shut() {
+	for _, s := range all {
+		s.Shut()
+	}
+}
+
+// Conns is how many connections are served or linger at all of them.
+func (all Servers) Conns() (n int) {
+	for _, s := range all {
+		n += s.Conns()
+	}
+	return n
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	maxStray  = 64 << 10 // bytes after a request that are dropped; more is no gateway
-	lingerFor = 300 * time.Millisecond
+	maxStray = 64 << 10 // bytes after a request that are dropped; more is no gateway
 )
 
 // Front turns packets into the core's events and its answers into HTTP responses.
@@ -60,7 +59,7 @@
 	s.draining = true
 	if t := time.Now().Add(left); s.reading && t.Before(s.until) {
 		s.until = t
-		s.conn.SetReadDeadline(t) // an error shows at the next read
+		s.box.Wait(t) // an error shows at the next read
 	}
 }
 
@@ -72,14 +71,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reading, s.until = true, time.Now().Add(limit)
-	s.conn.SetReadDeadline(s.until)
+	s.box.Wait(s.until)
 }
 
 func (s *session) end() (draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reading = false
-	s.conn.SetReadDeadline(time.Time{})
+	s.box.Wait(time.Time{})
 	return s.draining
 }
 
@@ -95,7 +94,6 @@
 	draining := s.end()
 	if err != nil {
 		f.complain(box, err, draining)
-		f.linger(conn, in)
 		return
 	}
 	if path := v.get("PATH_INFO"); path == f.opt.Health && path != "" {
@@ -107,12 +105,10 @@
 	switch {
 	case q.Class < 0:
 		box.Send(response(404, "unknown class", nil))
-		f.linger(conn, in)
 		return
 	case problem != "":
 		f.log.Warn("bad message", "front", "uwsgi", "err", problem)
 		box.Send(response(400, problem, nil))
-		f.linger(conn, in)
 		return
 	}
 	f.core.Send(core.Arrive{Session: s, Reply: reply{box}, Req: q})
@@ -134,13 +130,6 @@
 	}
 }
 
-// linger reads on for a moment after an answer of the front's own: closing on unread bytes resets the
-// connection, and the client might lose the answer.
-func (f *Front) linger(conn net.Conn, in *bufio.Reader) {
-	conn.SetReadDeadline(time.Now().Add(lingerFor))
-	in.Discard(maxStray)
-}
-
 // complain answers a packet that is no request. A client that left without a byte gets nothing.
 func (f *Front) complain(box *sock.Box, err error, draining bool) {
 	if errors.Is(err, io.EOF) && !errors.Is(err, ErrPacket) {
