What was read is answered: one place decides when a connection ends, also at the end

The reader decides now, at the moment in which nothing is there to be read, and Session.Close names how much the core has heard, so that what is on its way wins. - a balancer that closed its writing half lost the answers it waited for (jsonrpc.Handle ended at EOF). It is answered now; one that has gone altogether is found out by a word to it, and its runs are stopped. - an event still in the loop's queue, or sent after it, had nobody to answer it (core.Send dropped it). It is refused as never run. - connections that nobody had accepted at the end were reset, and in a handoff a wait of 200 ms stood for "they have come". The core has the listeners shut itself (core.Listener), 190 ms before the kill or when all is over, and ends once no connection is open or lingers. - a connection on which too much came to nothing was closed under its caller: it is asked to make another (draining), and read no further only if it goes on.

Ruled out: half a line at the end (TestHalfALineAtTheEnd) never runs, and a withdraw that crosses its answer does no harm.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -252,7 +252,7 @@
 		go stays.Run(ctx)
 		figures = together(figures, stays.Lines)
 	}
-	fronts := []*sock.Server{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
+	fronts := sock.Servers{sock.NewServer(listener, conns, cfg.Limits.Budget(), jsonrpc.New(&cfg.Site, c, log).Handle)}
 	if own.UWSGI.Listen != "" {
 		desks, err := sock.Listen(own.UWSGI.Listen)
 		if err != nil {
@@ -260,6 +260,7 @@
 		}
 		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, cfg.Limits.Budget(), uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
 	}
+	c.Listen(fronts)
 	for _, f := range fronts {
 		go f.Serve()
 	}
@@ -281,7 +282,7 @@
 				if tests != nil {
 					tests.Leave()
 				}
-				leave(c, fronts, listener, started, &cfg.Site, log)
+				leave(c, listener, started, &cfg.Site, log)
 				continue
 			}
 			next, err := cfg.Reload(path)
@@ -317,7 +318,7 @@
 }
 
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
-func leave(c *core.Core, fronts []*sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
+func leave(c *core.Core, l net.Listener, started string, site *core.Site, log *slog.Logger) {
 	file, _ := os.ReadFile(started)
 	next := handoff.Successor(os.Getpid(), file, func(pid int) bool { return syscall.Kill(pid, 0) == nil })
 	if next == 0 {
@@ -330,13 +331,10 @@
 	}
 	kill := handoff.Kill(deadlines)
 	log.Info("handing off", "to", next, "kill_ms", kill.Milliseconds())
-	c.Send(core.Handoff{Kill: kill})
 	if err := sock.Steer(l, 1); err != nil {
 		log.Warn("handing off", "err", err)
 	}
-	for _, f := range fronts {
-		f.Shut()
-	}
+	c.Send(core.Handoff{Kill: kill})
 }
 
 // closeLedger has the last entries written, while the fronts write their last answers.
--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -130,7 +130,8 @@
 func (g *rig) Abandon(string)                                           {}
 func (g *rig) Report(bool)                                              {}
 func (g *rig) Drain(time.Duration)                                      {}
-func (g *rig) Close()                                                   {}
+func (g *rig) Close(uint64)                                             {}
+func (g *rig) Cut()                                                     {}
 
 type waiter struct {
 	g      *rig
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -26,6 +26,8 @@
 	switch {
 	case c.ctl == nil || c.over:
 		return "the worker pool is not up"
+	case c.ending:
+		return "the server ends"
 	case c.books != nil && !c.books.Ready():
 		return "the ledger cannot be written"
 	case len(c.byHandle) >= c.site.Bounds.Open:
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -41,7 +41,20 @@
 // Session is one connection of a front. Its methods must not block.
 type Session interface {
 	Drain(left time.Duration) // tell the other side to send nothing new; what has not come after left is not run
-	Close()                   // no request is open on it
+	// Close ends the connection, on which no request is open, unless something has come on it beyond the heard events
+	// that the core has taken of it, or is there to be read: that is delivered, and keeps the connection. So a request
+	// that was read is answered on its connection. The end is told by Closed.
+	Close(heard uint64)
+	// Cut has nothing further read. The connection ends, told by Closed, once all is answered that was delivered.
+	Cut()
+}
+
+// Listener is what lets connections in. Its methods must not block.
+type Listener interface {
+	// Shut takes the connections that others have made already, and lets no more in.
+	Shut()
+	// Conns is how many connections are open or about to end.
+	Conns() int
 }
 
 // Runner passes commands to the worker pool. Its methods must not block.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -55,9 +55,9 @@
 func (c *Core) left(r *request) {
 	r.session.open--
 	c.rest(r.session)
-	if c.strange(r.session) && r.session.open == 0 && c.sessions[r.session.Session] == r.session {
-		c.late.drop(&r.session.idle)
-		c.hangUp(r.session)
+	if x := r.session; x.idled >= 2*maxIdle && !x.once && !x.cut { // it goes on although it was asked to end
+		x.cut = true
+		x.Cut()
 	}
 }
 
--- a/internal/core/claims_test.go
+++ b/internal/core/claims_test.go
@@ -109,7 +109,7 @@
 		"the end of the server": {false, func(w *scenario.World) {
 			w.Send(core.Drain{})
 			w.Expect(3850*ms, "closed", "draining to c")
-			w.Expect(100*ms, "failed a", "book 1 failed[1 0 10000 39090 0 4 0]")
+			w.Expect(100*ms, "failed a", "close c", "book 1 failed[1 0 10000 39090 0 4 0]")
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"sync"
 	"time"
 
 	"larchscale/control"
@@ -19,12 +20,12 @@
 	pollEach   = 50 * time.Millisecond  // between two questions for the gauges
 	stopEarly  = 200 * time.Millisecond // before the kill by which the controller answers all
 	shutEarly  = 300 * time.Millisecond // before the end of the grace all are asked to send nothing more
+	endEarly   = 190 * time.Millisecond // before the kill at which nothing more is let in, and connections are ended
+	endLook    = 10 * time.Millisecond  // between two looks whether all of them have ended
 	quitEarly  = 100 * time.Millisecond // before the kill at which the program ends
 	quitAfter  = 500 * time.Millisecond // beyond the grace: with nothing left, the program ends sooner
 	callMargin = 100 * time.Millisecond // the layer below is given its patience and this
 	lostBefore = 100 * time.Millisecond // a link that ends may take commands of its last 50 ms with it
-	// a handoff ends no sooner: the connections taken from the listener's queue have come to the loop by then
-	handoffLinger = 200 * time.Millisecond
 )
 
 // Core owns the controller and the state of all requests. All fields belong to the goroutine of Run.
@@ -33,12 +34,14 @@
 	runner Runner
 	caller Caller
 	lister Lister
-	store  Store  // nil = keys are this server's alone
-	books  Booker // nil = no ledger
-	trials Judge  // nil = nobody asks
+	store  Store    // nil = keys are this server's alone
+	books  Booker   // nil = no ledger
+	trials Judge    // nil = nobody asks
+	doors  Listener // nil = none
 	log    *slog.Logger
 	events chan Event
 	ended  chan struct{} // closed when the loop is over
+	gate   sync.RWMutex  // held by those that send; see stopTaking
 
 	start    time.Time
 	now      time.Duration // since start, of this turn
@@ -78,18 +81,24 @@
 	held      bool // an operator drains it
 	notice    time.Duration
 	shut      bool // it leaves, and its grace is nearly over
+	ending    bool // connections are ended, and what still comes is refused
+	shutDoors bool // nothing more is let in
+	endCheck  deadline
 	over      bool
 }
 
 type session struct {
 	Session
 	open  int
+	heard uint64        // events that were taken of it
 	once  bool          // it carries one request
 	asked bool          // something came on it
 	idled int           // requests in a row that came to nothing
 	since time.Duration // nothing has been open on it
 	idle  deadline
 	told  bool // it was told to drain
+	ends  bool // its end was asked for, and it has not been heard of since
+	cut   bool // it is read no further
 }
 
 type state uint8
@@ -139,6 +148,7 @@
 	c.table.entries = map[Key]*entry{}
 	c.wake.do = c.woken
 	c.report.do = c.reported
+	c.endCheck.do = func() {} // the turn that it makes looks again
 	c.overdueAt.do = c.sweepOverdue
 	c.deep.proved = -1
 	c.deep.expiry.do = func() { c.judge(false) }
@@ -161,17 +171,56 @@
 // Keep names the ledger. It is called before Run.
 func (c *Core) Keep(b Booker) { c.books = b }
 
-// Send hands an event to the loop; it waits while the loop's queue is full. After the loop it does nothing.
+// Listen names what lets connections in. It is called before Run.
+func (c *Core) Listen(l Listener) { c.doors = l }
+
+// Send hands an event to the loop; it waits while the loop's queue is full. After the loop a request is refused.
 func (c *Core) Send(e Event) {
+	if !c.take(e) {
+		tooLate(e)
+	}
+}
+
+// take puts an event into the loop's queue; false = the loop is over.
+func (c *Core) take(e Event) bool {
+	c.gate.RLock()
+	defer c.gate.RUnlock()
+	select {
+	case <-c.ended:
+		return false
+	default:
+	}
 	select {
 	case c.events <- e:
+		return true
 	case <-c.ended:
+		return false
+	}
+}
+
+// stopTaking is the end of the loop: what is in its queue then, and all that comes later, is too late.
+func (c *Core) stopTaking() {
+	close(c.ended)
+	c.gate.Lock() // those that were sending have found out
+	defer c.gate.Unlock()
+	for len(c.events) > 0 {
+		tooLate(<-c.events)
+	}
+}
+
+// tooLate answers what was read when nobody decides any longer. It never ran.
+func tooLate(e Event) {
+	switch e := e.(type) {
+	case Arrive:
+		e.Reply.Answer(Answer{Kind: Refused, Why: "the server has ended", Hint: -1})
+	case Check:
+		e.Reply.Answer(Answer{Kind: Checked, Hint: -1})
 	}
 }
 
 // Run is the loop. It returns when all is answered after a Drain, or when ctx ends.
 func (c *Core) Run(ctx context.Context) {
-	defer close(c.ended)
+	defer c.stopTaking()
 	c.reported()
 	clock := time.NewTimer(0)
 	for !c.over {
@@ -351,6 +400,7 @@
 	grace := c.site.Control.DrainGrace
 	c.late.set(&deadline{do: c.shutDown}, c.now+max(0, grace-shutEarly))
 	c.late.set(&deadline{do: func() {}}, c.now+grace+quitAfter)
+	c.late.set(&deadline{do: c.end}, c.now+c.site.Stop-endEarly)
 	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
 }
 
@@ -364,7 +414,29 @@
 	c.handing = true
 	c.drain()
 	c.shutDown()
-	c.late.set(&deadline{do: func() {}}, c.now+handoffLinger)
+	c.closeDoors()
+}
+
+// closeDoors lets nothing more in: who has connected already is served, and later ones find no listener, or another
+// process's.
+func (c *Core) closeDoors() {
+	if c.doors != nil && !c.shutDoors {
+		c.shutDoors = true
+		c.doors.Shut()
+	}
+}
+
+// end asks for the end of all connections. What has come on one is answered first, and one that has come to this
+// server by now is heard: guards against requests that were read, or wait in a socket, when the process ends.
+func (c *Core) end() {
+	if c.ending {
+		return
+	}
+	c.ending = true
+	c.closeDoors()
+	for _, x := range c.sessions {
+		c.rest(x)
+	}
 }
 
 // shutDown asks all for nothing more, shortly before what comes would not be run. Guards against a fleet that
@@ -376,7 +448,11 @@
 	}
 }
 
+// tellDrain asks a connection's other side for nothing more, once.
 func (c *Core) tellDrain(x *session) {
+	if x.told {
+		return
+	}
 	x.told = true
 	x.Drain(max(0, c.notice+c.site.Control.DrainGrace-c.now))
 }
@@ -386,7 +462,15 @@
 	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 || len(c.unwritten) > 0 {
 		return
 	}
-	if c.ctl == nil || c.handing && c.now >= c.notice+handoffLinger || c.now >= c.notice+c.site.Control.DrainGrace+quitAfter {
+	if !c.ending && c.ctl != nil && !c.handing && c.now < c.notice+c.site.Control.DrainGrace+quitAfter {
+		return
+	}
+	if c.closeDoors(); !c.handing {
+		c.end()
+	}
+	if c.doors == nil || c.doors.Conns() == 0 {
 		c.over = true
+		return
 	}
+	c.late.set(&c.endCheck, c.now+endLook) // those that came last are not heard of yet, or linger
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -295,7 +295,27 @@
 			w.Send(w.Ask(h, "quote", ""), core.Withdraw{Session: w.Session("d"), Handle: h}) // not its own
 			w.Send(core.Withdraw{Session: w.Session("c"), Handle: h})
 		}
-		w.Expect(ms, "close c")
+		// The last request was sent before the connection could end: it is answered, by a refusal that nothing else sees.
+		w.Expect(ms, "draining to c", "refused w63", "close c")
+	})
+}
+
+// Who goes on although it was asked to end, time after time, is read no further.
+func TestAStrangeClientThatGoesOnIsCutOff(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "quote", ""), w.Ask("b", "quote", ""))
+		w.Expect(ms, "run a quote body", "run b quote body")
+		for i := range 130 { // all of them at once: none finds the connection idle
+			w.Send(w.Ask(fmt.Sprint("w", i), "quote", ""), core.Withdraw{Session: w.Session("c"), Handle: fmt.Sprint("w", i)})
+		}
+		var want []string
+		for i := range 66 {
+			want = append(want, fmt.Sprint("refused w", 64+i))
+			if i == 63 {
+				want = append(want, "cut c")
+			}
+		}
+		w.Expect(ms, want...)
 	})
 }
 
@@ -334,13 +354,27 @@
 	})
 }
 
-// Idle connections are closed; what crosses the close is not run.
+// Idle connections are closed; what comes once one has ended is not run, and what was sent before that, when the core had
+// asked for the end and not heard of the request yet, keeps the connection.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	play(t, false, func(w *scenario.World) {
 		w.Expect(31*time.Second, "close c")
 		w.Send(w.Ask("a", "quote", ""))
 		w.Expect(ms)
 	})
+	play(t, false, func(w *scenario.World) {
+		w.Expect(29900 * ms)
+		release := w.Block()
+		for range 800 { // more than a few turns take
+			w.Send(core.Hold{})
+		}
+		w.Send(w.Ask("a", "quote", ""))
+		time.Sleep(200 * ms) // it is idle for too long, and what has come on it stands in the queue
+		release()
+		w.Expect(ms, "run a quote body")
+		w.Send(finished("a", control.OK, "x"))
+		w.Expect(ms, "served a x")
+	})
 }
 
 // The shared store: a keyed request runs only with the claim in hand; without an answer it is refused, and
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -20,6 +20,9 @@
 	n := 0 // that are kept open; those of one request are bounded by their front
 	silent := func(x *session) bool { return !x.asked && c.now-x.since > newcomer }
 	for _, x := range c.sessions {
+		if x.ends {
+			continue
+		}
 		if !x.once {
 			n++
 		}
@@ -32,7 +35,6 @@
 		if out == newest {
 			c.log.Warn("crowded", "connections", n, "open", len(c.byHandle))
 		}
-		c.late.drop(&out.idle)
 		c.hangUp(out)
 	}
 }
@@ -60,22 +62,42 @@
 	c.watch(x)
 }
 
-// watch sets when an idle connection is closed.
+// watch sets when an idle connection is closed: at the end of the server that is now, and where too much came to
+// nothing, so that its caller makes another.
 func (c *Core) watch(x *session) {
-	if x.open == 0 && !x.once && c.idleAfter > 0 && c.sessions[x.Session] == x {
+	switch {
+	case x.open > 0 || x.ends || c.sessions[x.Session] != x:
+	case c.ending:
+		c.hangUp(x)
+	case c.strange(x):
+		c.tellDrain(x)
+		c.hangUp(x)
+	case !x.once && c.idleAfter > 0:
 		c.late.set(&x.idle, x.since+c.idleAfter)
 	}
 }
 
-// hangUp closes an idle connection. What crosses the close is not run: its session is no longer known.
+// hangUp asks for the end of an idle connection. The connection decides: what has come on it by then is taken, and
+// keeps it.
 func (c *Core) hangUp(x *session) {
-	delete(c.sessions, x.Session)
-	x.Close()
+	c.late.drop(&x.idle)
+	x.ends = true
+	x.Close(x.heard)
 }
 
-// use marks a connection as in use; false = it was closed, and nothing can be answered on it.
-func (c *Core) use(s Session) (*session, bool) {
+// hear notes an event of a connection; nil = it is gone, and nothing can be answered on it.
+func (c *Core) hear(s Session) *session {
 	x := c.sessions[s]
+	if x != nil {
+		x.heard++
+		x.ends = false
+	}
+	return x
+}
+
+// use marks a connection as in use; false = it is gone.
+func (c *Core) use(s Session) (*session, bool) {
+	x := c.hear(s)
 	if x == nil {
 		return nil, false
 	}
@@ -110,6 +132,9 @@
 	if r := c.byHandle[handle]; r != nil && r.session.Session == s {
 		c.gone(r)
 	}
+	if x := c.hear(s); x != nil {
+		c.watch(x)
+	}
 }
 
 // gone is a request that nobody waits for any longer: no answer is owed.
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"encoding/base64"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -22,8 +24,13 @@
 	firstWithin = 1500 * time.Millisecond // after connecting, the first message is whole
 	lineWithin  = 1500 * time.Millisecond // after its first byte, a further one is
 	openWithin  = 8 * time.Second         // or, where requests are open, which its end would lose
+	firstLook   = 5 * time.Millisecond    // whether the other side has gone altogether; then after twice as long
+	maxLook     = 200 * time.Millisecond
 )
 
+// errRetired is a connection that is read no further.
+var errRetired = errors.New("retired")
+
 // Front turns lines into the core's events and its answers into lines.
 type Front struct {
 	site *core.Site
@@ -34,13 +41,22 @@
 // New makes the front; its Handle serves one connection.
 func New(site *core.Site, c *core.Core, log *slog.Logger) *Front { return &Front{site, c, log} }
 
-// session is one connection. Its lock guards the ids that are open on it.
+// session is one connection. Its lock guards what follows it, and settles the crossing of what is read with the core's
+// wish to end the connection: the reader alone decides, at the moment in which nothing is there to be read.
 type session struct {
-	box   *sock.Box
-	asked bool   // a request or a check came; of its reader, as is last
-	last  uint64 // the highest id so far
-	mu    sync.Mutex
-	open  map[string]string // handle by id
+	box       *sock.Box
+	in        *bufio.Reader
+	src       *sock.Reader
+	asked     bool   // a request or a check came; of its reader, as is last
+	last      uint64 // the highest id so far
+	mu        sync.Mutex
+	open      map[string]string // handle by id; an id is free again before its answer is written
+	owed      map[string]bool   // ids whose answer is not written yet, those of checks after a "c"
+	answered  chan struct{}     // something was answered or withdrawn since it was last looked at
+	delivered uint64            // events that the core was sent
+	resting   bool              // its reader waits for the first byte of a line
+	retire    bool              // the connection is to end unless something has come
+	cut       bool              // nothing more is to be read
 }
 
 // Drain says that nothing new should come on this connection.
@@ -48,8 +64,80 @@
 	s.box.Send([]byte(`{"jsonrpc":"2.0","method":"draining"}` + "\n"))
 }
 
-// Close closes the connection once all is written.
-func (s *session) Close() { s.box.Close() }
+// Close implements core.Session.
+func (s *session) Close(heard uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delivered == heard {
+		s.retire = true
+		s.wake()
+	}
+}
+
+// Cut implements core.Session.
+func (s *session) Cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = true
+	s.wake()
+}
+
+func (s *session) wake() {
+	if s.resting {
+		s.box.Wake()
+	}
+}
+
+// rest has the reader wait for the first byte of a line, and up to a time, zero = at no time. It fails with errRetired
+// when the connection is to end and nothing is there to be read, not even what has come but now.
+func (s *session) rest(until time.Time) error {
+	for {
+		s.mu.Lock()
+		s.resting = true
+		s.src.NoWait = s.retire || s.cut
+		s.box.Wait(until) // where it is woken after this, the wait ends at once
+		s.mu.Unlock()
+		_, err := s.in.Peek(1)
+		s.mu.Lock()
+		s.resting = false
+		tried := s.src.NoWait
+		s.src.NoWait = false
+		cut, retire := s.cut, s.retire
+		s.mu.Unlock()
+		switch {
+		case cut, retire && tried && errors.Is(err, os.ErrDeadlineExceeded):
+			return errRetired
+		case retire && !tried && errors.Is(err, os.ErrDeadlineExceeded): // woken
+			continue
+		}
+		return err
+	}
+}
+
+// deliver hands an event to the core, which from then on knows better than to end the connection.
+func (f *Front) deliver(s *session, e core.Event) {
+	s.mu.Lock()
+	s.delivered++
+	s.retire = false
+	s.mu.Unlock()
+	f.core.Send(e)
+}
+
+// awaitAnswers keeps a connection that is read no further until all that is open on it is answered, or its other side
+// is gone.
+func (s *session) awaitAnswers(conn net.Conn) {
+	for look := firstLook; s.owes(); look = min(2*look, maxLook) {
+		select {
+		case <-s.box.Done():
+			return
+		case <-s.answered:
+		case <-time.After(look):
+			if sock.Broken(conn) {
+				return
+			}
+		}
+	}
+}
 
 // take notes an open id; false = it does not count up, or too many are open.
 func (s *session) take(m message) bool {
@@ -60,6 +148,7 @@
 	}
 	s.last = m.num
 	s.open[m.id] = m.req.Handle
+	s.owed[m.id] = true
 	return true
 }
 
@@ -75,6 +164,29 @@
 	delete(s.open, id)
 }
 
+func (s *session) owes() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.owed) > 0
+}
+
+// send writes the answer to an id, which is owed no longer.
+func (s *session) send(id string, parts ...[]byte) {
+	s.box.Send(parts...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(id)
+}
+
+// settle notes that no answer to an id is owed. The caller holds the lock.
+func (s *session) settle(id string) {
+	delete(s.owed, id)
+	select {
+	case s.answered <- struct{}{}:
+	default:
+	}
+}
+
 // withdraw takes an open request off, named by its id or, with no id, by its handle; "" = none is open.
 func (s *session) withdraw(id, handle string) string {
 	s.mu.Lock()
@@ -82,6 +194,7 @@
 	for i, h := range s.open {
 		if i == id || id == "" && h == handle {
 			delete(s.open, i)
+			s.settle(i)
 			return h
 		}
 	}
@@ -90,19 +203,26 @@
 
 // Handle reads one connection until it ends.
 func (f *Front) Handle(conn net.Conn, box *sock.Box) {
-	s := &session{box: box, open: map[string]string{}}
+	src := &sock.Reader{Conn: conn}
+	s := &session{box: box, src: src, in: bufio.NewReaderSize(src, maxLine), open: map[string]string{}, owed: map[string]bool{}, answered: make(chan struct{}, 1)}
 	f.core.Send(core.Opened{Session: s})
 	defer f.core.Send(core.Closed{Session: s})
-	in := bufio.NewReaderSize(conn, maxLine)
 	first := time.Now().Add(firstWithin)
 	for {
-		within := time.Duration(0)
+		var until time.Time
 		if !s.asked {
-			within = max(time.Until(first), time.Millisecond)
+			until = first
 		}
-		line, err := s.readLine(conn, in, within)
+		line, err := s.readLine(until)
 		if err != nil {
 			switch {
+			case errors.Is(err, errRetired):
+				s.awaitAnswers(conn)
+			case errors.Is(err, io.EOF) && s.owes():
+				// It may have closed its writing half alone, and wait for its answers. What it is told is an error
+				// to one that has gone, which then shows.
+				s.Drain(0)
+				s.awaitAnswers(conn)
 			case errors.Is(err, sock.ErrLong):
 				f.log.Warn("bad message", "front", "jsonrpc", "err", err)
 			case box.Err() != nil:
@@ -116,23 +236,26 @@
 	}
 }
 
-// readLine reads a line. The wait for its first byte is bounded by within, 0 = not at all: the core closes
-// what stands idle. A line that has begun has to come whole: guards against clients that send half of one.
-func (s *session) readLine(conn net.Conn, in *bufio.Reader, within time.Duration) ([]byte, error) {
-	if p, _ := in.Peek(in.Buffered()); bytes.IndexByte(p, '\n') >= 0 {
-		return sock.Line(in)
+// readLine reads a line. Until a time it has to come whole, zero = no time is set: the core closes what stands idle.
+// A line that has begun has to come whole then too: guards against clients that send half of one.
+func (s *session) readLine(until time.Time) ([]byte, error) {
+	if p, _ := s.in.Peek(s.in.Buffered()); bytes.IndexByte(p, '\n') >= 0 {
+		return sock.Line(s.in)
 	}
-	if within == 0 {
-		if _, err := in.Peek(1); err != nil {
+	if s.in.Buffered() == 0 {
+		if err := s.rest(until); err != nil {
 			return nil, err
 		}
-		if within = lineWithin; s.count() > 0 {
+	}
+	if until.IsZero() {
+		within := lineWithin
+		if s.count() > 0 {
 			within = openWithin
 		}
+		until = time.Now().Add(within)
 	}
-	conn.SetReadDeadline(time.Now().Add(within))
-	defer conn.SetReadDeadline(time.Time{})
-	return sock.Line(in)
+	s.box.Wait(until)
+	return sock.Line(s.in)
 }
 
 // message takes one line; false = the connection cannot go on. Whoever breaks the protocol gets an error
@@ -153,13 +276,16 @@
 	switch m.method {
 	case "status":
 		s.asked = true
-		f.core.Send(core.Check{Session: s, Reply: reply{s, m.id}, Deep: m.deep})
+		s.mu.Lock()
+		s.owed["c"+m.id] = true
+		s.mu.Unlock()
+		f.deliver(s, core.Check{Session: s, Reply: reply{s, m.id}, Deep: m.deep})
 	case "withdraw":
 		m.req.Handle = s.withdraw(m.ref, m.req.Handle)
-		f.core.Send(core.Withdraw{Session: s, Handle: m.req.Handle})
+		f.deliver(s, core.Withdraw{Session: s, Handle: m.req.Handle})
 	default:
 		s.asked = true
-		f.core.Send(core.Arrive{Session: s, Reply: reply{s, m.id}, Req: m.req})
+		f.deliver(s, core.Arrive{Session: s, Reply: reply{s, m.id}, Req: m.req})
 	}
 	return true
 }
@@ -180,13 +306,13 @@
 	switch a.Kind {
 	case core.Checked:
 		head := `{"jsonrpc":"2.0","id":` + r.id + `,"result":{"up":` + strconv.FormatBool(a.Up)
-		r.s.box.Send([]byte(head), comma(data), []byte("}}\n"))
+		r.s.send("c"+r.id, []byte(head), comma(data), []byte("}}\n"))
 		return
 	case core.Served:
 		r.s.release(r.id)
 		head := `{"jsonrpc":"2.0","id":` + r.id + `,"result":{"bytes":"`
 		body := base64.StdEncoding.AppendEncode(make([]byte, 0, base64.StdEncoding.EncodedLen(len(a.Body))+1), a.Body)
-		r.s.box.Send([]byte(head), append(body, '"'), comma(data), []byte("}}\n"))
+		r.s.send(r.id, []byte(head), append(body, '"'), comma(data), []byte("}}\n"))
 		return
 	}
 	r.s.release(r.id)
@@ -204,7 +330,7 @@
 		// The connection stays: who copies the id or key of a request that is on its way may come before it.
 		code = badParams
 	}
-	r.s.box.Send(errorLine(r.id, code, a.Why, data))
+	r.s.send(r.id, errorLine(r.id, code, a.Why, data))
 }
 
 func sep(data []byte) []byte {
--- a/internal/scenario/peer.go
+++ b/internal/scenario/peer.go
@@ -4,8 +4,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"regexp"
 	"strings"
 	"testing"
@@ -113,5 +116,28 @@
 	return string(all)
 }
 
+// Name tells the peers of a test apart: four hex digits.
+func (p *Peer) Name() string { return fmt.Sprintf("%04x", p.conn.LocalAddr().(*net.TCPAddr).Port) }
+
+// Addr is the server's address.
+func (p *Peer) Addr() string { return p.conn.RemoteAddr().String() }
+
+// Gone reads up to the end of the connection, which may be a reset.
+func (p *Peer) Gone() {
+	p.t.Helper()
+	p.conn.SetReadDeadline(time.Now().Add(patience))
+	if all, err := io.ReadAll(p.in); errors.Is(err, os.ErrDeadlineExceeded) {
+		p.t.Fatalf("no end after %q", all)
+	}
+}
+
+// HalfClose closes the writing half: what comes is still read.
+func (p *Peer) HalfClose() {
+	p.t.Helper()
+	if err := p.conn.(*net.TCPConn).CloseWrite(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // Close hangs up.
 func (p *Peer) Close() { p.conn.Close() }
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -63,8 +63,11 @@
 	}
 }
 
-// Close closes the connection once all is written.
-func (s *session) Close() { s.box.Close() }
+// Close ends the reading of a packet that is not whole. Once it is, its answer ends the connection.
+func (s *session) Close(uint64) { s.Drain(0) }
+
+// Cut implements core.Session.
+func (s *session) Cut() { s.Drain(0) }
 
 // begin and end frame the reading of the packet.
 func (s *session) begin(limit time.Duration) {
