Index: a call that crosses the end of an idle connection has an end of its own

Seen, in a test that makes a call at the moment of the log line 'link down': connect read which call was on the connection, then let go of the lock, and done took the connection off the idle list only later. A call placed on it in between was neither made again nor told as ended: it waited for the core's patience (TestACallCrossesTheEndOfAnIdleConnection failed before). At fault: connect and done of index.go. Now one lock covers both. Ruled out, with tests that passed before: a dial that outlasts its call (never sent, its place counts once), a move that finds calls in the queue, a reply that crosses a further call of its handle, connections that end together with calls in the queue of both kinds. The dialer became a field, so that a test can hold a dial.

--- /dev/null
+++ b/internal/index/crossing_test.go
@@ -0,0 +1,242 @@
+package index
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"larchscale/control"
+	"larchscale/internal/core"
+	"larchscale/internal/scenario"
+)
+
+// Pairs of events that cross, each in an order that the test forces.
+
+type crossing struct {
+	*Client
+	t      *testing.T
+	stand  *scenario.Stand
+	events chan core.Event
+}
+
+func cross(t *testing.T, limit int) *crossing {
+	stand, events := scenario.Listen(t), make(chan core.Event, 64)
+	return &crossing{New(stand.Addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, stand, events}
+}
+
+func (c *crossing) call(handle string, once bool) { c.Call(handle, "quote", 0, time.Second, once, nil) }
+
+func (c *crossing) expect(handle string, how control.Outcome, body []byte) {
+	c.t.Helper()
+	if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Outcome: how, Body: body}), wait(c.t, c.events)); diff != "" {
+		c.t.Error(diff)
+	}
+}
+
+// wait takes what comes next.
+func wait[T any](t *testing.T, from <-chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing comes")
+	}
+	return x
+}
+
+// none is for the end of a test: all that was told has been expected.
+func (c *crossing) none() {
+	c.t.Helper()
+	if len(c.events) > 0 {
+		c.t.Errorf("a further %v", <-c.events)
+	}
+}
+
+// holdDials has each dial wait before its connection is made: held tells of one, which goes on at a receive from goOn.
+func (c *crossing) holdDials() (held, goOn chan bool) {
+	held, goOn = make(chan bool), make(chan bool)
+	c.dial.Control = func(string, string, syscall.RawConn) error {
+		held <- true
+		goOn <- true
+		return nil
+	}
+	return held, goOn
+}
+
+// locked runs f in one piece for all that the client does.
+func (c *crossing) locked(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// warm leaves one connection idle.
+func (c *crossing) warm(handle string) *scenario.Peer {
+	c.t.Helper()
+	c.call(handle, false)
+	p := c.stand.Accept()
+	p.Expect(`^GET ` + handle + ` `)
+	p.Send(handle, " SHED\r\n")
+	c.expect(handle, control.Rejected, nil)
+	return p
+}
+
+// A move finds calls in the queue: one in hand ends where it is, the others are made at the new address.
+func TestAMoveFindsCallsInTheQueue(t *testing.T) {
+	c, next := cross(t, 1), scenario.Listen(t)
+	c.call("a", false)
+	p := c.stand.Accept()
+	p.Expect(`^GET a `)
+	c.call("b", false)
+	c.call("c", true)
+	c.Move(next.Addr)
+	p.Send("a SHED\r\n")
+	c.expect("a", control.Rejected, nil)
+	for _, h := range []string{"b", "c"} {
+		q := next.Accept()
+		q.Expect(`^GET ` + h + ` `)
+		q.Send(h, " SHED\r\n")
+		c.expect(h, control.Rejected, nil)
+	}
+	if rest := p.Rest(); rest != "\r\n" { // the end of the call's empty body
+		t.Errorf("the old address read %q", rest)
+	}
+}
+
+// A call is given up while its connection is made: it is never sent. The connection serves the next call, and
+// its place counts once.
+func TestADialOutlastsItsCall(t *testing.T) {
+	c := cross(t, 1)
+	held, goOn := c.holdDials()
+	c.call("a", false)
+	wait(t, held)
+	c.Abandon("a")
+	c.call("a", false) // made again, it waits for room
+	c.call("b", false)
+	c.Abandon("a")
+	wait(t, goOn)
+	p := c.stand.Accept()
+	p.Bytes("GET b 1000 0\r\n\r\n")
+	p.Send("b SHED\r\n")
+	c.expect("b", control.Rejected, nil)
+	c.dial.Control = nil
+	c.call("c", true) // the place of p is given to a new connection
+	q := c.stand.Accept()
+	q.Expect(`^GET c `)
+	q.Close()
+	c.expect("c", control.Broken, nil)
+	if rest := p.Rest(); rest != "" {
+		t.Errorf("read %q", rest)
+	}
+	c.none()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) { // c's end is told after its place is given back
+		c.mu.Lock()
+		open := c.open
+		c.mu.Unlock()
+		if open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d places are taken", open)
+		}
+	}
+}
+
+// A reply comes while its call is given up and made anew for the same handle: it is never taken for the new call's.
+func TestAReplyCrossesAFurtherCall(t *testing.T) {
+	c := cross(t, 2)
+	c.call("a", false)
+	p := c.stand.Accept()
+	p.Expect(`^GET a `)
+	c.locked(func() {
+		p.Send("a HIT 3\r\nold\r\n")
+		c.giveUp("a")
+		x := &call{handle: "a", line: []byte("GET a 1000 0\r\n\r\n")}
+		c.calls["a"] = x
+		c.place(x)
+	})
+	q := c.stand.Accept()
+	q.Expect(`^GET a `)
+	p.Expect(`^STOP a$`)
+	q.Send("a HIT 3\r\nnew\r\n")
+	c.expect("a", control.OK, []byte("new"))
+	c.none()
+}
+
+// hook is a log that has a test do something at the moment of a line.
+type hook struct {
+	slog.Handler
+	at func()
+}
+
+func (h hook) Handle(context.Context, slog.Record) error { h.at(); return nil }
+func (h hook) Enabled(context.Context, slog.Level) bool  { return true }
+
+// A call is made at the moment in which the connection that stands idle for it is found to have ended: it has an end
+// of its own, and does not go down with the connection unheard.
+func TestACallCrossesTheEndOfAnIdleConnection(t *testing.T) {
+	c := cross(t, 1)
+	p := c.warm("a")
+	var once sync.Once
+	c.log = slog.New(hook{slog.DiscardHandler, func() { once.Do(func() { c.call("b", false) }) }})
+	p.Send("nonsense\r\n")
+	q := c.stand.Accept()
+	q.Expect(`^GET b `)
+	q.Send("b SHED\r\n")
+	c.expect("b", control.Rejected, nil)
+	c.none()
+}
+
+// All connections end in one moment with calls in the queue of both kinds: each call ends once, none is left behind,
+// and no more connections are open than may be.
+func TestConnectionsEndTogetherWithCallsInTheQueue(t *testing.T) {
+	const limit, calls = 3, 12
+	c := cross(t, limit)
+	for i := range calls {
+		c.call(fmt.Sprint("h", i), i%2 == 1)
+	}
+	var first []*scenario.Peer
+	for range limit {
+		p := c.stand.Accept()
+		p.Expect(`^GET h\d+ `)
+		first = append(first, p)
+	}
+	for _, p := range first {
+		p.Close()
+	}
+	seen := map[string]int{}
+	go func() { // those made after serve all that comes
+		for {
+			conn, err := c.stand.Listener().Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for in := bufio.NewScanner(conn); in.Scan(); {
+					if f := strings.Fields(in.Text()); len(f) == 4 && f[0] == "GET" {
+						fmt.Fprintf(conn, "%s SHED\r\n", f[1])
+					}
+				}
+			}()
+		}
+	}()
+	for range calls {
+		e := wait(t, c.events).(core.CallEnded)
+		seen[e.Handle]++
+	}
+	for i := range calls {
+		if h := fmt.Sprint("h", i); seen[h] != 1 {
+			t.Errorf("%s ended %d times", h, seen[h])
+		}
+	}
+	c.none()
+}
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -34,6 +34,7 @@
 	sink  func(core.Event)
 	log   *slog.Logger
 	limit int // connections
+	dial  net.Dialer
 
 	mu    sync.Mutex
 	addr  string
@@ -65,7 +66,7 @@
 
 // New makes a client of up to limit connections that tells sink how calls end.
 func New(addr string, limit int, sink func(core.Event), log *slog.Logger) *Client {
-	return &Client{addr: addr, limit: limit, sink: sink, log: log, calls: map[string]*call{}}
+	return &Client{addr: addr, limit: limit, dial: net.Dialer{Timeout: dialTimeout}, sink: sink, log: log, calls: map[string]*call{}}
 }
 
 // Move makes all further calls at another address. Those in hand may still end where they are.
@@ -161,7 +162,7 @@
 	c.mu.Lock()
 	addr := c.addr
 	c.mu.Unlock()
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	conn, err := c.dial.Dial("tcp", addr)
 	if err != nil { // nothing was sent: the call never ran
 		c.log.Warn("link down", "to", "index", "err", err)
 		c.done(nil, x, control.Unreachable)
@@ -178,6 +179,7 @@
 	c.mu.Unlock()
 	err = c.read(l, bufio.NewReaderSize(conn, maxHead), addr)
 	c.mu.Lock()
+	c.unlist(l) // from here on no call comes on it
 	x = l.call
 	c.mu.Unlock()
 	if x != nil || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
@@ -190,9 +192,6 @@
 func (c *Client) done(l *link, x *call, how control.Outcome) {
 	c.mu.Lock()
 	c.open--
-	if l != nil {
-		c.unlist(l)
-	}
 	var lost *call
 	if x != nil && c.calls[x.handle] == x && x.link == l {
 		if l != nil && l.again && !l.heard && !x.once && time.Since(x.sent) < idleBreak {
