Index: a call that a dead connection did not take is made on another

Seen: the writing of an idle connection had failed, its reader had not seen the end yet, and place put a call on it. Send said false, which nobody read: the call never left, and where the end came later than idleBreak (a paused process) it was told as broken, which proves nothing, in place of being made (TestACallFindsADeadConnection failed before). At fault: send of index.go.

--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -195,6 +195,27 @@
 	c.none()
 }
 
+// A call finds an idle connection whose writing has failed: it never left, so it is made on another one, however long
+// the end of the dead one takes to be seen.
+func TestACallFindsADeadConnection(t *testing.T) {
+	c := cross(t, 2)
+	p := c.warm("a")
+	c.locked(func() {
+		c.idle[0].box.Kill()
+		x := &call{handle: "b", line: []byte("GET b 1000 0\r\n\r\n")}
+		c.calls["b"] = x
+		c.place(x)
+		x.sent = x.sent.Add(-time.Hour)
+	})
+	q := c.stand.Accept()
+	q.Expect(`^GET b `)
+	q.Send("b SHED\r\n")
+	c.expect("b", control.Rejected, nil)
+	if rest := p.Rest(); strings.Contains(rest, "GET b") {
+		t.Errorf("the dead one read %q", rest)
+	}
+}
+
 // All connections end in one moment with calls in the queue of both kinds: each call ends once, none is left behind,
 // and no more connections are open than may be.
 func TestConnectionsEndTogetherWithCallsInTheQueue(t *testing.T) {
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -105,8 +105,10 @@
 			l.box.Kill()
 		} else if !l.carried[x.handle] {
 			c.unlist(l)
-			c.send(l, x, true)
-			return
+			if c.send(l, x, true) {
+				return
+			}
+			x.link = nil
 		}
 	}
 	if c.open < c.limit {
@@ -127,11 +129,12 @@
 	}
 }
 
-func (c *Client) send(l *link, x *call, again bool) {
+// send puts a call on a connection; false = it is dead, and nothing of the call left.
+func (c *Client) send(l *link, x *call, again bool) bool {
 	x.link, x.sent = l, time.Now()
 	l.call, l.again, l.heard = x, again, false
 	l.carried[x.handle] = true
-	l.box.Send(x.line)
+	return l.box.Send(x.line)
 }
 
 // Abandon gives a call up. Its connection goes with it: a reply that never came may still come.
