Index: a place is given back only once its connection is closed

Seen: done counted the place as free and had the next call dial, and told the end, before connect's deferred Kill closed the descriptor: for that time there was one connection more than the limit of descriptors allows for calls (TestAPlaceIsGivenBackAfterTheConnectionIsClosed failed before).

--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -216,6 +216,22 @@
 	}
 }
 
+// The place of a connection is given to the next only after its descriptor is closed.
+func TestAPlaceIsGivenBackAfterTheConnectionIsClosed(t *testing.T) {
+	c := cross(t, 1)
+	goOn := make(chan bool)
+	c.sink = func(e core.Event) { c.events <- e; <-goOn }
+	c.call("a", false)
+	p := c.stand.Accept()
+	p.Expect(`^GET a `)
+	p.Send("nonsense\r\n")
+	c.expect("a", control.Broken, nil)
+	defer close(goOn)
+	if rest := p.Rest(); rest != "\r\n" { // it ends while the end of its call is being told
+		t.Errorf("read %q", rest)
+	}
+}
+
 // All connections end in one moment with calls in the queue of both kinds: each call ends once, none is left behind,
 // and no more connections are open than may be.
 func TestConnectionsEndTogetherWithCallsInTheQueue(t *testing.T) {
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -172,7 +172,6 @@
 		return
 	}
 	l := &link{box: sock.NewBox(conn), carried: map[string]bool{}}
-	defer l.box.Kill()
 	c.mu.Lock()
 	if c.calls[x.handle] == x {
 		c.send(l, x, false)
@@ -185,6 +184,7 @@
 	c.unlist(l) // from here on no call comes on it
 	x = l.call
 	c.mu.Unlock()
+	l.box.Kill() // before its place is given back
 	if x != nil || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		c.log.Warn("link down", "to", "index", "err", err)
 	}
