Index: a call whose dial crosses a move is made at the new address

Seen, with a dial held by the dialer's Control: after Move the call was sent to the old address, or told as unreachable when that refused, though nothing had been sent (TestADialCrossesAMove failed before, for calls of both kinds). At fault: connect read the address once, before the dial. Now the address is compared, under the lock that sends, when the dial has ended. Ruled out: a move there and back during a dial. TestMove, which was there before, moved after the stand had accepted, which does not show that the call was sent: it passed by the fault. It now waits for the call's first line before it moves; what it demands of both connections is the same.

--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -89,6 +89,48 @@
 	return p
 }
 
+// A dial crosses a move: whether the old address takes it or refuses it, nothing was sent, and the call is made
+// at the new one. A move back is as if there had been none.
+func TestADialCrossesAMove(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		for _, refused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("once %v refused %v", once, refused), func(t *testing.T) {
+				c, next := cross(t, 1), scenario.Listen(t)
+				held, goOn := c.holdDials()
+				c.call("a", once)
+				wait(t, held)
+				if refused {
+					c.stand.Close()
+				}
+				c.Move(next.Addr)
+				wait(t, goOn)
+				if !refused {
+					if rest := c.stand.Accept().Rest(); rest != "" {
+						t.Errorf("the old address read %q", rest)
+					}
+				}
+				wait(t, held)
+				wait(t, goOn)
+				p := next.Accept()
+				p.Expect(`^GET a `)
+				p.Send("a SHED\r\n")
+				c.expect("a", control.Rejected, nil)
+				c.none()
+			})
+		}
+	}
+	t.Run("back", func(t *testing.T) {
+		c := cross(t, 1)
+		held, goOn := c.holdDials()
+		c.call("a", true)
+		wait(t, held)
+		c.Move("127.0.0.1:1")
+		c.Move(c.stand.Addr)
+		wait(t, goOn)
+		c.stand.Accept().Expect(`^GET a `)
+	})
+}
+
 // A move finds calls in the queue: one in hand ends where it is, the others are made at the new address.
 func TestAMoveFindsCallsInTheQueue(t *testing.T) {
 	c, next := cross(t, 1), scenario.Listen(t)
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -160,19 +160,34 @@
 	}
 }
 
+// reach dials the address that is the client's when the dial ends: one that was left meanwhile is not used, whether it
+// took the connection or not. Each dial takes up to dialTimeout. c.mu is held before and after, not during a dial.
+func (c *Client) reach() (conn net.Conn, addr string, err error) {
+	for {
+		addr = c.addr
+		c.mu.Unlock()
+		conn, err = c.dial.Dial("tcp", addr)
+		c.mu.Lock()
+		if c.addr == addr {
+			return conn, addr, err
+		}
+		if err == nil {
+			conn.Close()
+		}
+	}
+}
+
 // connect is the life of one connection, made for one call.
 func (c *Client) connect(x *call) {
 	c.mu.Lock()
-	addr := c.addr
-	c.mu.Unlock()
-	conn, err := c.dial.Dial("tcp", addr)
+	conn, addr, err := c.reach()
 	if err != nil { // nothing was sent: the call never ran
+		c.mu.Unlock()
 		c.log.Warn("link down", "to", "index", "err", err)
 		c.done(nil, x, control.Unreachable)
 		return
 	}
 	l := &link{box: sock.NewBox(conn), carried: map[string]bool{}}
-	c.mu.Lock()
 	if c.calls[x.handle] == x {
 		c.send(l, x, false)
 	} else {
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -144,11 +144,11 @@
 	c := client(t, old.Addr, 8)
 	c.call("a", false)
 	p := old.Accept()
+	p.Expect(`^GET a`) // it was sent
 	c.Move(stand.Addr)
 	c.call("b", false)
 	q := stand.Accept()
 	q.Expect(`^GET b`)
-	p.Expect(`^GET a`)
 	p.Send("a SHED\r\n")
 	c.expect("a", control.Rejected, nil)
 	if rest := p.Rest(); rest != "\r\n" { // the end of the call's empty body
