Index tests: answers that break off at every place, and the time of a forgotten connection

Ruled out, as all passed on the code before: an answer cut in head, body or line end, a byte at a time, twice, for another handle, 10,000 bytes without a line end, none at all; a call that must be made once is never on a connection of before, and one that may be repeated is sent twice at most, whether or not the process stood still past idleBreak.

--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -319,3 +319,111 @@
 	}
 	c.none()
 }
+
+// The time by which a forgotten connection is told from a broken one has passed unseen, as in a process that stood
+// still: a call that may be repeated ends as broken, for whoever made it to repeat; within the time it is made a second
+// time and no third. One that must be made once is sent once at any time, as no connection of before serves it.
+func TestTheTimeOfAForgottenConnection(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		once, late bool
+		sent       int
+	}{{"in time", false, false, 2}, {"stood still", false, true, 1}, {"once, in time", true, false, 1}, {"once, stood still", true, true, 1}} {
+		t.Run(x.name, func(t *testing.T) {
+			c := cross(t, 2)
+			p := c.warm("a")
+			c.call("b", x.once)
+			if x.once {
+				p = c.stand.Accept()
+			}
+			p.Expect(`^GET b `)
+			c.locked(func() {
+				if b := c.calls["b"]; x.late {
+					b.sent = b.sent.Add(-time.Hour)
+				} else {
+					b.sent = b.sent.Add(time.Hour) // however slow this machine is
+				}
+			})
+			p.Close()
+			for range x.sent - 1 {
+				p = c.stand.Accept()
+				p.Expect(`^GET b `)
+				p.Close()
+			}
+			c.expect("b", control.Broken, nil)
+			c.call("z", true) // no other connection came before it
+			c.stand.Accept().Bytes("GET z ")
+			c.none()
+		})
+	}
+}
+
+// However an answer breaks off, its call ends as broken, once, and only its own; one that comes whole counts however it
+// comes; one that never comes is left to whoever gives the call up.
+func TestAnswersThatBreakOff(t *testing.T) {
+	for name, x := range map[string]struct {
+		send []string // each a write of its own
+		end  bool     // the index closes after it
+		how  control.Outcome
+		body []byte
+	}{
+		"nothing, and the end":  {nil, true, control.Broken, nil},
+		"in the head":           {[]string{"a HI"}, true, control.Broken, nil},
+		"after the head":        {[]string{"a HIT 4\r\n"}, true, control.Broken, nil},
+		"in the body":           {[]string{"a HIT 4\r\nta"}, true, control.Broken, nil},
+		"before the line end":   {[]string{"a HIT 4\r\ntaxi"}, true, control.Broken, nil},
+		"in the line end":       {[]string{"a HIT 4\r\ntaxi\r"}, true, control.Broken, nil},
+		"whole, and the end":    {[]string{"a HIT 4\r\ntaxi\r\n"}, true, control.OK, []byte("taxi")},
+		"a byte at a time":      {strings.Split("a HIT 4\r\ntaxi\r\n", ""), false, control.OK, []byte("taxi")},
+		"twice":                 {[]string{"a HIT 4\r\ntaxi\r\na HIT 4\r\nlate\r\n"}, false, control.OK, []byte("taxi")},
+		"another's, and its":    {[]string{"b HIT 4\r\nlate\r\na HIT 4\r\ntaxi\r\n"}, false, control.OK, []byte("taxi")},
+		"another's, no more":    {[]string{"b HIT 4\r\nlate\r\n"}, true, control.Broken, nil},
+		"no line":               {[]string{strings.Repeat("x", 10_000)}, false, control.Broken, nil},
+		"a longer body":         {[]string{"a HIT 4\r\ntaxis\r\n"}, false, control.Broken, nil},
+		"too long a body":       {[]string{fmt.Sprintf("a HIT %d\r\n", maxReply+1)}, false, control.Broken, nil},
+		"shed, and more of it":  {[]string{"a SHED\r\ntaxi\r\n"}, false, control.Rejected, nil},
+		"a word of no protocol": {[]string{"a LATER\r\n"}, false, control.Broken, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := cross(t, 2)
+			c.call("a", true)
+			p := c.stand.Accept()
+			p.Expect(`^GET a `)
+			c.call("other", false)
+			q := c.stand.Accept()
+			q.Expect(`^GET other `)
+			for _, s := range x.send {
+				p.Send(s)
+			}
+			if x.end {
+				p.Close()
+			}
+			c.expect("a", x.how, x.body)
+			c.call("a", false) // what is still to come of the first answer is not its
+			r := c.stand.Accept()
+			r.Expect(`^GET a `)
+			r.Send("a HIT 3\r\nnew\r\n")
+			c.expect("a", control.OK, []byte("new"))
+			q.Send("other SHED\r\n")
+			c.expect("other", control.Rejected, nil)
+			c.none()
+		})
+	}
+	t.Run("never", func(t *testing.T) {
+		c := cross(t, 1)
+		c.call("a", false)
+		p := c.stand.Accept()
+		p.Expect(`^GET a `)
+		c.call("b", false)
+		c.Abandon("a")
+		q := c.stand.Accept()
+		q.Expect(`^GET b `)
+		p.Bytes("\r\nSTOP a\r\n")
+		if rest := p.Rest(); rest != "" {
+			t.Errorf("read %q", rest)
+		}
+		q.Send("b SHED\r\n")
+		c.expect("b", control.Rejected, nil)
+		c.none()
+	})
+}
