--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -34,6 +34,7 @@
 	sink  func(core.Event)
 	log   *slog.Logger
 	limit int // connections
+	dial  net.Dialer
 
 	mu    sync.Mutex
 	addr  string
@@ -65,7 +66,7 @@
 
 // New makes a client of up to limit connections that tells sink how calls end.
 func New(addr string, limit int, sink func(core.Event), log *slog.Logger) *Client {
-	return &Client{addr: addr, limit: limit, sink: sink, log: log, calls: map[string]*call{}}
+	return &Client{addr: addr, limit: limit, dial: net.Dialer{Timeout: dialTimeout}, sink: sink, log: log, calls: map[string]*call{}}
 }
 
 // Move makes all further calls at another address. Those in hand may still end where they are.
@@ -104,8 +105,10 @@
 			l.box.Kill()
 		} else if !l.carried[x.handle] {
 			c.unlist(l)
-			c.send(l, x, true)
-			return
+			if c.send(l, x, true) {
+				return
+			}
+			x.link = nil
 		}
 	}
 	if c.open < c.limit {
@@ -126,11 +129,12 @@
 	}
 }
 
-func (c *Client) send(l *link, x *call, again bool) {
+// send puts a call on a connection; false = it is dead, and nothing of the call left.
+func (c *Client) send(l *link, x *call, again bool) bool {
 	x.link, x.sent = l, time.Now()
 	l.call, l.again, l.heard = x, again, false
 	l.carried[x.handle] = true
-	l.box.Send(x.line)
+	return l.box.Send(x.line)
 }
 
 // Abandon gives a call up. Its connection goes with it: a reply that never came may still come.
@@ -156,20 +160,34 @@
 	}
 }
 
+// reach dials the address that is the client's when the dial ends: one that was left meanwhile is not used, whether it
+// took the connection or not. Each dial takes up to dialTimeout. c.mu is held before and after, not during a dial.
+func (c *Client) reach() (conn net.Conn, addr string, err error) {
+	for {
+		addr = c.addr
+		c.mu.Unlock()
+		conn, err = c.dial.Dial("tcp", addr)
+		c.mu.Lock()
+		if c.addr == addr {
+			return conn, addr, err
+		}
+		if err == nil {
+			conn.Close()
+		}
+	}
+}
+
 // connect is the life of one connection, made for one call.
 func (c *Client) connect(x *call) {
 	c.mu.Lock()
-	addr := c.addr
-	c.mu.Unlock()
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	conn, addr, err := c.reach()
 	if err != nil { // nothing was sent: the call never ran
+		c.mu.Unlock()
 		c.log.Warn("link down", "to", "index", "err", err)
 		c.done(nil, x, control.Unreachable)
 		return
 	}
 	l := &link{box: sock.NewBox(conn), carried: map[string]bool{}}
-	defer l.box.Kill()
-	c.mu.Lock()
 	if c.calls[x.handle] == x {
 		c.send(l, x, false)
 	} else {
@@ -178,8 +196,10 @@
 	c.mu.Unlock()
 	err = c.read(l, bufio.NewReaderSize(conn, maxHead), addr)
 	c.mu.Lock()
+	c.unlist(l) // from here on no call comes on it
 	x = l.call
 	c.mu.Unlock()
+	l.box.Kill() // before its place is given back
 	if x != nil || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		c.log.Warn("link down", "to", "index", "err", err)
 	}
@@ -190,9 +210,6 @@
 func (c *Client) done(l *link, x *call, how control.Outcome) {
 	c.mu.Lock()
 	c.open--
-	if l != nil {
-		c.unlist(l)
-	}
 	var lost *call
 	if x != nil && c.calls[x.handle] == x && x.link == l {
 		if l != nil && l.again && !l.heard && !x.once && time.Since(x.sent) < idleBreak {
