Core: nothing is reported before the worker pool is bound, nor once a process hands off

Seen: a core without its first link to the worker pool reported open from its first turn, and closed at a notice to leave, under the name of an older process that may still serve. A process that handed off went on reporting under its successor's name, every 600 ms: open over a closed of the successor, or closed itself when its own cores stuck or an operator held it.

At fault: `reported` asked neither for the controller nor, with handing, for whose entry it is; Run called it before any link.

--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -129,6 +129,7 @@
 func (g *rig) Call(string, string, uint64, time.Duration, bool, []byte) {}
 func (g *rig) Abandon(string)                                           {}
 func (g *rig) Report(bool)                                              {}
+func (g *rig) Silence()                                                 {}
 func (g *rig) Drain(time.Duration)                                      {}
 func (g *rig) Close()                                                   {}
 
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -79,7 +79,10 @@
 }
 
 // Lister tells the directory whether this server takes work. It must not block.
-type Lister interface{ Report(open bool) }
+type Lister interface {
+	Report(open bool)
+	Silence() // nothing that was reported is said again, until the next Report
+}
 
 // Key names one request with an effect, whichever front its tries come by.
 type Key struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,7 +172,6 @@
 // Run is the loop. It returns when all is answered after a Drain, or when ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.ended)
-	c.reported()
 	clock := time.NewTimer(0)
 	for !c.over {
 		select {
@@ -330,9 +329,16 @@
 	c.ctl.Tick(c.now, g)
 }
 
-// reported tells the directory where this server stands, over and over.
+// reported tells the directory where this server stands, over and over. Before the first link to the worker pool it
+// says nothing: what it could say is of an entry that an older process may hold. Nor does it once it hands off: the
+// entry is its successor's.
 func (c *Core) reported() {
-	c.lister.Report(c.up && !c.held && (!c.leaving || c.handing))
+	switch {
+	case c.handing:
+		c.lister.Silence()
+	case c.ctl != nil:
+		c.lister.Report(c.up && !c.held && !c.leaving)
+	}
 	c.late.set(&c.report, c.now+reportEach)
 }
 
@@ -354,8 +360,8 @@
 	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
 }
 
-// handoff leaves the address to a newer process: it is reported as before, and the newer one takes the
-// connections that the balancers make anew.
+// handoff leaves the address to a newer process, which reports from now on and takes the connections that the
+// balancers make anew.
 func (c *Core) handoff(kill time.Duration) {
 	if c.leaving {
 		return
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -204,6 +204,7 @@
 	if c.leaving {
 		c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
 	}
+	c.reported()
 }
 
 // restarted is a worker pool that started anew without this server: its runs are lost, which counts as run
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -45,6 +45,7 @@
 	lost  atomic.Bool // the store holds nothing any longer
 
 	closed atomic.Bool // the directory has been told
+	listed []string    // all that the directory was told
 	Done   chan struct{}
 	serve  time.Duration // a run takes so long; 0 = it ends by the test's own event
 	runs   map[string]int
@@ -288,7 +289,25 @@
 }
 func (c caller) Abandon(h string) { c.w.note("abandon %s", h) }
 
+// Listed gives all that the directory was told since the last call: open, closed, or silence.
+func (w *World) Listed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := w.listed
+	w.listed = nil
+	return all
+}
+
+func (w *World) list(what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = append(w.listed, what)
+}
+
+func (l lister) Silence() { l.w.list("silence") }
+
 func (l lister) Report(open bool) {
+	l.w.list(map[bool]string{true: "open", false: "closed"}[open])
 	if !open && !l.w.closed.Swap(true) {
 		l.w.note("closed")
 	}
