--- a/internal/standin/ready_test.go
+++ b/internal/standin/ready_test.go
@@ -354,3 +354,59 @@
 	}
 	return nil
 }
+
+// A directory that takes connections and says nothing, or next to nothing, holds up neither requests nor the end: the
+// exit is as early as with one that answers.
+func TestASilentDirectoryHoldsUpNoDrain(t *testing.T) {
+	for name, answer := range map[string]func(net.Conn){
+		"silent": func(net.Conn) {},
+		"byte by byte": func(c net.Conn) {
+			for {
+				if _, err := io.WriteString(c, "H"); err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		},
+		"hangs up": func(c net.Conn) { c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					t.Cleanup(func() { c.Close() })
+					go answer(c)
+				}
+			}()
+			site, pool := newSite(t, time.Millisecond, l.Addr().String())
+			pool.open()
+			box, err := standin.NewBox(program, t.TempDir(), "n1", site, "")
+			if err == nil {
+				err = box.Start()
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(box.Kill)
+			if end := served(box.Listen, ""); end != "served" {
+				t.Errorf("a request: %s", end)
+			}
+			began := time.Now()
+			code, err := box.Stop()
+			took := time.Since(began)
+			if code != 0 || err != nil || took > 3*time.Second { // stop_ms is 1,200
+				t.Errorf("exit %d after %v, %v", code, took, err)
+			}
+			t.Logf("ended after %v", took)
+		})
+	}
+}
