--- a/internal/core/listing_test.go
+++ b/internal/core/listing_test.go
@@ -72,6 +72,24 @@
 	})
 }
 
+// A server that leaves reports closed, whatever crosses the notice: an operator who lets go of it, a new link, a worker
+// pool that starts anew, a handoff that comes too late.
+func TestALeavingServerNeverReportsOpen(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(w.Ask("a", "quote", ""))
+		time.Sleep(ms)
+		w.Send(core.Hold{On: true}, core.Drain{})
+		time.Sleep(ms)
+		w.Listed()
+		w.Send(core.Hold{}, core.PoolLost{}, core.PoolBound{Age: time.Hour}, core.Hold{On: true}, core.Hold{},
+			core.PoolLost{}, core.PoolBound{}, core.Handoff{Kill: 3700 * ms})
+		time.Sleep(1500 * ms)
+		if all := w.Listed(); len(all) < 3 || slices.ContainsFunc(all, func(s string) bool { return s != "closed" }) {
+			t.Errorf("told %q", all)
+		}
+	})
+}
+
 // none is a connection and a worker pool that do nothing.
 type none struct{}
 
