Config: the kernel's limit of descriptors holds where the platform says more

Seen: under RLIMIT_NOFILE 128 with limits.sockets 1024, some 110 clients that ask once and stay take every descriptor; the pool's link, the directory and the calls below then fail with "too many open files", a balancer that connects is not served within 4 s, and the server is not listed again. Ruled out: accepts that fail do not spin (under 150 ms of a core in 300 ms). At fault: config.limit, which derived every bound from limits.sockets alone. Under 96 descriptors the start ends with one line and exit code 2.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -103,6 +103,13 @@
 	if err != nil {
 		return bad(err)
 	}
+	var kernel syscall.Rlimit // Go has raised the soft limit to the hard one
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &kernel); err != nil {
+		return bad(fmt.Errorf("descriptors: %w", err))
+	}
+	if err := cfg.Within(kernel.Cur); err != nil {
+		return bad(err)
+	}
 	if err := cfg.SetAdmin(env("BALANCER_ADMIN")); err != nil {
 		return bad(err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	spareSockets = 32 // for the links, the store, the listeners and the runtime's own
 	defaultMB    = 192
 	defaultSocks = 1024
+	minSocks     = 96
 )
 
 // GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
@@ -155,7 +156,7 @@
 	return c, checkControl(c.Site.Control)
 }
 
-// limit reads the limits and derives every bound from them.
+// limit reads the limits.
 func (c *Config) limit(j gjson.Result) error {
 	mb, socks := float64(defaultMB), float64(defaultSocks)
 	if v := j.Get("memory_mb"); v.Exists() {
@@ -164,12 +165,30 @@
 	if v := j.Get("sockets"); v.Exists() {
 		socks = v.Float()
 	}
-	if !(mb >= 16 && mb <= 1<<20) || !(socks >= 96 && socks <= 1<<20) {
+	if !(mb >= 16 && mb <= 1<<20) || !(socks >= 0 && socks <= 1<<20) {
 		return fmt.Errorf("limits: %v MB and %v sockets", mb, socks)
 	}
-	l := &c.Limits
-	l.MemoryMB, l.Sockets = int(mb), int(socks)
-	k := &c.Site.Control
+	c.Limits.MemoryMB, c.Limits.Sockets = int(mb), int(socks)
+	return c.bound()
+}
+
+// Within lowers the platform's limit of descriptors to that of the kernel for this process, and every bound with it.
+// Guards against clients that hold what the links need, where the platform says more than the kernel gives.
+// Under 96 descriptors the program cannot do.
+func (c *Config) Within(kernel uint64) error {
+	if uint64(c.Limits.Sockets) <= kernel {
+		return nil
+	}
+	c.Limits.Sockets = int(kernel)
+	return c.bound()
+}
+
+// bound derives every bound from the limits.
+func (c *Config) bound() error {
+	l, k := &c.Limits, &c.Site.Control
+	if l.Sockets < minSocks {
+		return fmt.Errorf("limits: %d sockets, at least %d are needed", l.Sockets, minSocks)
+	}
 	l.Calls = min(max(16, int(k.Crowd*float64(max(1, k.Cores)))), l.Sockets/5)
 	c.Site.Bounds = core.Bounds{Open: min(4096, l.MemoryMB*32), Table: l.MemoryMB << 20 / 4}
 	c.SetConns(l.Conns(0))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -151,3 +152,27 @@
 		t.Error("negative sockets were taken")
 	}
 }
+
+// The kernel's limit of descriptors holds where the platform's is higher, for every bound; too low is an error.
+func TestTheKernelsLimitHolds(t *testing.T) {
+	parse := func(sockets int) *Config {
+		c, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:2","seed":"1","stop_ms":100,"limits":{"sockets":%d},`+
+			`"settings":{"RequestClasses":[{"Name":"a"}],"FamilyInfo":{"Cpus":6},"Safety":{"FallMultiple":8}}}`, sockets))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	for kernel, want := range map[uint64]int{128: 128, 1024: 1024, 1 << 20: 1024, 1<<64 - 1: 1024} {
+		c := parse(1024)
+		if err := c.Within(kernel); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(parse(want), c); diff != "" {
+			t.Errorf("%d: %s", kernel, diff)
+		}
+	}
+	if err := parse(1024).Within(95); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Error(err)
+	}
+}
