Settings: a class that names no deadline has a minute in the core too

Seen: of a class without GiveUpUs each request that told no budget was refused as it came: control takes a deadline of 0 for a minute, and core.arrive for one that is over; claims in a shared store and the end of a handoff were as short. At fault: settings.Config, which passed the 0 on to both. Failed before: core.TestEveryDeploymentServesEveryClass/no_deadline (refused, no run). Ruled out, by the same tests on our two deployments and on deadlines of 200 and 500 ms, windows of 500 ms also under a deadline of 4 s, graces of 0 and 200 ms and stops of 100 and 400 ms: a class that is not served, a keyed request that runs twice in its window, an answer missing, given twice or after its due time in a crowd or a drain, a run of what came after the grace, an end after the kill.

--- /dev/null
+++ b/internal/core/variants_test.go
@@ -0,0 +1,280 @@
+package core_test
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"larchscale/control"
+	"larchscale/internal/config"
+	"larchscale/internal/core"
+	"larchscale/internal/scenario"
+)
+
+// deployments are sites of other customers: our own two of deploy/sites as a process of them is told, and settings at the
+// edges of what can be told.
+func deployments(t *testing.T) map[string]core.Site {
+	t.Helper()
+	out := map[string]core.Site{}
+	for _, name := range []string{"ridge-lift-gates", "tide-harbour-office"} {
+		c, err := config.Load("../config/testdata/" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[name] = c.Site
+	}
+	edge := func(deadline, window, grace, stop time.Duration) core.Site {
+		s := scenario.Site()
+		s.Classes, s.Stop = []string{"read", "keyed", "once"}, stop
+		s.Control.DrainGrace, s.Control.Classes = grace, nil
+		for _, effect := range []control.Effect{control.Safe, control.Keyed, control.Unsafe} {
+			k := control.Class{Aim: deadline * 2 / 3, Deadline: deadline, Worth: 1, Effect: effect, Calls: true}
+			if effect == control.Keyed {
+				k.Window = window
+			}
+			s.Control.Classes = append(s.Control.Classes, k)
+		}
+		return s
+	}
+	out["deadlines of 200 ms"] = edge(200*ms, 500*ms, 200*ms, 400*ms)
+	out["deadlines of 500 ms"] = edge(500*ms, 500*ms, 200*ms, 400*ms)
+	out["a window shorter than the deadline"] = edge(4*time.Second, 500*ms, 2*time.Second, 4*time.Second)
+	out["a stop shorter than the deadline"] = edge(4*time.Second, 5*time.Second, 200*ms, 400*ms)
+	out["no grace"] = edge(500*ms, 500*ms, 0, 400*ms)
+	out["hardly a stop"] = edge(500*ms, 500*ms, 200*ms, 100*ms)
+	text, err := os.ReadFile("../config/testdata/ridge-lift-gates.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Parse(regexp.MustCompile(`"GiveUpUs": \d+, `).ReplaceAll(text, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out["no deadline"] = c.Site
+	return out
+}
+
+// callers are the other side of a core's front: what each was told, and when.
+type callers struct {
+	w    *scenario.World
+	site core.Site
+	mu   sync.Mutex
+	told map[string][]told
+	due  map[string]time.Time
+	left []time.Time // when the connection was told that the server leaves
+	sent int
+	line *callersLine // nil = the next request opens one
+}
+
+type told struct {
+	core.Answer
+	at time.Time
+}
+
+type callersReply struct {
+	c      *callers
+	handle string
+}
+
+func (r callersReply) Answer(a core.Answer) {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	r.c.told[r.handle] = append(r.c.told[r.handle], told{a, time.Now()})
+}
+
+// callersLine is a connection of theirs; one that the core closes is followed by another.
+type callersLine struct{ c *callers }
+
+func (l *callersLine) Drain(time.Duration) {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	l.c.left = append(l.c.left, time.Now())
+}
+
+func (l *callersLine) Close() {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	if l.c.line == l {
+		l.c.line = nil
+	}
+}
+
+func (c *callers) open() *callersLine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.line == nil {
+		c.line = &callersLine{c}
+		c.w.Send(core.Opened{Session: c.line})
+	}
+	return c.line
+}
+
+// ask sends a request of a class that waits for its deadline, and gives its handle.
+func (c *callers) ask(class int, token, body string) string {
+	line := c.open()
+	c.mu.Lock()
+	c.sent++
+	handle := fmt.Sprintf("h%d", c.sent)
+	c.due[handle] = time.Now().Add(c.site.Control.Classes[class].Deadline)
+	c.mu.Unlock()
+	if !c.site.Keyed(class) {
+		token = ""
+	}
+	c.w.Send(core.Arrive{Session: line, Reply: callersReply{c, handle}, Req: core.Incoming{Handle: handle, Class: class, Tenant: c.sent % max(1, len(c.site.Tenants)),
+		Arrived: time.Now(), Rank: 0.9, Memory: 10, Token: token, Body: []byte(body)}})
+	return handle
+}
+
+// kind tells the one answer to a request so far; -1 = none.
+func (c *callers) kind(handle string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.told[handle]; len(a) > 0 {
+		return int(a[0].Kind)
+	}
+	return -1
+}
+
+// check finds requests with no answer, two, or one after its due time.
+func (c *callers) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range slices.Sorted(maps.Keys(c.due)) {
+		if a := c.told[h]; len(a) != 1 || a[0].at.After(c.due[h]) {
+			t.Errorf("%s: %d answers, due %v: %+v", h, len(a), c.due[h], a)
+		}
+	}
+}
+
+// onEach plays f on each deployment, with a connection open and every run ended well after work.
+func onEach(t *testing.T, work func(core.Site) time.Duration, f func(t *testing.T, c *callers)) {
+	for name, site := range deployments(t) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &callers{w: scenario.NewWorld(t, site, false), site: site, told: map[string][]told{}, due: map[string]time.Time{}}
+				if d := work(site); d > 0 {
+					c.w.Serve(d)
+				}
+				c.open()
+				time.Sleep(ms)
+				f(t, c)
+			})
+		})
+	}
+}
+
+func shortest(s core.Site) time.Duration {
+	d := time.Minute
+	for _, k := range s.Control.Classes {
+		d = min(d, k.Deadline)
+	}
+	return d
+}
+
+func quick(s core.Site) time.Duration { return min(shortest(s)/10, 200*ms) }
+
+// Every class is served, whether its callers say for how long they wait or not. A keyed request is run once within its
+// window, and may run again well after it.
+func TestEveryDeploymentServesEveryClass(t *testing.T) {
+	onEach(t, quick, func(t *testing.T, c *callers) {
+		for i, name := range c.site.Classes {
+			k := c.site.Control.Classes[i]
+			first := c.ask(i, "k", name)
+			time.Sleep(2 * quick(c.site))
+			again := c.ask(i, "k", name)
+			time.Sleep(2 * quick(c.site))
+			if c.kind(first) != int(core.Served) || c.kind(again) != int(core.Served) {
+				t.Errorf("%s: %d, then %d", name, c.kind(first), c.kind(again))
+			}
+			if runs := c.w.Runs()[name]; k.Effect == control.Keyed && runs != 1 {
+				t.Errorf("%s ran %d times within its window", name, runs)
+			}
+			if k.Effect == control.Keyed {
+				time.Sleep(k.Window + 3*time.Second)
+				last := c.ask(i, "k", name)
+				time.Sleep(2 * quick(c.site))
+				if runs := c.w.Runs()[name]; c.kind(last) != int(core.Served) || runs != 2 {
+					t.Errorf("%s after its window: %d, %d runs", name, c.kind(last), runs)
+				}
+			}
+		}
+		time.Sleep(time.Minute)
+		c.check(t)
+	})
+}
+
+// In a crowd that no server can carry each request gets one answer by its due time, and no write runs twice though
+// each is tried three times.
+func TestEveryDeploymentAnswersACrowdInTime(t *testing.T) {
+	onEach(t, func(s core.Site) time.Duration { return shortest(s) / 3 }, func(t *testing.T, c *callers) {
+		for i := range 400 {
+			class := i % len(c.site.Classes)
+			c.ask(class, fmt.Sprint("k", i/3), fmt.Sprint("body ", class, " ", i/3))
+			time.Sleep(shortest(c.site) / 100)
+		}
+		time.Sleep(time.Minute + time.Second)
+		c.check(t)
+		for body, n := range c.w.Runs() {
+			var class, i int
+			fmt.Sscanf(body, "body %d %d", &class, &i)
+			if k := c.site.Control.Classes[class]; k.Effect == control.Keyed && n > 1 {
+				t.Errorf("%q ran %d times", body, n)
+			}
+		}
+	})
+}
+
+// A notice to leave in the middle of a stream: connections are told before the end, what comes after the grace is not
+// run, each request that came before the loop's end has its answer by then and by its due time, and that end is before
+// the kill.
+func TestEveryDeploymentDrainsInTime(t *testing.T) {
+	t.Run("quick runs", func(t *testing.T) { onEach(t, quick, drains) })
+	t.Run("long runs", func(t *testing.T) {
+		onEach(t, func(s core.Site) time.Duration { return shortest(s) * 2 / 3 }, drains)
+	})
+}
+
+func drains(t *testing.T, c *callers) {
+	step := max(ms, quick(c.site)/8)
+	send := func(until time.Time) {
+		for i := 0; time.Now().Before(until); i++ {
+			select {
+			case <-c.w.Done:
+				return
+			default:
+			}
+			c.ask(c.sent%len(c.site.Classes), fmt.Sprint("k", c.sent), fmt.Sprint("body ", c.sent))
+			time.Sleep(step)
+		}
+	}
+	send(time.Now().Add(10 * step))
+	notice := time.Now()
+	c.w.Send(core.Drain{})
+	send(notice.Add(c.site.Stop + time.Second))
+	<-c.w.Done
+	ended := time.Now()
+	if d := ended.Sub(notice); d > c.site.Stop {
+		t.Errorf("it ended %v after the notice, %v before the kill", d, c.site.Stop-d)
+	}
+	if len(c.left) == 0 || c.left[0].After(notice.Add(min(c.site.Control.DrainGrace, c.site.Stop))) || !c.left[0].Before(ended) {
+		t.Errorf("told %v, notice %v, end %v", c.left, notice, ended)
+	}
+	delete(c.due, fmt.Sprintf("h%d", c.sent)) // it may have crossed the end
+	c.check(t)
+	ran := c.w.Runs()
+	for body := range ran {
+		var n int
+		fmt.Sscanf(body, "body %d", &n)
+		sent := c.due[fmt.Sprintf("h%d", n+1)].Add(-c.site.Control.Classes[n%len(c.site.Classes)].Deadline)
+		if sent.After(notice.Add(c.site.Control.DrainGrace)) {
+			t.Errorf("%q came %v after the notice and ran", body, sent.Sub(notice))
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"strconv"
@@ -12,6 +13,10 @@
 	"larchscale/internal/wire"
 )
 
+// untold is the deadline of a class whose settings name none, as control.Class has it: due times, claims in a shared
+// store and a handoff's end are counted from it too.
+const untold = time.Minute
+
 func usf(n float64) time.Duration { return time.Duration(n * float64(time.Microsecond)) }
 
 // Config is what s, with the seed of one start, tells a controller.
@@ -45,7 +50,7 @@
 		c.Stopping = control.StopHolds
 	}
 	for i, k := range s.RequestClasses {
-		class := control.Class{Aim: usf(k.AimUs), Deadline: usf(k.GiveUpUs), Window: usf(k.MemorySpanUs),
+		class := control.Class{Aim: usf(k.AimUs), Deadline: cmp.Or(usf(k.GiveUpUs), untold), Window: usf(k.MemorySpanUs),
 			Worth: k.Importance, LateWorth: k.LateWorth}
 		switch k.Effect {
 		case "by_key":
