--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -141,14 +141,20 @@
 	return -1
 }
 
-// check finds requests with no answer, two, or one after its due time.
+// check finds requests with no answer, two, one after its due time, or a refusal of what ran.
 func (c *callers) check(t *testing.T) {
 	t.Helper()
+	ran := map[string]bool{}
+	for _, h := range c.w.Handles() {
+		ran[h] = true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range slices.Sorted(maps.Keys(c.due)) {
 		if a := c.told[h]; len(a) != 1 || a[0].at.After(c.due[h]) {
 			t.Errorf("%s: %d answers, due %v: %+v", h, len(a), c.due[h], a)
+		} else if a[0].Kind == core.Refused && ran[h] {
+			t.Errorf("%s ran and was refused", h)
 		}
 	}
 }
@@ -210,24 +216,81 @@
 	})
 }
 
-// In a crowd that no server can carry each request gets one answer by its due time, and no write runs twice though
-// each is tried three times.
+// crowd sends more than any server can carry. Each keyed request is tried three times.
+func (c *callers) crowd(n int) {
+	for i := range n {
+		class := i / 3 % len(c.site.Classes)
+		body := fmt.Sprint("body ", class, " ", c.sent)
+		if c.site.Keyed(class) {
+			body = fmt.Sprint("body ", class, " ", c.sent-i%3)
+		}
+		c.ask(class, body, body)
+		time.Sleep(shortest(c.site) / 100)
+	}
+}
+
+// once finds writes that ran twice.
+func (c *callers) once(t *testing.T) {
+	t.Helper()
+	for body, n := range c.w.Runs() {
+		var class int
+		fmt.Sscanf(body, "body %d", &class)
+		if c.site.Control.Classes[class].Effect != control.Safe && n > 1 {
+			t.Errorf("%q ran %d times", body, n)
+		}
+	}
+}
+
+func third(s core.Site) time.Duration { return shortest(s) / 3 }
+
+// In a crowd that no server can carry each request gets one answer by its due time, and no write runs twice.
 func TestEveryDeploymentAnswersACrowdInTime(t *testing.T) {
-	onEach(t, func(s core.Site) time.Duration { return shortest(s) / 3 }, func(t *testing.T, c *callers) {
-		for i := range 400 {
-			class := i % len(c.site.Classes)
-			c.ask(class, fmt.Sprint("k", i/3), fmt.Sprint("body ", class, " ", i/3))
-			time.Sleep(shortest(c.site) / 100)
+	onEach(t, third, func(t *testing.T, c *callers) {
+		c.crowd(399)
+		time.Sleep(time.Minute + time.Second)
+		c.check(t)
+		c.once(t)
+	})
+}
+
+// The worker pool starts anew, twice, in the middle of a crowd: one answer in time all the same, and no write runs twice.
+func TestEveryDeploymentOutlivesItsPool(t *testing.T) {
+	onEach(t, third, func(t *testing.T, c *callers) {
+		for range 3 {
+			c.crowd(60)
+			time.Sleep(1100 * ms) // a start so soon after another is taken for the same
+			c.w.Send(core.PoolLost{}, core.PoolBound{Cold: true, Age: ms})
 		}
 		time.Sleep(time.Minute + time.Second)
 		c.check(t)
-		for body, n := range c.w.Runs() {
-			var class, i int
-			fmt.Sscanf(body, "body %d %d", &class, &i)
-			if k := c.site.Control.Classes[class]; k.Effect == control.Keyed && n > 1 {
-				t.Errorf("%q ran %d times", body, n)
+		c.once(t)
+	})
+}
+
+// A call below that never ends, or ends only after its request is due, costs no request its answer in time.
+func TestEveryDeploymentOutlivesItsCalls(t *testing.T) {
+	onEach(t, func(core.Site) time.Duration { return 0 }, func(t *testing.T, c *callers) {
+		for i, k := range c.site.Control.Classes {
+			if !k.Calls {
+				continue
+			}
+			for _, late := range []bool{false, true} {
+				h := c.ask(i, fmt.Sprint("k", late), fmt.Sprint("call ", late))
+				time.Sleep(10 * ms)
+				c.w.Send(blocked(h, "x"))
+				time.Sleep(k.Deadline + 10*ms)
+				if late {
+					c.w.Send(core.CallEnded{Handle: h, Outcome: control.OK, Body: []byte("reply")}, finished(h, control.OK, "late"))
+				} else {
+					c.w.Send(finished(h, control.Stopped, ""))
+				}
+				time.Sleep(time.Second)
+				if got := c.kind(h); got == int(core.Served) {
+					t.Errorf("%s: %d", c.site.Classes[i], got)
+				}
 			}
 		}
+		c.check(t)
 	})
 }
 
