Config: the uwsgi front leaves the platform's front and the links their descriptors

Seen: with limits.sockets 128, which the kernel keeps too, the uwsgi front had its 128 connections of the operator's file beside 16 for balancers. Gateways that send a byte and no more then hold every descriptor for as long as they come again: the link to the pool, the directory and the calls below fail with "too many open files", and 20 requests of a balancer are lost. At fault: main.serve, which took max_conns and max_calls as they are, and Limits.Conns, whose least of 16 hid that nothing was left. Settings under which all fits are as before.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -166,18 +166,14 @@
 			return fmt.Errorf("admin: %w", err)
 		}
 	}
-	others := 0
-	if own.UWSGI.Listen != "" {
-		others += own.UWSGI.MaxConns
-	}
-	if len(own.UWSGI.Below) > 0 {
-		others += own.UWSGI.MaxCalls
-	}
+	others := own.Ledger.Peers.Sockets() + len(own.Fleet.TrialCalls)*cfg.Limits.Calls
 	if doors != nil {
 		others += admin.MaxConns
 	}
-	others += own.Ledger.Peers.Sockets() + len(own.Fleet.TrialCalls)*cfg.Limits.Calls
-	conns := cfg.Limits.Conns(others)
+	conns, lowered := own.Fit(&cfg.Limits, others)
+	if lowered {
+		log.Warn("few descriptors", "sockets", cfg.Limits.Sockets, "max_conns", own.UWSGI.MaxConns, "max_calls", own.UWSGI.MaxCalls)
+	}
 	cfg.SetConns(conns)
 	c := core.New(cfg.Site, log)
 	workers := pool.New(cfg.Pool, c.Send, log)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	defaultMB    = 192
 	defaultSocks = 1024
 	minSocks     = 96
+	leastConns   = 16 // clients of the platform's front, whatever else is on
 )
 
 // GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
@@ -63,7 +64,7 @@
 
 // Conns is how many clients of the platform's front are served at a time, beside others descriptors.
 func (l *Limits) Conns(others int) int {
-	return max(16, l.Sockets-spareSockets-l.Calls-others)
+	return max(leastConns, l.Sockets-spareSockets-l.Calls-others)
 }
 
 // Load reads config.json.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -176,3 +176,35 @@
 		t.Error(err)
 	}
 }
+
+// All that is on stays under the limit of descriptors: what fits is as the operator's file says, what does not is
+// lowered, and the platform's front keeps half.
+func TestTheOperatorsPartsFit(t *testing.T) {
+	for _, x := range []struct {
+		sockets, others, conns, calls int // asked for; 0 = off
+		wantConns, wantCalls, want    int
+		lowered                       bool
+	}{
+		{1024, 32, 128, 128, 128, 128, 1024 - 32 - 16 - 32 - 256, false},
+		{512, 32, 128, 0, 128, 0, 512 - 32 - 16 - 32 - 128, false},
+		{128, 32, 128, 0, 24, 0, 24, true},
+		{128, 0, 128, 128, 20, 20, 40, true},
+		{96, 32, 128, 0, 1, 0, 16, true},
+	} {
+		l := Limits{Sockets: x.sockets, Calls: 16}
+		o := &Operator{}
+		if o.UWSGI.MaxConns = x.conns; x.conns > 0 {
+			o.UWSGI.Listen = "127.0.0.1:1"
+		}
+		if o.UWSGI.MaxCalls = x.calls; x.calls > 0 {
+			o.UWSGI.Below = []string{"127.0.0.1:2"}
+		}
+		got, lowered := o.Fit(&l, x.others)
+		if u := o.UWSGI; got != x.want || u.MaxConns != x.wantConns || u.MaxCalls != x.wantCalls || lowered != x.lowered {
+			t.Errorf("%+v: %d, %d connections, %d calls, lowered %v", x, got, u.MaxConns, u.MaxCalls, lowered)
+		}
+		if sum := spareSockets + l.Calls + x.others + got + o.UWSGI.MaxConns + o.UWSGI.MaxCalls; sum > x.sockets && x.sockets > minSocks {
+			t.Errorf("%+v: %d descriptors", x, sum)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -57,6 +57,36 @@
 	return o, nil
 }
 
+// Fit has the uwsgi front and its calls, where they are on, make do with what limits leave them beside others
+// descriptors, and gives how many clients the platform's front may have. Where the operator's file asks for more than
+// there is, that front keeps half. Guards against gateways that hold what the links and balancers need; lowered tells
+// that the file does not hold.
+func (o *Operator) Fit(l *Limits, others int) (conns int, lowered bool) {
+	u := &o.UWSGI
+	var parts []*int
+	if u.Listen != "" {
+		parts = append(parts, &u.MaxConns)
+	}
+	if len(u.Below) > 0 {
+		parts = append(parts, &u.MaxCalls)
+	}
+	want := 0
+	for _, n := range parts {
+		want += *n
+	}
+	room := l.Sockets - spareSockets - l.Calls - others
+	if want > 0 && room-want < leastConns {
+		lowered = true
+		have := max(0, room-max(leastConns, room/2))
+		for _, n := range parts {
+			*n = max(1, *n*have/want)
+			others += *n
+		}
+		return l.Conns(others), lowered
+	}
+	return l.Conns(others + want), lowered
+}
+
 func (o *Operator) check(platform *Config) error {
 	u := &o.UWSGI
 	if strings.HasPrefix(u.Listen, ":") {
--- a/internal/standin/descriptors_test.go
+++ b/internal/standin/descriptors_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -126,17 +127,48 @@
 	}
 }
 
+// stall has n gateways at a time send a byte of a packet and no more, one after another until the test ends.
+func stall(t *testing.T, addr string, n int) {
+	t.Helper()
+	var all, begun sync.WaitGroup
+	t.Cleanup(all.Wait)
+	begun.Add(n)
+	for range n {
+		all.Go(func() {
+			for first := true; t.Context().Err() == nil; first = false {
+				c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+				if first {
+					begun.Done()
+				}
+				if err != nil { // the kernel's queue is full
+					continue
+				}
+				ended := context.AfterFunc(t.Context(), func() { c.Close() })
+				c.Write([]byte{0})
+				c.Read(make([]byte, 1))
+				ended()
+				c.Close()
+			}
+		})
+	}
+	begun.Wait()
+}
+
 // Idle clients hold all descriptors that the platform or the kernel allows while the directory is down and the pool's
 // link breaks: the links keep theirs, a balancer that comes then is served with calls below, no core is burnt on
 // accepts, and the directory has this server again once it is back. A platform that allows more than the kernel does
 // is no reason to do without.
 func TestIdleClientsHoldAllDescriptors(t *testing.T) {
 	const real = 128
-	for name, sockets := range map[string]int{"as many as the kernel allows": real, "more than the kernel allows": 1024} {
+	for name, x := range map[string]struct {
+		sockets  int
+		gateways bool // stall too
+	}{"as many as the kernel allows": {sockets: real}, "more than the kernel allows": {sockets: 1024},
+		"gateways that stall, too": {real, true}} {
 		t.Run(name, func(t *testing.T) {
 			list := scenario.Listen(t)
 			b, site := told(t, limited(t, real), func(c map[string]any) {
-				c["limits"], c["lookup"] = map[string]any{"memory_mb": 32, "sockets": sockets}, list.Addr
+				c["limits"], c["lookup"] = map[string]any{"memory_mb": 32, "sockets": x.sockets}, list.Addr
 			})
 			site.SetAsks(40, 50*time.Millisecond)
 			started(t, b)
@@ -145,6 +177,9 @@
 			list.Close()
 			report.Close()
 
+			if x.gateways {
+				stall(t, b.Desk, real+32)
+			}
 			idlers(t, b.Listen, 2*real)
 			if c, err := net.Dial("tcp", site.Pool); err != nil { // a new link to the pool ends the box's
 				t.Fatal(err)
