--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -151,3 +152,59 @@
 		t.Error("negative sockets were taken")
 	}
 }
+
+// The kernel's limit of descriptors holds where the platform's is higher, for every bound; too low is an error.
+func TestTheKernelsLimitHolds(t *testing.T) {
+	parse := func(sockets int) *Config {
+		c, err := Parse(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:1","pool":"127.0.0.1:2","seed":"1","stop_ms":100,"limits":{"sockets":%d},`+
+			`"settings":{"RequestClasses":[{"Name":"a"}],"FamilyInfo":{"Cpus":6},"Safety":{"FallMultiple":8}}}`, sockets))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	for kernel, want := range map[uint64]int{128: 128, 1024: 1024, 1 << 20: 1024, 1<<64 - 1: 1024} {
+		c := parse(1024)
+		if err := c.Within(kernel); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(parse(want), c); diff != "" {
+			t.Errorf("%d: %s", kernel, diff)
+		}
+	}
+	if err := parse(1024).Within(95); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Error(err)
+	}
+}
+
+// All that is on stays under the limit of descriptors: what fits is as the operator's file says, what does not is
+// lowered, and the platform's front keeps half.
+func TestTheOperatorsPartsFit(t *testing.T) {
+	for _, x := range []struct {
+		sockets, others, conns, calls int // asked for; 0 = off
+		wantConns, wantCalls, want    int
+		lowered                       bool
+	}{
+		{1024, 32, 128, 128, 128, 128, 1024 - 32 - 16 - 32 - 256, false},
+		{512, 32, 128, 0, 128, 0, 512 - 32 - 16 - 32 - 128, false},
+		{128, 32, 128, 0, 24, 0, 24, true},
+		{128, 0, 128, 128, 20, 20, 40, true},
+		{96, 32, 128, 0, 1, 0, 16, true},
+	} {
+		l := Limits{Sockets: x.sockets, Calls: 16}
+		o := &Operator{}
+		if o.UWSGI.MaxConns = x.conns; x.conns > 0 {
+			o.UWSGI.Listen = "127.0.0.1:1"
+		}
+		if o.UWSGI.MaxCalls = x.calls; x.calls > 0 {
+			o.UWSGI.Below = []string{"127.0.0.1:2"}
+		}
+		got, lowered := o.Fit(&l, x.others)
+		if u := o.UWSGI; got != x.want || u.MaxConns != x.wantConns || u.MaxCalls != x.wantCalls || lowered != x.lowered {
+			t.Errorf("%+v: %d, %d connections, %d calls, lowered %v", x, got, u.MaxConns, u.MaxCalls, lowered)
+		}
+		if sum := spareSockets + l.Calls + x.others + got + o.UWSGI.MaxConns + o.UWSGI.MaxCalls; sum > x.sockets && x.sockets > minSocks {
+			t.Errorf("%+v: %d descriptors", x, sum)
+		}
+	}
+}
