A lock and not a process id tells whether a successor lives

Seen: a start file whose process had ended and whose id another program had made the notice to leave a handoff: nothing drained (TestASpoiltOrStaleStartFileIsNoSuccessor/the_id_is_another_program's: 'handing off to=' the parent of the test). The file was also written well after the address was bound, and not at all by a start that failed in between (TestTheStartIsClaimedBeforeTheAddress: the older process still took itself for the newest). At fault: writeStart and leave in cmd/larchscale/main.go, handoff.Successor.

Each process now holds an flock on its own start file, taken before the address is bound, until it ends. At SIGTERM its own file drains, a file that another holds is a handoff, all else drains with one line. A process that could not claim hands off to nobody, as the holder may be an older one. Ruled out: a spoilt, missing or odd file never was a handoff; it now is one line too. TestSuccessor checked the old decision's inputs; its cases are kept on the new ones.

--- /dev/null
+++ b/cmd/larchscale/leave_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"larchscale/internal/handoff"
+	"larchscale/internal/scenario"
+)
+
+// logged is the program's log, as who waits for its lines sees it.
+type logged struct {
+	mu   sync.Mutex
+	more *sync.Cond
+	text string
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text += string(b)
+	l.more.Broadcast()
+	return len(b), nil
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text
+}
+
+// instance is the program in this process: the test's own SIGTERM is its SIGTERM.
+type instance struct {
+	t      *testing.T
+	log    *logged
+	code   chan int
+	listen string
+	config string // the path of its file
+	start  string // the path of its start file
+}
+
+// launch starts the program on a $TMPDIR of its own, and returns at its "started" line. With up its worker pool is up.
+func launch(t *testing.T, up bool) *instance {
+	t.Helper()
+	t.Setenv("TMPDIR", t.TempDir())
+	front, pool := scenario.Listen(t), scenario.Listen(t)
+	front.Close()
+	if !up {
+		pool.Close()
+	}
+	p := &instance{t: t, log: &logged{}, code: make(chan int, 1), listen: front.Addr, config: filepath.Join(t.TempDir(), "config.json"),
+		start: filepath.Join(os.TempDir(), handoff.FileName("n"))}
+	p.log.more = sync.NewCond(&p.log.mu)
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"pool":%q,"seed":"1","stop_ms":1000,"settings":{"RequestClasses":[{"Name":"a","AimUs":300000,"GiveUpUs":300000}],`+
+		`"FamilyInfo":{"Cpus":1,"Advert":"level"}}}`, front.Addr, pool.Addr)
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.code <- run([]string{"-config", p.config}, func(string) string { return "" }, p.log) }()
+	p.expect("msg=started")
+	if up {
+		link := pool.Accept()
+		link.Expect(`"bind"`)
+		link.Send(`{"event":"bound","fate":"hot","lasted":60000}` + "\n")
+		p.expect("worker pool up")
+	}
+	return p
+}
+
+// expect waits until the log says want.
+func (p *instance) expect(want string) {
+	p.t.Helper()
+	late := time.AfterFunc(10*time.Second, func() { p.log.more.Broadcast() })
+	defer late.Stop()
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(p.log.text, want); p.log.more.Wait() {
+		if time.Now().After(end) {
+			p.t.Fatalf("no %q in %s", want, p.log.text)
+		}
+	}
+}
+
+func (p *instance) signal(s syscall.Signal) { syscall.Kill(os.Getpid(), s) }
+
+// ends expects exit code 0, and what the log says how often.
+func (p *instance) ends(want map[string]int) {
+	p.t.Helper()
+	select {
+	case code := <-p.code:
+		if code != 0 {
+			p.t.Errorf("exit %d", code)
+		}
+	case <-time.After(10 * time.Second):
+		p.t.Fatalf("it does not end: %s", p.log)
+	}
+	for word, n := range want {
+		if got := strings.Count(p.log.String(), word); got != n {
+			p.t.Errorf("%d of %q, want %d: %s", got, word, n, p.log)
+		}
+	}
+}
+
+const (
+	drains   = "msg=draining"
+	handsOff = `msg="handing off" server=n to=`
+	oddStart = `msg="start file"`
+)
+
+// A start file whose process has ended makes no handoff of a SIGTERM, whoever has its process id by now; a file that
+// cannot be a start neither. Each is one line in the log.
+func TestASpoiltOrStaleStartFileIsNoSuccessor(t *testing.T) {
+	for name, spoil := range map[string]func(path string) error{
+		"the id is another program's": func(path string) error { return os.WriteFile(path, handoff.Record(os.Getppid()), 0o600) },
+		"empty":                       func(path string) error { return os.WriteFile(path, nil, 0o600) },
+		"missing":                     func(string) error { return nil },
+		"a directory":                 func(path string) error { return os.Mkdir(path, 0o700) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := launch(t, false)
+			if err := errors.Join(os.Remove(p.start), spoil(p.start)); err != nil {
+				t.Fatal(err)
+			}
+			p.signal(syscall.SIGTERM)
+			p.ends(map[string]int{drains: 1, handsOff: 0, oddStart: 1})
+		})
+	}
+}
+
+// A process is the newest start by the time it binds the address: an older one never drains beside one that is bound.
+// A start that fails leaves nobody to hand off to.
+func TestTheStartIsClaimedBeforeTheAddress(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	older, err := handoff.Claim(filepath.Join(os.TempDir(), handoff.FileName("n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer older.Close()
+	taken := scenario.Listen(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"pool":"127.0.0.1:1","seed":"1","stop_ms":400,"settings":{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1}}}`, taken.Addr)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code := run([]string{"-config", path}, func(string) string { return "" }, io.Discard); code != 1 {
+		t.Fatalf("exit %d", code)
+	}
+	if found, _ := older.Look(); found.Holder != handoff.Nobody {
+		t.Errorf("after a start that failed at its address the start file's holder is %d", found.Holder)
+	}
+}
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -149,6 +149,13 @@
 func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, signals <-chan os.Signal, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	// Before the address is bound: once it is, an older process finds this one. If the rest of the start fails, the lock
+	// on the file ends with this process.
+	start, err := handoff.Claim(filepath.Join(os.TempDir(), handoff.FileName(cfg.Name)))
+	if err != nil {
+		log.Warn("start file", "do", "claim", "err", err)
+	}
+	defer start.Close()
 	listener, err := sock.Listen(cfg.Listen)
 	if err != nil {
 		return err
@@ -269,10 +276,6 @@
 		go door.Serve(doors)
 		defer door.Close()
 	}
-	started := filepath.Join(os.TempDir(), handoff.FileName(cfg.Name))
-	if err := writeStart(started); err != nil {
-		log.Warn("start file", "err", err)
-	}
 	go workers.Keep(ctx)
 	go list.Run(ctx)
 	go func() {
@@ -281,7 +284,7 @@
 				if tests != nil {
 					tests.Leave()
 				}
-				leave(c, fronts, listener, started, &cfg.Site, log)
+				leave(c, fronts, listener, start, &cfg.Site, log)
 				continue
 			}
 			next, err := cfg.Reload(path)
@@ -306,21 +309,14 @@
 	return nil
 }
 
-// writeStart names this process in the start file, whole or not at all: a process that reads it meanwhile
-// sees the one before or this one.
-func writeStart(path string) error {
-	next := fmt.Sprintf("%s.%d", path, os.Getpid())
-	if err := os.WriteFile(next, handoff.Record(os.Getpid()), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, path)
-}
-
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
-func leave(c *core.Core, fronts []*sock.Server, l net.Listener, started string, site *core.Site, log *slog.Logger) {
-	file, _ := os.ReadFile(started)
-	next := handoff.Successor(os.Getpid(), file, func(pid int) bool { return syscall.Kill(pid, 0) == nil })
-	if next == 0 {
+func leave(c *core.Core, fronts []*sock.Server, l net.Listener, start *handoff.StartFile, site *core.Site, log *slog.Logger) {
+	found, err := start.Look()
+	if err != nil {
+		log.Warn("start file", "do", "look", "err", err)
+	}
+	next, ok := found.Successor()
+	if !ok {
 		c.Send(core.Drain{})
 		return
 	}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -5,28 +5,29 @@
 	"time"
 )
 
+// Only a file that another living process holds is a handoff, whatever its record says.
 func TestSuccessor(t *testing.T) {
-	alive := func(pid int) bool { return pid == 7 || pid == 9 }
 	for _, c := range []struct {
-		file string
-		want int
+		found Found
+		pid   int
+		ok    bool
 	}{
-		{"9\n", 9},   // a newer process lives: a handoff
-		{"7\n", 0},   // the file names this process: the notice to leave
-		{"8\n", 0},   // the newer one is dead
-		{"", 0},      // no file
-		{"x9\n", 0},  // no process id
-		{"-9\n", 0},  // no process id
-		{" 9 \n", 9}, // spaces around it
-		{"99999999999999999999", 0},
+		{Found{Other, []byte("9\n")}, 9, true},   // a newer process lives
+		{Found{Other, []byte(" 9 \n")}, 9, true}, // spaces around it
+		{Found{Other, Record(9)}, 9, true},
+		{Found{Other, nil}, 0, true},            // its record is spoilt, its lock is not
+		{Found{Other, []byte("x9\n")}, 0, true}, // no process id
+		{Found{Other, []byte("-9\n")}, 0, true}, // no process id
+		{Found{Other, []byte("99999999999999999999")}, 0, true},
+		{Found{Self, []byte("9\n")}, 0, false},
+		{Found{Nobody, []byte("9\n")}, 0, false}, // the newer one is dead, though a process of that id may live
+		{Found{Unknown, []byte("9\n")}, 0, false},
+		{Found{}, 0, false}, // no file
 	} {
-		if got := Successor(7, []byte(c.file), alive); got != c.want {
-			t.Errorf("file %q: %d, want %d", c.file, got, c.want)
+		if pid, ok := c.found.Successor(); pid != c.pid || ok != c.ok {
+			t.Errorf("%d %q: %d %v, want %d %v", c.found.Holder, c.found.Record, pid, ok, c.pid, c.ok)
 		}
 	}
-	if got := Successor(7, Record(9), alive); got != 9 {
-		t.Errorf("a record of its own: %d", got)
-	}
 }
 
 func TestKill(t *testing.T) {
@@ -46,10 +47,15 @@
 }
 
 func FuzzSuccessor(f *testing.F) {
-	f.Add([]byte("9\n"))
-	f.Fuzz(func(t *testing.T, file []byte) {
-		if got := Successor(7, file, func(int) bool { return true }); got == 7 || got < 0 {
-			t.Fatalf("%q: %d", file, got)
+	f.Add(uint8(Other), []byte("9\n"))
+	f.Add(uint8(Nobody), []byte("9\n"))
+	f.Fuzz(func(t *testing.T, holder uint8, file []byte) {
+		pid, ok := Found{Holder(holder), file}.Successor()
+		if ok != (Holder(holder) == Other) || pid < 0 || !ok && pid != 0 {
+			t.Fatalf("%d %q: %d %v", holder, file, pid, ok)
+		}
+		if again, _ := (Found{Other, Record(pid)}).Successor(); again != pid {
+			t.Fatalf("%q: %d, recorded anew %d", file, pid, again)
 		}
 	})
 }
