The first SIGTERM decides, and nothing takes its place

Seen, on the unchanged program: a SIGTERM that drained, then a successor and a second SIGTERM shut the listener of the process that still drained (connection refused; TestTheFirstSIGTERMDecides). A reload that hung on its file held the SIGTERM up for ever (TestASIGTERMCrossesAReloadThatHangs), and 20 SIGHUPs during the start filled the one queue of signals, so that the SIGTERM after them was lost (TestManySIGHUPsTakeNoSIGTERMsPlace). At fault: the signal goroutine of cmd/larchscale/main.go, which called leave again for each, and the channel of 8 for all signals. Now each kind has its own room for one, which is enough as none carries more than that it came, and a goroutine of its own.

At a handoff the listeners of all fronts are steered to the successor, not the first alone (TestEveryFrontIsSteered). The kernel here refuses steering, so that where connections go under it was not run. Ruled out: a successor that dies after the handoff, one of the successor, a handoff before the pool is up: exit code 0, one handoff.

--- a/cmd/larchscale/leave_test.go
+++ b/cmd/larchscale/leave_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -109,6 +111,26 @@
 	}
 }
 
+// succeed is another process of the server that starts.
+func (p *instance) succeed() *handoff.StartFile {
+	p.t.Helper()
+	next, err := handoff.Claim(p.start)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(next.Close)
+	return next
+}
+
+// serves expects an answer on a connection of its own, made now.
+func (p *instance) serves() {
+	p.t.Helper()
+	peer := scenario.Dial(p.t, p.listen)
+	peer.Send(`{"jsonrpc":"2.0","id":1,"method":"status"}` + "\n")
+	peer.Expect(`"id":1,"result"`)
+	peer.Close()
+}
+
 const (
 	drains   = "msg=draining"
 	handsOff = `msg="handing off" server=n to=`
@@ -157,3 +179,115 @@
 		t.Errorf("after a start that failed at its address the start file's holder is %d", found.Holder)
 	}
 }
+
+// The first SIGTERM decides: what a second one would find changes nothing, nothing is shut that serves on, and the
+// program ends well.
+func TestTheFirstSIGTERMDecides(t *testing.T) {
+	for name, steps := range map[string]func(p *instance){
+		"a successor after the notice": func(p *instance) {
+			scenario.Dial(t, p.listen) // stays, so that the drain does
+			p.serves()
+			p.signal(syscall.SIGTERM)
+			p.expect(drains)
+			p.succeed()
+			p.signal(syscall.SIGTERM)
+			p.signal(syscall.SIGHUP)
+			p.expect("msg=reloaded")
+			p.serves()
+			p.ends(map[string]int{drains: 1, handsOff: 0, oddStart: 0})
+		},
+		"the successor dies after the handoff": func(p *instance) {
+			next := p.succeed()
+			p.signal(syscall.SIGTERM)
+			p.expect(handsOff)
+			next.Close()
+			p.signal(syscall.SIGTERM)
+			p.ends(map[string]int{drains: 1, handsOff: 1, oddStart: 0})
+		},
+		"a successor of the successor": func(p *instance) {
+			p.succeed().Close()
+			p.succeed()
+			p.signal(syscall.SIGTERM)
+			p.expect(handsOff)
+			p.succeed()
+			p.signal(syscall.SIGTERM)
+			p.ends(map[string]int{drains: 1, handsOff: 1, oddStart: 0})
+		},
+	} {
+		t.Run(name, func(t *testing.T) { steps(launch(t, true)) })
+	}
+}
+
+// A handoff before the worker pool is up ends well.
+func TestAHandoffBeforeThePoolIsUp(t *testing.T) {
+	p := launch(t, false)
+	p.succeed()
+	p.signal(syscall.SIGTERM)
+	p.ends(map[string]int{drains: 1, handsOff: 1, oddStart: 0})
+}
+
+// A reload that hangs on its file does not hold up the notice to leave.
+func TestASIGTERMCrossesAReloadThatHangs(t *testing.T) {
+	p := launch(t, false)
+	if err := errors.Join(os.Remove(p.config), syscall.Mkfifo(p.config, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	file, err := os.OpenFile(p.config, os.O_WRONLY, 0) // once the reload has it open
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	p.signal(syscall.SIGTERM)
+	p.ends(map[string]int{drains: 1})
+}
+
+// No number of SIGHUPs during the start takes the place of a SIGTERM.
+func TestManySIGHUPsTakeNoSIGTERMsPlace(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	front := scenario.Listen(t)
+	front.Close()
+	home := t.TempDir()
+	config, operator := filepath.Join(home, "config.json"), filepath.Join(home, "operator.toml")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"pool":"127.0.0.1:1","seed":"1","stop_ms":400,"settings":{"RequestClasses":[{"Name":"a","AimUs":1000000}],"FamilyInfo":{"Cpus":1}}}`, front.Addr)
+	if err := errors.Join(os.WriteFile(config, []byte(text), 0o600), syscall.Mkfifo(operator, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	p := &instance{t: t, log: &logged{}, code: make(chan int, 1)}
+	p.log.more = sync.NewCond(&p.log.mu)
+	seen := make(chan os.Signal, 1)
+	signal.Notify(seen, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR1)
+	defer signal.Stop(seen)
+	go func() {
+		p.code <- run([]string{"-config", config, "-operator", operator}, func(string) string { return "" }, p.log)
+	}()
+	file, err := os.OpenFile(operator, os.O_WRONLY, 0) // once the program has it open: it hears signals by then
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		p.signal(syscall.SIGHUP)
+		<-seen
+	}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGUSR1} { // the runtime hands on one after the other
+		p.signal(s)
+		<-seen
+	}
+	file.Close() // an operator's file that says nothing
+	p.ends(map[string]int{drains: 1})
+}
+
+// anyListener is a listener that no kernel steers.
+type anyListener struct{ net.Listener }
+
+// The listeners of all fronts are steered to the successor; those that the kernel does not steer are one error.
+func TestEveryFrontIsSteered(t *testing.T) {
+	a, b := scenario.Listen(t), scenario.Listen(t)
+	err := steer([]net.Listener{anyListener{a.Listener()}, anyListener{b.Listener()}})
+	if err == nil || !strings.Contains(err.Error(), a.Addr) || !strings.Contains(err.Error(), b.Addr) {
+		t.Errorf("%v does not name %s and %s", err, a.Addr, b.Addr)
+	}
+	if err := steer(nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -83,15 +83,22 @@
 	return f, code, err
 }
 
+// signals are the program's, by what they ask for.
+type signals struct{ leave, reload chan os.Signal }
+
 // run starts the program and gives its exit code: 2 for bad settings, 1 for what fails later.
 func run(args []string, env func(string) string, out io.Writer) int {
 	bad := func(err error) int {
 		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
-	signals := make(chan os.Signal, 8) // from the first step: a SIGTERM during start-up drains once it can
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// From the first step: a SIGTERM during start-up drains once it can. Each has its own room for one, which is
+	// enough: no number of SIGHUPs takes the place of a SIGTERM.
+	on := signals{leave: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(on.leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(on.reload, syscall.SIGHUP)
+	defer signal.Stop(on.leave)
+	defer signal.Stop(on.reload)
 	f, code, err := parse(args, env, out)
 	if err != nil {
 		return bad(err)
@@ -117,7 +124,7 @@
 	}
 	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
-	if err := serve(f.Config, cfg, own, books, signals, log); err != nil {
+	if err := serve(f.Config, cfg, own, books, on, log); err != nil {
 		<-closeLedger(books, log)
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
@@ -146,7 +153,7 @@
 
 // serve wires the parts together and returns when the core has answered all after SIGTERM. SIGHUP moves the
 // links to the addresses in the file as it is then; all else lives on.
-func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, signals <-chan os.Signal, log *slog.Logger) error {
+func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, on signals, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	// Before the address is bound: once it is, an older process finds this one. If the rest of the start fails, the lock
@@ -160,6 +167,7 @@
 	if err != nil {
 		return err
 	}
+	listeners := []net.Listener{listener}
 	var doors net.Listener
 	if cfg.Admin != "" {
 		if doors, err = net.Listen("tcp4", cfg.Admin); err != nil {
@@ -265,6 +273,7 @@
 		if err != nil {
 			return err
 		}
+		listeners = append(listeners, desks)
 		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, cfg.Limits.Budget(), uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
 	}
 	for _, f := range fronts {
@@ -278,15 +287,15 @@
 	}
 	go workers.Keep(ctx)
 	go list.Run(ctx)
+	go func() { // the first of them decides; a reload that hangs does not hold it up
+		<-on.leave
+		if tests != nil {
+			tests.Leave()
+		}
+		leave(c, fronts, listeners, start, &cfg.Site, log)
+	}()
 	go func() {
-		for s := range signals {
-			if s != syscall.SIGHUP {
-				if tests != nil {
-					tests.Leave()
-				}
-				leave(c, fronts, listener, start, &cfg.Site, log)
-				continue
-			}
+		for range on.reload {
 			next, err := cfg.Reload(path)
 			if err != nil {
 				log.Error("reload", "err", err)
@@ -310,7 +319,7 @@
 }
 
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
-func leave(c *core.Core, fronts []*sock.Server, l net.Listener, start *handoff.StartFile, site *core.Site, log *slog.Logger) {
+func leave(c *core.Core, fronts []*sock.Server, listeners []net.Listener, start *handoff.StartFile, site *core.Site, log *slog.Logger) {
 	found, err := start.Look()
 	if err != nil {
 		log.Warn("start file", "do", "look", "err", err)
@@ -327,7 +336,7 @@
 	kill := handoff.Kill(deadlines)
 	log.Info("handing off", "to", next, "kill_ms", kill.Milliseconds())
 	c.Send(core.Handoff{Kill: kill})
-	if err := sock.Steer(l, 1); err != nil {
+	if err := steer(listeners); err != nil {
 		log.Warn("handing off", "err", err)
 	}
 	for _, f := range fronts {
@@ -335,6 +344,16 @@
 	}
 }
 
+// steer has the kernel give the new connections of every front to the successor; err names each that it does not.
+func steer(listeners []net.Listener) (err error) {
+	for _, l := range listeners {
+		if e := sock.Steer(l, 1); e != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", l.Addr(), e))
+		}
+	}
+	return err
+}
+
 // closeLedger has the last entries written, while the fronts write their last answers.
 func closeLedger(books *keeper.Keeper, log *slog.Logger) <-chan struct{} {
 	done := make(chan struct{})
