Files: a lock that does not come and a spoilt file refuse a key, and run nothing twice

Seen on the unchanged store: a key's file that is empty, short or all zeros, as a machine that went down may leave it, was swept as expired, and its key won by the next claim: what it held could run twice within the window (TestFilesSpoilt: the claim won, for these three). While another process stood still with the directory's lock held every claim and end waited for ever in flock (TestFilesWhileTheOtherProcessHoldsTheLock: timed out), so that keyed requests ended only by their due times, as if they might have run. Without any lock a claim was made all the same.

What is queued at the end is done. Ruled out, with tests: a full queue, half a value, half-written files, a directory in a file's place, a result whose life is zero or negative.

--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -22,12 +22,22 @@
 // reads every file: each second, it cost a run of 102,400 requests twice its time.
 const sweepEach = 20 * time.Second
 
+const (
+	lockWait   = 250 * time.Millisecond // for the directory's lock at the most, the first time that it does not come
+	lockEach   = time.Millisecond       // between two tries for it
+	endsEach   = 100 * time.Millisecond // between two tries for it while ends of runs wait for it
+	spoiltFor  = 24 * time.Hour         // a spoilt file is kept, unless a claim whose life is over by then comes sooner
+	expiryLen  = 8                      // bytes of the expiry at the head of a file
+	unfinished = ".new"                 // ends the name of a file that is not whole yet
+)
+
 // Files is a core.Store in a directory that two processes of one server share, such as their $TMPDIR in a
 // replacement: a keyed write that ran in one of them is not run by the other. A key is a file named by the hash
 // of its class and token, holding its expiry (8 bytes, Unix ns, big-endian) and a value as the Redis store
 // writes it. Every change is done under an flock of the directory and replaces a file whole by a rename, so a
 // process that dies between two steps leaves either the old state or the new. The loop never waits: one
-// goroutine does the file work, and a claim that finds no room in its queue is a store that is down.
+// goroutine does the file work, and a claim that finds no room in its queue is a store that is down. So is one that
+// gets no lock in time, as while the other process is stopped with it held; ends of runs are kept until it comes.
 type Files struct {
 	dir   string
 	owner string
@@ -36,37 +46,54 @@
 	used  int64 // as last counted, and written since; the goroutine's alone
 	sink  func(core.Event)
 	log   *slog.Logger
-	work  chan func()
+	work  chan job
+	ends  []job // that wait for the lock, waiting at the most; the goroutine's alone, as is stuck
+	stuck bool  // the lock did not come the last time
 	now   func() time.Time
 }
 
+// job is done with the directory's lock held. err tells that the lock did not come: nothing may be changed.
+type job func(err error)
+
 // OpenFiles makes the directory, if it is not there, and a store in it of at most bound bytes.
 func OpenFiles(dir, owner string, class []string, bound int64, sink func(core.Event), log *slog.Logger) (*Files, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	return &Files{dir: dir, owner: owner, class: class, bound: bound, sink: sink, log: log,
-		work: make(chan func(), waiting), now: time.Now}, nil
+		work: make(chan job, waiting), now: time.Now}, nil
 }
 
-// Run works until ctx ends.
+// Run works until ctx ends, and then does what was asked before.
 func (s *Files) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepEach)
 	defer sweep.Stop()
 	s.locked(s.sweep)
 	for {
+		var again <-chan time.Time
+		if len(s.ends) > 0 {
+			again = time.After(endsEach)
+		}
 		select {
 		case f := <-s.work:
 			s.locked(f)
 		case <-sweep.C:
 			s.locked(s.sweep)
+		case <-again:
+			s.locked(func(error) {})
 		case <-ctx.Done():
+			for len(s.work) > 0 {
+				s.locked(<-s.work)
+			}
+			if len(s.ends) > 0 {
+				s.locked(func(error) {})
+			}
 			return
 		}
 	}
 }
 
-func (s *Files) do(f func()) bool {
+func (s *Files) do(f job) bool {
 	select {
 	case s.work <- f:
 		return true
@@ -75,21 +102,45 @@
 	}
 }
 
-// locked runs f with the directory's lock held; without the lock f runs all the same, as the only process.
-func (s *Files) locked(f func()) {
-	lock, err := os.OpenFile(filepath.Join(s.dir, ".lock"), os.O_CREATE|os.O_RDWR, 0o600)
-	if err == nil {
-		defer lock.Close()
-		for {
-			if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); !errors.Is(err, syscall.EINTR) {
-				break
-			}
+// locked does f with the directory's lock held, after the ends that wait for it; or tells f that the lock did not come.
+func (s *Files) locked(f job) {
+	lock, err := s.lock()
+	if err != nil {
+		if !s.stuck {
+			s.log.Warn("store", "do", "lock", "err", err)
 		}
+		s.stuck = true
+		f(err)
+		return
 	}
+	defer lock.Close()
+	s.stuck = false
+	ends := s.ends
+	s.ends = nil
+	for _, end := range ends {
+		end(nil)
+	}
+	f(nil)
+}
+
+// lock takes the directory's lock, which the file's Close gives up. It waits up to lockWait, and not at all where it
+// waited in vain the last time: what is asked meanwhile is told so at once.
+func (s *Files) lock() (*os.File, error) {
+	file, err := os.OpenFile(filepath.Join(s.dir, ".lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		s.log.Warn("store", "do", "lock", "err", err)
+		return nil, err
+	}
+	for end := time.Now().Add(lockWait); ; time.Sleep(lockEach) {
+		err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return file, nil
+		}
+		held := errors.Is(err, syscall.EWOULDBLOCK)
+		if !held && !errors.Is(err, syscall.EINTR) || held && (s.stuck || time.Now().After(end)) {
+			file.Close()
+			return nil, fmt.Errorf("%s: %w", file.Name(), err)
+		}
 	}
-	f()
 }
 
 func (s *Files) path(k core.Key) string {
@@ -97,8 +148,9 @@
 	return filepath.Join(s.dir, hex.EncodeToString(sum[:16]))
 }
 
-// get gives the value of a key that has not expired, nil = none, and the size of the file that is there.
-func (s *Files) get(path string) ([]byte, int, error) {
+// get gives the value of a key that has not expired, nil = none, and the size of the file that is there. A spoilt file
+// is an error until life has passed since it was written: what it held may have run.
+func (s *Files) get(path string, life time.Duration) ([]byte, int, error) {
 	b, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, 0, nil
@@ -106,25 +158,36 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if len(b) < 8 {
-		return nil, len(b), fmt.Errorf("%s: %d bytes are no key", path, len(b))
-	}
-	if Expired(b, s.now()) {
+	switch until := expiry(b); {
+	case until == 0:
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, len(b), err
+		}
+		if s.now().Sub(info.ModTime()) < life {
+			return nil, len(b), fmt.Errorf("%s: %d bytes are no key", path, len(b))
+		}
+		return nil, len(b), nil
+	case until <= s.now().UnixNano():
 		return nil, len(b), nil
 	}
-	return b[8:], len(b), nil
+	return b[expiryLen:], len(b), nil
 }
 
-// Expired tells whether a file's contents are past their expiry at now; too short is expired.
-func Expired(file []byte, now time.Time) bool {
-	return len(file) < 8 || int64(binary.BigEndian.Uint64(file)) <= now.UnixNano()
+// expiry gives a file's, in Unix ns; 0 = it is spoilt: too short, or zeros, as a disk that went down with its machine
+// may leave it.
+func expiry(file []byte) int64 {
+	if len(file) < expiryLen {
+		return 0
+	}
+	return int64(binary.BigEndian.Uint64(file))
 }
 
 // put replaces a key's file, of size was, whole.
 func (s *Files) put(path string, value []byte, life time.Duration, was int) error {
 	file := binary.BigEndian.AppendUint64(nil, uint64(s.now().Add(life).UnixNano()))
 	file = append(file, value...)
-	next := path + ".new"
+	next := path + unfinished
 	if err := os.WriteFile(next, file, 0o600); err != nil {
 		return err
 	}
@@ -138,11 +201,13 @@
 // Claim asks for a key.
 func (s *Files) Claim(p core.Piece) bool {
 	k, sum, life := p.Key, p.Sum, p.Life
-	return s.do(func() {
-		state, result, err := s.claim(s.path(k), sum, life)
-		if err != nil {
-			s.log.Warn("store", "do", "claim", "err", err)
-			state = core.ClaimDown
+	return s.do(func(err error) {
+		state, result := core.ClaimDown, []byte(nil)
+		if err == nil { // else it is told in the log already
+			if state, result, err = s.claim(s.path(k), sum, life); err != nil {
+				s.log.Warn("store", "do", "claim", "err", err)
+				state = core.ClaimDown
+			}
 		}
 		s.sink(core.Claimed{Key: k, State: state, Result: result})
 	})
@@ -150,7 +215,7 @@
 
 func (s *Files) claim(path string, sum [32]byte, life time.Duration) (core.Claim, []byte, error) {
 	mine := value(markClaim, sum, []byte(s.owner))
-	old, was, err := s.get(path)
+	old, was, err := s.get(path, life)
 	if err != nil {
 		return core.ClaimDown, nil, err
 	}
@@ -193,22 +258,35 @@
 // replace changes a key only while it is this server's claim. A change that finds no room is lost: a result
 // that is not shared leaves its repeats in the other process without an answer until their deadline.
 func (s *Files) replace(k core.Key, what string, change func(path string, was int) error) {
-	if !s.do(func() {
+	lost := func() { s.log.Warn("store", "do", what, "err", "no room") }
+	var end job
+	end = func(unlocked error) {
 		path := s.path(k)
-		old, was, err := s.get(path)
-		if err == nil && old != nil && len(old) >= 1+sumLen && old[0] == markClaim && string(old[1+sumLen:]) == s.owner {
+		old, was, err := s.get(path, spoiltFor)
+		switch mine := err == nil && len(old) >= 1+sumLen && old[0] == markClaim && string(old[1+sumLen:]) == s.owner; {
+		case !mine: // nobody else makes it so
+		case unlocked == nil:
 			err = change(path, was)
+		case len(s.ends) < waiting:
+			s.ends = append(s.ends, end)
+		default:
+			lost()
 		}
 		if err != nil {
 			s.log.Warn("store", "do", what, "err", err)
 		}
-	}) {
-		s.log.Warn("store", "do", what, "err", "no room")
+	}
+	if !s.do(end) {
+		lost()
 	}
 }
 
-// sweep removes what has expired, and what a process left half written, and counts the bytes anew.
-func (s *Files) sweep() {
+// sweep removes what has expired, and what a process left half written, and counts the bytes anew. A spoilt file stays
+// for long: what it held may have run.
+func (s *Files) sweep(err error) {
+	if err != nil { // no lock
+		return
+	}
 	entries, err := os.ReadDir(s.dir)
 	if err != nil {
 		s.log.Warn("store", "do", "sweep", "err", err)
@@ -226,7 +304,11 @@
 		if err != nil {
 			continue
 		}
-		if strings.HasSuffix(name, ".new") || Expired(b, now) {
+		until := expiry(b)
+		if info, err := e.Info(); until == 0 && err == nil {
+			until = info.ModTime().Add(spoiltFor).UnixNano()
+		}
+		if strings.HasSuffix(name, unfinished) || until <= now.UnixNano() {
 			os.Remove(path)
 			continue
 		}
--- a/internal/store/files_test.go
+++ b/internal/store/files_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,8 +29,15 @@
 		}
 		s.now = func() time.Time { return time.Unix(0, clock.Load()) }
 		ctx, stop := context.WithCancel(context.Background())
-		t.Cleanup(stop)
-		go s.Run(ctx)
+		over := make(chan struct{})
+		t.Cleanup(func() {
+			stop()
+			<-over
+		})
+		go func() {
+			defer close(over)
+			s.Run(ctx)
+		}()
 		return s
 	}
 	return open("n1-old"), open("n1-new"), events, clock
@@ -43,7 +54,7 @@
 // settle waits until what was queued on s is done.
 func settle(s *Files) {
 	done := make(chan struct{})
-	for !s.do(func() { close(done) }) {
+	for !s.do(func(error) { close(done) }) {
 	}
 	<-done
 }
@@ -111,9 +122,197 @@
 	}
 	clock.Add(int64(time.Minute))
 	done := make(chan struct{})
-	old.do(func() { old.sweep(); close(done) })
+	old.do(func(err error) { old.sweep(err); close(done) })
 	<-done
 	if got := claim(t, old, events, core.Key{Class: 0, Token: "z"}, sum); got.State != core.ClaimWon {
 		t.Fatalf("after the sweep: %v", got.State)
 	}
 }
+
+// stand has somebody hold the directory's lock, as a process does that is stopped with it, until go on is called.
+func stand(t *testing.T, s *Files) (goOn func()) {
+	t.Helper()
+	lock, err := os.OpenFile(filepath.Join(s.dir, ".lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err == nil {
+		err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lock.Close() })
+	return func() { lock.Close() }
+}
+
+// A process that is stopped with the directory's lock held has the other one refuse what is claimed, soon, and run none
+// of it; the ends of its runs are shared once the lock is free. Then claims go on.
+func TestFilesWhileTheOtherProcessHoldsTheLock(t *testing.T) {
+	old, next, events, _ := twoProcesses(t, 1<<20)
+	sum := [32]byte{1}
+	ran, failed, free := core.Key{Class: 1, Token: "ran"}, core.Key{Class: 1, Token: "failed"}, core.Key{Class: 1, Token: "free"}
+	for _, k := range []core.Key{ran, failed, free} {
+		if got := claim(t, next, events, k, sum); got.State != core.ClaimWon {
+			t.Fatalf("claim of %s: %v", k.Token, got.State)
+		}
+	}
+	settle(old) // no sweep of it is under way
+	goOn := stand(t, next)
+	began := time.Now()
+	for i := range 100 {
+		if got := claim(t, next, events, core.Key{Class: 1, Token: string(rune('A' + i))}, sum); got.State != core.ClaimDown {
+			t.Fatalf("a claim while the lock is held: %v", got.State)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("100 claims were refused after %v", took)
+	}
+	next.Finish(ran, sum, true, []byte("booked"), 10*time.Second)
+	next.Finish(failed, sum, false, nil, 10*time.Second)
+	next.Release(free)
+	for i := range 2 * waiting { // what was refused is released, and takes no room from the ends of runs
+		next.Release(core.Key{Class: 1, Token: string(rune('A' + i))})
+		settle(next)
+	}
+	goOn()
+	for k, want := range map[core.Key]core.Claim{ran: core.ClaimDone, failed: core.ClaimFailed, free: core.ClaimWon} {
+		settle(next) // it comes after the ends
+		if got := claim(t, old, events, k, sum); got.State != want {
+			t.Errorf("%s: %v, want %v", k.Token, got.State, want)
+		}
+	}
+}
+
+// What is queued when the store ends is done: the last run of a process that leaves is known to the next one.
+func TestFilesDoWhatWasAskedBeforeTheEnd(t *testing.T) {
+	old, next, events, _ := twoProcesses(t, 1<<20)
+	k, sum := core.Key{Class: 1, Token: "last"}, [32]byte{1}
+	last, err := OpenFiles(old.dir, "n1-last", old.class, 1<<20, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last.now = old.now
+	last.Claim(core.Piece{Key: k, Sum: sum, Life: 10 * time.Second})
+	last.Finish(k, sum, true, []byte("booked"), 10*time.Second)
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	last.Run(ctx)
+	<-events
+	if got := claim(t, next, events, k, sum); got.State != core.ClaimDone {
+		t.Errorf("%v", got.State)
+	}
+}
+
+// A queue that is full refuses a claim, and keeps no key for it; what was taken before is answered, each once.
+func TestFilesQueueFull(t *testing.T) {
+	_, next, events, _ := twoProcesses(t, 1<<20)
+	got := make(chan core.Event, waiting)
+	slow, err := OpenFiles(next.dir, "n1-slow", next.class, 1<<20, func(e core.Event) { got <- e }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow.now = next.now
+	sum, key := [32]byte{1}, func(i int) core.Key { return core.Key{Class: 1, Token: string(rune('A' + i))} }
+	for i := range waiting {
+		if !slow.Claim(core.Piece{Key: key(i), Sum: sum, Life: 10 * time.Second}) {
+			t.Fatalf("no room for claim %d", i)
+		}
+	}
+	if slow.Claim(core.Piece{Key: key(waiting), Sum: sum, Life: 10 * time.Second}) {
+		t.Fatal("a claim beyond the queue's room was taken")
+	}
+	slow.Release(key(waiting)) // waits for nothing
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		slow.Run(ctx)
+	}()
+	defer func() {
+		stop()
+		<-over
+	}()
+	for range waiting {
+		if e := (<-got).(core.Claimed); e.State != core.ClaimWon {
+			t.Errorf("%q: %v", e.Key.Token, e.State)
+		}
+	}
+	if got := claim(t, next, events, key(waiting), sum); got.State != core.ClaimWon {
+		t.Errorf("the claim that found no room: %v", got.State)
+	}
+}
+
+// A file that is spoilt refuses its own key alone, as long as what it held may have run, over sweeps; then the key is free.
+func TestFilesSpoilt(t *testing.T) {
+	sum := [32]byte{1}
+	whole := binary.BigEndian.AppendUint64(nil, uint64(time.Unix(1_000_005, 0).UnixNano()))
+	for name, c := range map[string]struct {
+		spoil func(path string) error
+		after core.Claim // once its life is over
+	}{
+		"empty":               {func(path string) error { return os.WriteFile(path, nil, 0o600) }, core.ClaimWon},
+		"short":               {func(path string) error { return os.WriteFile(path, whole[:7], 0o600) }, core.ClaimWon},
+		"zeros":               {func(path string) error { return os.WriteFile(path, make([]byte, 80), 0o600) }, core.ClaimWon},
+		"no value":            {func(path string) error { return os.WriteFile(path, whole, 0o600) }, core.ClaimWon},
+		"half a value":        {func(path string) error { return os.WriteFile(path, append(whole, "c00"...), 0o600) }, core.ClaimWon},
+		"a directory":         {func(path string) error { return os.Mkdir(path, 0o700) }, core.ClaimDown},
+		"no room for the new": {func(path string) error { return os.MkdirAll(filepath.Join(path+unfinished, "x"), 0o700) }, core.ClaimDown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, next, events, clock := twoProcesses(t, 1<<20)
+			k, other := core.Key{Class: 1, Token: "spoilt"}, core.Key{Class: 1, Token: "other"}
+			path := next.path(k)
+			if err := c.spoil(path); err != nil {
+				t.Fatal(err)
+			}
+			os.Chtimes(path, time.Time{}, next.now()) // it is not there in one of the cases
+			sweep := func() {
+				done := make(chan struct{})
+				next.do(func(err error) { next.sweep(err); close(done) })
+				<-done
+			}
+			for range 2 {
+				if got := claim(t, next, events, k, sum); got.State != core.ClaimDown {
+					t.Errorf("its key: %v", got.State)
+				}
+				sweep()
+				if got := claim(t, next, events, other, sum); got.State != core.ClaimWon {
+					t.Errorf("another key: %v", got.State)
+				}
+			}
+			clock.Add(int64(11 * time.Second)) // a claim of these tests lives for 10 s
+			if got := claim(t, next, events, k, sum); got.State != c.after {
+				t.Errorf("once its life is over: %v, want %v", got.State, c.after)
+			}
+		})
+	}
+}
+
+// A claim that a process left half written is no claim, and in nobody's way.
+func TestFilesHalfWritten(t *testing.T) {
+	_, next, events, _ := twoProcesses(t, 1<<20)
+	k := core.Key{Class: 1, Token: "k"}
+	if err := os.WriteFile(next.path(k)+unfinished, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := claim(t, next, events, k, [32]byte{1}); got.State != core.ClaimWon {
+		t.Errorf("%v", got.State)
+	}
+}
+
+// A run that ends after the window of its key, with no life left for its result, is told all the same to who asks just
+// then, and expires.
+func TestFilesLateEnd(t *testing.T) {
+	old, next, events, clock := twoProcesses(t, 1<<20)
+	for _, life := range []time.Duration{0, -time.Minute} {
+		k, sum := core.Key{Class: 1, Token: life.String()}, [32]byte{1}
+		claim(t, old, events, k, sum)
+		old.Finish(k, sum, true, []byte("late"), life)
+		settle(old)
+		if got := claim(t, next, events, k, sum); got.State != core.ClaimDone || string(got.Result) != "late" {
+			t.Errorf("a life of %v: %v %q", life, got.State, got.Result)
+		}
+		clock.Add(int64(2 * time.Second))
+		if got := claim(t, next, events, k, sum); got.State != core.ClaimWon {
+			t.Errorf("a life of %v, 2 s later: %v", life, got.State)
+		}
+	}
+}
