The end of the last keyed run is shared before the process ends

Seen with two real processes: a keyed run whose caller had gone was the last thing the old process did; it ended at once, and the end of the run was still queued in the store. The wait has the bound of the last writes.

Ruled out with real processes: the old one killed while it runs a keyed write (failed, not run again), a stopped holder of the lock, a handoff during a handoff.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -208,10 +208,18 @@
 		below = stays
 	}
 	var keys core.Store
+	storing, endStore := context.WithCancel(ctx)
+	defer endStore()
+	stored := make(chan struct{}) // closed once the store has done all that it was asked; nil = it keeps nothing back
+	run := func(work func(context.Context)) {
+		defer close(stored)
+		work(storing)
+	}
 	var claims *desk.Desk
 	var g *ground.Ground
 	var tests *trials.Trials
 	if own.Fleet.TakeOver {
+		stored = nil // what it was asked is safe elsewhere before it is given out
 		claims = newDesk(cfg, own, workers.Cursor, c.Send, log)
 		keys = claims
 		g = ground.New(ground.Options{Pool: cfg.Pool, Whole: claims.Whole, Moves: maxMoves}, func(v *ground.View) {
@@ -227,7 +235,7 @@
 		}
 	} else if own.Store.Redis != "" {
 		db := store.New(own.Store, store.Owner(cfg.Name), cfg.Site.Classes, c.Send, log)
-		go db.Run(ctx)
+		go run(db.Run)
 		keys = db
 	} else { // the processes of a replacement share $TMPDIR: a write that ran in one is not run by the other
 		dir := filepath.Join(os.TempDir(), "larchscale-"+cfg.Name+"-keys")
@@ -235,7 +243,7 @@
 		if err != nil {
 			return err
 		}
-		go db.Run(ctx)
+		go run(db.Run)
 		keys = db
 	}
 	c.Attach(workers, below, list, keys)
@@ -309,11 +317,20 @@
 	}()
 	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis, "ledger", own.Ledger.Dir)
 	c.Run(ctx)
+	endStore()
+	last := time.After(lastWrites)
 	closed := closeLedger(books, log)
 	for _, f := range fronts {
 		f.Stop(lastWrites)
 	}
 	<-closed
+	if stored != nil { // the end of the last run is shared: the next process may be asked for it
+		select {
+		case <-stored:
+		case <-last:
+			log.Warn("store", "do", "end", "err", "not done in time")
+		}
+	}
 	log.Info("stopped")
 	return nil
 }
--- a/internal/standin/handoff_test.go
+++ b/internal/standin/handoff_test.go
@@ -1,8 +1,12 @@
 package standin_test
 
 import (
+	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,14 +60,7 @@
 	old, next, sites := replaced(t, 800*time.Millisecond)
 	request := standin.Request{Handle: "00000000000000a1", Stand: standin.Stands[0], Class: standin.Classes[1], Token: "ride-1", Body: "one ride",
 		Budget: 8 * time.Second}
-	dial := func() *standin.Line {
-		l, err := standin.DialLine(old.Listen)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(l.Close)
-		return l
-	}
+	dial := func() *standin.Line { return dialled(t, old.Listen) }
 	line := dial() // the old process's: there is no other yet
 	if err := next.Start(); err != nil {
 		t.Fatal(err)
@@ -72,11 +69,7 @@
 	healthy(t, next)
 	first := make(chan standin.Seen, 1)
 	go func(l *standin.Line, r standin.Request) { first <- l.Do(r) }(line, request)
-	for end := time.Now().Add(5 * time.Second); sites[0].Runs()[request.Body] == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("it does not run: %s", old.Log())
-		}
-	}
+	running(t, old, sites[0], request.Body)
 	gone := old.Term()
 	for sites[1].Runs()["probe"] == 0 { // until a new connection is the new process's
 		line = dial()
@@ -98,6 +91,180 @@
 	}
 }
 
+func dialled(t *testing.T, addr string) *standin.Line {
+	t.Helper()
+	l, err := standin.DialLine(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// running waits until a body runs at the site of b.
+func running(t *testing.T, b *standin.Box, site *standin.Site, body string) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); site.Runs()[body] == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("it does not run: %s", b.Log())
+		}
+	}
+}
+
+// ride is a keyed write, and handles for its tries.
+func ride(budget time.Duration) (r standin.Request, again func() standin.Request) {
+	r = standin.Request{Stand: standin.Stands[0], Class: standin.Classes[1], Token: "ride-1", Body: "one ride", Budget: budget}
+	n := 0xa0
+	return r, func() standin.Request {
+		n++
+		r.Handle = fmt.Sprintf("%016x", n)
+		return r
+	}
+}
+
+// The last thing that the old process does is the end of a keyed run whose caller has gone: the new one knows it.
+func TestTheLastKeyedRunOfAProcessThatLeaves(t *testing.T) {
+	old, next, sites := replaced(t, 400*time.Millisecond)
+	_, try := ride(8 * time.Second)
+	line := dialled(t, old.Listen)
+	if err := next.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer next.Kill()
+	go line.Do(try())
+	running(t, old, sites[0], "one ride")
+	line.Close()
+	<-old.Term()
+	began := time.Now()
+	if seen := dialled(t, next.Listen).Do(try()); seen.End != "served" {
+		t.Errorf("a try after the old process's end: %s after %v; old: %s", seen.End, time.Since(began), old.Log())
+	}
+	if a, b := sites[0].Runs()["one ride"], sites[1].Runs()["one ride"]; a != 1 || b != 0 {
+		t.Errorf("it ran %d times in the old process, %d in the new one", a, b)
+	}
+}
+
+// The old process is killed while a keyed write runs there: it may have run, so the new one never runs it and never says
+// that it did not run.
+func TestAKeyedWriteOfAProcessThatWasKilled(t *testing.T) {
+	old, next, sites := replaced(t, time.Minute)
+	_, try := ride(700 * time.Millisecond)
+	go dialled(t, old.Listen).Do(try())
+	running(t, old, sites[0], "one ride")
+	old.Kill()
+	if err := next.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer next.Kill()
+	healthy(t, next)
+	for range 2 {
+		if seen := dialled(t, next.Listen).Do(try()); seen.End != "failed" {
+			t.Errorf("a try at the new process: %s", seen.End)
+		}
+	}
+	if n := sites[1].Runs()["one ride"]; n != 0 {
+		t.Errorf("it ran %d times in the new process", n)
+	}
+}
+
+// A process that stands still with the lock of the keys held, as one that is stopped: the other refuses keyed requests
+// soon, as never run, serves all else, and serves keyed ones again once the lock is free.
+func TestKeysWhileAStoppedProcessHoldsTheirLock(t *testing.T) {
+	box, _, sites := replaced(t, time.Millisecond)
+	lock, err := os.Open(filepath.Join(box.Tmp, "larchscale-n1-keys", ".lock"))
+	if err == nil {
+		err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Close()
+	line := dialled(t, box.Listen)
+	_, try := ride(3 * time.Second)
+	for range 3 {
+		began := time.Now()
+		if seen := line.Do(try()); seen.End != "refused" || time.Since(began) > 2*time.Second {
+			t.Errorf("a keyed request while the lock is held: %s after %v", seen.End, time.Since(began))
+		}
+	}
+	if n := sites[0].Runs()["one ride"]; n != 0 {
+		t.Errorf("%d runs of what was refused", n)
+	}
+	if seen := line.Do(standin.Request{Handle: "00000000000000b1", Stand: standin.Stands[0], Class: standin.Classes[0], Body: "quote", Budget: 3 * time.Second}); seen.End != "served" {
+		t.Errorf("a request without a key: %s", seen.End)
+	}
+	lock.Close()
+	if seen := line.Do(try()); seen.End != "served" || sites[0].Runs()["one ride"] != 1 {
+		t.Errorf("once the lock is free: %s, %d runs", seen.End, sites[0].Runs()["one ride"])
+	}
+}
+
+// A process hands off while its own predecessor still does, as a third starts: each ends well, and what each had in hand
+// is answered there.
+func TestAHandoffDuringAHandoff(t *testing.T) {
+	var boxes [3]*standin.Box
+	var sites [3]*standin.Site
+	var ends [3]chan standin.Seen
+	var two [2]*standin.Site
+	boxes[0], boxes[1], two = replaced(t, 1500*time.Millisecond)
+	sites[0], sites[1] = two[0], two[1]
+	var err error
+	if sites[2], err = standin.NewSite(time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sites[2].Close)
+	if boxes[2], err = boxes[0].Twin(filepath.Join(t.TempDir(), "third"), sites[2]); err != nil {
+		t.Fatal(err)
+	}
+	quote := func(i, n int) standin.Request {
+		return standin.Request{Handle: fmt.Sprintf("%015x%d", n, i), Stand: standin.Stands[0], Class: standin.Classes[0], Body: fmt.Sprint("quote ", i), Budget: 3 * time.Second}
+	}
+	ask := func(i int) { // on boxes[i], until it runs there: the kernel spreads connections over those that listen
+		for n := 1; ; n++ {
+			l, end := dialled(t, boxes[0].Listen), make(chan standin.Seen, 1)
+			ends[i] = end
+			go func() { end <- l.Do(quote(i, n)) }()
+			for range 50 {
+				if sites[i].Runs()[quote(i, n).Body] > 0 {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if n == 100 {
+				t.Fatalf("nothing comes to process %d", i)
+			}
+		}
+	}
+	ask(0)
+	var gone [3]<-chan struct{}
+	for i := range 2 {
+		if err := boxes[i+1].Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(boxes[i+1].Kill)
+		healthy(t, boxes[i+1])
+		gone[i] = boxes[i].Term()
+		ask(i + 1)
+	}
+	select {
+	case <-gone[0]:
+		t.Errorf("the first handoff was over before the second: %s", boxes[0].Log())
+	default:
+	}
+	for i := range 2 {
+		if seen := <-ends[i]; seen.End != "served" {
+			t.Errorf("what process %d had in hand: %s", i, seen.End)
+		}
+		<-gone[i]
+		if code, _ := boxes[i].Stop(); code != 0 || !strings.Contains(boxes[i].Log(), "handing off") {
+			t.Errorf("process %d: exit %d: %s", i, code, boxes[i].Log())
+		}
+	}
+	if seen := <-ends[2]; seen.End != "served" {
+		t.Errorf("the third: %s", seen.End)
+	}
+}
+
 // A second process of the box starts on the same address while callers use a new connection a request; at its
 // yes the old one gets SIGTERM. At most two requests go unheard, as the operators allow an upgrade: where the
 // kernel cannot steer, a connection whose handshake crosses the close of the old listener is reset (seen: 1 in
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/redis/go-redis/v9"
@@ -74,22 +75,26 @@
 	return s
 }
 
-// Run works until ctx ends.
+// Run works until ctx ends, and then does what was asked before.
 func (s *Redis) Run(ctx context.Context) {
 	defer s.db.Close()
+	var all sync.WaitGroup
 	for _, lane := range s.lane {
-		go func() {
+		all.Go(func() {
 			for {
 				select {
 				case f := <-lane:
 					f()
 				case <-ctx.Done():
+					for len(lane) > 0 {
+						(<-lane)()
+					}
 					return
 				}
 			}
-		}()
+		})
 	}
-	<-ctx.Done()
+	all.Wait()
 }
 
 func (s *Redis) key(k core.Key) string { return s.opt.Prefix + s.class[k.Class] + ":" + k.Token }
--- a/internal/store/redis_test.go
+++ b/internal/store/redis_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"testing"
@@ -112,3 +113,19 @@
 	s.Put("larchscale:book:k", "odd")
 	b.claim(sum, core.ClaimDown, "")
 }
+
+// What is queued when the store ends is done: the last run of a server that leaves is known to the others.
+func TestRedisDoesWhatWasAskedBeforeTheEnd(t *testing.T) {
+	stand := scenario.Listen(t)
+	s := keystore.New()
+	go s.Serve(stand.Listener())
+	opt := store.Defaults()
+	opt.Redis, opt.TimeoutMs = stand.Addr, patient
+	last := store.New(opt, "last", []string{"book"}, func(core.Event) {}, slog.New(slog.DiscardHandler))
+	last.Claim(core.Piece{Key: key, Sum: sum, Life: time.Minute})
+	last.Finish(key, sum, true, []byte("ride 7"), -time.Minute) // a run that ended after its window: no life is left
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	last.Run(ctx)
+	open(t, stand.Addr, "b", patient).claim(sum, core.ClaimDone, "ride 7")
+}
