A repeat that is read late is not run once its key is forgotten

Seen: an entry goes 2 s after its window, so a repeat that its caller wrote within the window and that was read more than 2 s later ran again (TestRepeatsAtTheWindowsEnd; on a real connection TestARepeatThatIsReadLate). The same where t0 of the try that ran was to come by up to the 2 s that the front takes: the window was counted from its arrival instead, and a repeat read within the margin ran again. The end of a run that outlived its window was given to the store with a negative life (TestAWindowShorterThanTheRun; both stores kept it for 1 s). At fault: routeKeyed, remember and conclude in route.go.

Now a keyed request that was read more than the margin after its t0 joins only what ran, and is refused otherwise, as it never ran itself; the window counts from a t0 to come; an end is kept by the store for 2 s at least. The price: a first try that is read so late is refused too. Keeping entries for a deadline longer was not done: it costs room for all keys.

Ruled out: repeats just before and after the window's end, a first try read late, a window shorter than the run, one that waited here for long. Not closed: another process that stands still between two questions for a claim for over 2 s.

--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -32,6 +32,7 @@
 const (
 	runFailed = "the run failed"
 	noRoom    = "no room for its key"
+	readLate  = "read too late to know whether it ran"
 )
 
 // entry is what is known of one key: which try has it, and how that ended.
@@ -86,9 +87,22 @@
 	}
 }
 
-// routeKeyed links the tries of one request. Guards against effects that happen twice: a try whose key is
-// known is never run.
+// routeKeyed takes in a keyed request. One that was read more than windowMargin after its t0 may repeat a try whose
+// window it was written in and whose key is forgotten, here and in the store: without one that ran it is refused, as
+// it never ran itself.
 func (c *Core) routeKeyed(r *request) {
+	if e := c.table.entries[Key{r.Class, r.Token}]; c.now-r.arrived > windowMargin &&
+		(e == nil || !e.ran && (e.phase == asking || e.phase == open)) {
+		c.forgetHandle(r)
+		c.turnAway(r, Refused, readLate)
+		return
+	}
+	c.link(r)
+}
+
+// link links the tries of one request. Guards against effects that happen twice: a try whose key is
+// known is never run.
+func (c *Core) link(r *request) {
 	key := Key{r.Class, r.Token}
 	sum := sha256.Sum256(r.Body)
 	e := c.table.entries[key]
@@ -187,7 +201,8 @@
 		e.result = append([]byte{}, result...)
 	}
 	c.table.resize(e, entryBytes+len(e.key.Token)+len(e.result))
-	if e.claimed && c.store.Finish(e.key, e.sum, ok, result, e.until-c.now) {
+	// Who waits for it in another server asks each askEach: it finds the end of a run, also of one that outlived its window.
+	if e.claimed && c.store.Finish(e.key, e.sum, ok, result, max(e.until-c.now, windowMargin)) {
 		if e.phase = unstored; e.owner.answered {
 			e.owner = nil
 		}
@@ -246,15 +261,17 @@
 		c.ctl.Done(c.now, r.id, 0, control.Errored)
 	}
 	if r.state != ended {
-		c.routeKeyed(r)
+		c.link(r)
 	}
 }
 
-// remember keeps an entry at least until its window, counted from t0 of the try that runs, is over.
+// remember keeps an entry at least until its window, counted from t0 of the try that runs, is over. A t0 may be to come
+// by the clock of this machine: fronts take none that is further ahead than windowMargin.
 func (c *Core) remember(r *request) {
 	e := r.entry
 	e.ran = true
-	e.until = max(e.until, r.arrived+c.site.Control.Classes[r.Class].Window+windowMargin)
+	t0 := max(r.arrived, c.now+min(time.Until(r.Arrived), windowMargin))
+	e.until = max(e.until, t0+c.site.Control.Classes[r.Class].Window+windowMargin)
 	c.late.set(&e.expiry, e.until)
 	c.keyedUntil = max(c.keyedUntil, e.until)
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -50,12 +50,13 @@
 	runs   map[string]int
 	count  map[string]int
 	hands  []string
+	lives  map[string]time.Duration // of the ends that the store was given, by token
 }
 
 // NewWorld starts a core with a warm worker pool. With shared, a store is attached, played by Claimed
 // events. The core ends with the test.
 func NewWorld(t *testing.T, site core.Site, shared bool, with ...func(*World)) *World {
-	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{}}
+	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{}, lives: map[string]time.Duration{}}
 	var s core.Store
 	if shared {
 		s = keys{w}
@@ -236,6 +237,13 @@
 // Overdue implements core.Booker.
 func (l *Ledger) Overdue() bool { return l.LetsOverdue }
 
+// Life tells for how long the store was to keep the newest end of a key.
+func (w *World) Life(token string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lives[token]
+}
+
 // Lose makes the store hold no claims any longer, or again.
 func (w *World) Lose(on bool) { w.lost.Store(on) }
 
@@ -298,7 +306,10 @@
 	k.w.note("claim %s", p.Key.Token)
 	return !k.w.full
 }
-func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, _ time.Duration) bool {
+func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, life time.Duration) bool {
+	k.w.mu.Lock()
+	k.w.lives[key.Token] = life
+	k.w.mu.Unlock()
 	k.w.note("finish %s %v %s", key.Token, ok, result)
 	return k.w.Waits
 }
