--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -83,15 +83,22 @@
 	return f, code, err
 }
 
+// signals are the program's, by what they ask for.
+type signals struct{ leave, reload chan os.Signal }
+
 // run starts the program and gives its exit code: 2 for bad settings, 1 for what fails later.
 func run(args []string, env func(string) string, out io.Writer) int {
 	bad := func(err error) int {
 		fmt.Fprintln(out, "larchscale:", err)
 		return 2
 	}
-	signals := make(chan os.Signal, 8) // from the first step: a SIGTERM during start-up drains once it can
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// From the first step: a SIGTERM during start-up drains once it can. Each has its own room for one, which is
+	// enough: no number of SIGHUPs takes the place of a SIGTERM.
+	on := signals{leave: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(on.leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(on.reload, syscall.SIGHUP)
+	defer signal.Stop(on.leave)
+	defer signal.Stop(on.reload)
 	f, code, err := parse(args, env, out)
 	if err != nil {
 		return bad(err)
@@ -124,7 +131,7 @@
 	}
 	debug.SetMemoryLimit(cfg.Limits.GoMemory())
 	runtime.GOMAXPROCS(1)
-	if err := serve(f.Config, cfg, own, books, signals, log); err != nil {
+	if err := serve(f.Config, cfg, own, books, on, log); err != nil {
 		<-closeLedger(books, log)
 		fmt.Fprintln(out, "larchscale:", err)
 		return 1
@@ -153,13 +160,21 @@
 
 // serve wires the parts together and returns when the core has answered all after SIGTERM. SIGHUP moves the
 // links to the addresses in the file as it is then; all else lives on.
-func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, signals <-chan os.Signal, log *slog.Logger) error {
+func serve(path string, cfg *config.Config, own *config.Operator, books *keeper.Keeper, on signals, log *slog.Logger) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	// Before the address is bound: once it is, an older process finds this one. If the rest of the start fails, the lock
+	// on the file ends with this process.
+	start, err := handoff.Claim(filepath.Join(os.TempDir(), handoff.FileName(cfg.Name)))
+	if err != nil {
+		log.Warn("start file", "do", "claim", "err", err)
+	}
+	defer start.Close()
 	listener, err := sock.Listen(cfg.Listen)
 	if err != nil {
 		return err
 	}
+	listeners := []net.Listener{listener}
 	var doors net.Listener
 	if cfg.Admin != "" {
 		if doors, err = net.Listen("tcp4", cfg.Admin); err != nil {
@@ -196,10 +211,18 @@
 		below = stays
 	}
 	var keys core.Store
+	storing, endStore := context.WithCancel(ctx)
+	defer endStore()
+	stored := make(chan struct{}) // closed once the store has done all that it was asked; nil = it keeps nothing back
+	run := func(work func(context.Context)) {
+		defer close(stored)
+		work(storing)
+	}
 	var claims *desk.Desk
 	var g *ground.Ground
 	var tests *trials.Trials
 	if own.Fleet.TakeOver {
+		stored = nil // what it was asked is safe elsewhere before it is given out
 		claims = newDesk(cfg, own, workers.Cursor, c.Send, log)
 		keys = claims
 		g = ground.New(ground.Options{Pool: cfg.Pool, Whole: claims.Whole, Moves: maxMoves}, func(v *ground.View) {
@@ -215,7 +238,7 @@
 		}
 	} else if own.Store.Redis != "" {
 		db := store.New(own.Store, store.Owner(cfg.Name), cfg.Site.Classes, c.Send, log)
-		go db.Run(ctx)
+		go run(db.Run)
 		keys = db
 	} else { // the processes of a replacement share $TMPDIR: a write that ran in one is not run by the other
 		dir := filepath.Join(os.TempDir(), "larchscale-"+cfg.Name+"-keys")
@@ -223,7 +246,7 @@
 		if err != nil {
 			return err
 		}
-		go db.Run(ctx)
+		go run(db.Run)
 		keys = db
 	}
 	c.Attach(workers, below, list, keys)
@@ -261,6 +284,7 @@
 		if err != nil {
 			return err
 		}
+		listeners = append(listeners, desks)
 		fronts = append(fronts, sock.NewServer(desks, own.UWSGI.MaxConns, cfg.Limits.Budget(), uwsgi.New(own.UWSGI, &cfg.Site, c, log).Handle))
 	}
 	c.Listen(fronts)
@@ -273,21 +297,17 @@
 		go door.Serve(doors)
 		defer door.Close()
 	}
-	started := filepath.Join(os.TempDir(), handoff.FileName(cfg.Name))
-	if err := writeStart(started); err != nil {
-		log.Warn("start file", "err", err)
-	}
 	go workers.Keep(ctx)
 	go list.Run(ctx)
+	go func() { // the first of them decides; a reload that hangs does not hold it up
+		<-on.leave
+		if tests != nil {
+			tests.Leave()
+		}
+		leave(c, listeners, start, &cfg.Site, log)
+	}()
 	go func() {
-		for s := range signals {
-			if s != syscall.SIGHUP {
-				if tests != nil {
-					tests.Leave()
-				}
-				leave(c, listener, started, &cfg.Site, log)
-				continue
-			}
+		for range on.reload {
 			next, err := cfg.Reload(path)
 			if err != nil {
 				log.Error("reload", "err", err)
@@ -301,30 +321,30 @@
 	}()
 	log.Info("started", "listen", cfg.Listen, "uwsgi", own.UWSGI.Listen, "store", own.Store.Redis, "ledger", own.Ledger.Dir)
 	c.Run(ctx)
+	endStore()
+	last := time.After(lastWrites)
 	closed := closeLedger(books, log)
-	for _, f := range fronts {
-		f.Stop(lastWrites)
-	}
+	fronts.Stop(lastWrites)
 	<-closed
+	if stored != nil { // the end of the last run is shared: the next process may be asked for it
+		select {
+		case <-stored:
+		case <-last:
+			log.Warn("store", "do", "end", "err", "not done in time")
+		}
+	}
 	log.Info("stopped")
 	return nil
 }
 
-// writeStart names this process in the start file, whole or not at all: a process that reads it meanwhile
-// sees the one before or this one.
-func writeStart(path string) error {
-	next := fmt.Sprintf("%s.%d", path, os.Getpid())
-	if err := os.WriteFile(next, handoff.Record(os.Getpid()), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, path)
-}
-
 // leave answers a SIGTERM: a handoff where a newer process of this server lives, else the notice to drain.
-func leave(c *core.Core, l net.Listener, started string, site *core.Site, log *slog.Logger) {
-	file, _ := os.ReadFile(started)
-	next := handoff.Successor(os.Getpid(), file, func(pid int) bool { return syscall.Kill(pid, 0) == nil })
-	if next == 0 {
+func leave(c *core.Core, listeners []net.Listener, start *handoff.StartFile, site *core.Site, log *slog.Logger) {
+	found, err := start.Look()
+	if err != nil {
+		log.Warn("start file", "do", "look", "err", err)
+	}
+	next, ok := found.Successor()
+	if !ok {
 		c.Send(core.Drain{})
 		return
 	}
@@ -334,12 +354,22 @@
 	}
 	kill := handoff.Kill(deadlines)
 	log.Info("handing off", "to", next, "kill_ms", kill.Milliseconds())
-	if err := sock.Steer(l, 1); err != nil {
+	if err := steer(listeners); err != nil {
 		log.Warn("handing off", "err", err)
 	}
 	c.Send(core.Handoff{Kill: kill})
 }
 
+// steer has the kernel give the new connections of every front to the successor; err names each that it does not.
+func steer(listeners []net.Listener) (err error) {
+	for _, l := range listeners {
+		if e := sock.Steer(l, 1); e != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", l.Addr(), e))
+		}
+	}
+	return err
+}
+
 // closeLedger has the last entries written, while the fronts write their last answers.
 func closeLedger(books *keeper.Keeper, log *slog.Logger) <-chan struct{} {
 	done := make(chan struct{})
--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -89,7 +89,10 @@
 }
 
 // callersLine is a connection of theirs; one that the core closes is followed by another.
-type callersLine struct{ c *callers }
+type callersLine struct {
+	c    *callers
+	sent uint64
+}
 
 func (l *callersLine) Drain(time.Duration) {
 	l.c.mu.Lock()
@@ -97,19 +100,26 @@
 	l.c.left = append(l.c.left, time.Now())
 }
 
-func (l *callersLine) Close() {
+func (l *callersLine) Cut() {}
+
+// Close ends the connection, unless more was sent on it.
+func (l *callersLine) Close(heard uint64) {
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
+	if l.sent != heard {
+		return
+	}
 	if l.c.line == l {
 		l.c.line = nil
 	}
+	go l.c.w.Send(core.Closed{Session: l})
 }
 
 func (c *callers) open() *callersLine {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.line == nil {
-		c.line = &callersLine{c}
+		c.line = &callersLine{c: c}
 		c.w.Send(core.Opened{Session: c.line})
 	}
 	return c.line
@@ -119,6 +129,7 @@
 func (c *callers) ask(class int, token, body string) string {
 	line := c.open()
 	c.mu.Lock()
+	line.sent++
 	c.sent++
 	handle := fmt.Sprintf("h%d", c.sent)
 	c.due[handle] = time.Now().Add(c.site.Control.Classes[class].Deadline)
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// Stop stops all at once.
+func (all Servers) Stop(limit time.Duration) {
+	var done sync.WaitGroup
+	for _, s := range all {
+		done.Go(func() { s.Stop(limit) })
+	}
+	done.Wait()
+}
+
 // Conns is how many connections are served or linger at all of them.
 func (all Servers) Conns() (n int) {
 	for _, s := range all {
