Sock: one that lingers gives up its place to a newcomer

Seen: standin.TestIdleClientsHoldAllDescriptors failed on the merged program (20 rides lost after 4 s): with 16 places, 14 idle connections and two that lingered filled the server, and as newcomers wait for room now, a queue of idle clients passed at four a second. Where a newcomer finds no room the oldest that lingers ends at once, and none begins to linger meanwhile (TestANewcomerTakesThePlaceOfOneThatLingers: ten in turn at one place, none of which closes).

--- a/internal/sock/ending_test.go
+++ b/internal/sock/ending_test.go
@@ -81,6 +81,26 @@
 	until(t, "they linger on", func() bool { return s.Conns() == 0 })
 }
 
+// A newcomer that finds all places taken by those that linger does not wait for their time.
+func TestANewcomerTakesThePlaceOfOneThatLingers(t *testing.T) {
+	let := make(chan struct{}, 1)
+	s, addr := serving(t, 1, func(c net.Conn, b *Box) {
+		<-let
+		b.Send([]byte("ok"))
+	})
+	start := time.Now()
+	for range 10 { // none of them closes
+		let <- struct{}{}
+		if n := unheard(dialAll(t, addr, 1)); n != 0 {
+			t.Fatal("not heard")
+		}
+	}
+	if d := time.Since(start); d > 5*lingerFor {
+		t.Errorf("ten in turn took %v", d)
+	}
+	until(t, "the last lingers on", func() bool { return s.Conns() == 0 })
+}
+
 // Where there is no room a connection waits for it, with what it brought, and is not closed unseen.
 func TestAFullServerKeepsNewcomersWaiting(t *testing.T) {
 	let := make(chan struct{})
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,24 +24,26 @@
 // A connection ends by a lingering close: after the last write its writing half is closed, and what still comes is
 // read and dropped until the peer has closed too, for lingerFor and lingerBytes at the most. Closing over unread bytes,
 // or bytes that come just after, would reset the connection, and what the system had not yet delivered would go with
-// it. A connection that lingers keeps its place among those that are served; an eighth of all may linger at a time,
-// and beyond that one is closed at once: peers that never close must not keep the others out.
+// it. A connection that lingers keeps its place among those that are served, as long as no newcomer waits for it; an
+// eighth of all may linger at a time. Beyond that one is closed at once: peers that never close must not keep the
+// others out.
 type Server struct {
-	listener  net.Listener
-	room      chan struct{} // one for each connection, and for the next one that is accepted
-	lingering chan struct{}
-	open      atomic.Int64
-	budget    *Budget
-	handle    func(net.Conn, *Box)
+	listener net.Listener
+	room     chan struct{} // one for each connection, and for the next one that is accepted
+	open     atomic.Int64
+	budget   *Budget
+	handle   func(net.Conn, *Box)
+
 	mu        sync.Mutex
 	boxes     map[*Box]struct{}
+	lingering []*Box // the oldest first
+	wanted    bool   // a newcomer waits for room
 }
 
 // NewServer serves up to limit connections at a time by handle, which returns when its connection is over.
 // What waits to be written to them is bounded by budget.
 func NewServer(l net.Listener, limit int, budget *Budget, handle func(net.Conn, *Box)) *Server {
-	return &Server{listener: l, room: make(chan struct{}, limit), lingering: make(chan struct{}, max(1, limit/8)), budget: budget,
-		handle: handle, boxes: map[*Box]struct{}{}}
+	return &Server{listener: l, room: make(chan struct{}, limit), budget: budget, handle: handle, boxes: map[*Box]struct{}{}}
 }
 
 // Serve accepts until the listener is closed. Where there is no room, connections wait in the listener's queue: to
@@ -48,7 +51,7 @@
 func (s *Server) Serve() error {
 	wait := acceptWait
 	for {
-		s.room <- struct{}{}
+		s.reserve()
 		conn, err := s.listener.Accept()
 		if err == nil {
 			wait = acceptWait
@@ -64,6 +67,26 @@
 	}
 }
 
+// reserve takes a place for the next connection. Where there is none, one that lingers gives up its own.
+func (s *Server) reserve() {
+	select {
+	case s.room <- struct{}{}:
+		return
+	default:
+	}
+	s.want(true)
+	s.room <- struct{}{}
+	s.want(false)
+}
+
+func (s *Server) want(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wanted = on; on && len(s.lingering) > 0 {
+		s.lingering[0].Kill()
+	}
+}
+
 // take serves conn, for which there is room.
 func (s *Server) take(conn net.Conn) {
 	s.open.Add(1)
@@ -98,15 +121,21 @@
 	if _, ok := b.conn.(halfCloser); !ok {
 		return
 	}
-	select {
-	case s.lingering <- struct{}{}:
-		defer func() { <-s.lingering }()
-	default:
+	s.mu.Lock()
+	stays := !s.wanted && len(s.lingering) < max(1, cap(s.room)/8)
+	if stays {
+		s.lingering = append(s.lingering, b)
+	}
+	s.mu.Unlock()
+	if !stays {
 		return
 	}
 	if b.conn.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
 		io.Copy(io.Discard, io.LimitReader(b.conn, lingerBytes))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lingering = slices.DeleteFunc(s.lingering, func(o *Box) bool { return o == b })
 }
 
 // Shut takes what waits in the listener's queue, as far as there is room, and closes it at once after: Serve returns,
