Client: a cold box gets a part of each client's own traffic, not a least for each

Lines at fault: Pick and score (part weighed as a delay, cap of one for each client), Ended and eject (no slow start unless ejected). Now each first asking of a request adds part/subset to what is due at a cold box, and a whole one is sent there; what is asked again adds nothing, so no overflow of others lands on it. A box where nobody listened (ECONNREFUSED) is taken for cold once it answers. Where no box is warm, only the cap and the level hold, as before.

Ruled out: probes after an ejection at the same moment in all processes, at 20 and 30 clients.

--- a/client/client.go
+++ b/client/client.go
@@ -170,6 +170,7 @@
 // call is one call in hand.
 type call struct {
 	Request
+	asked  bool // for a box
 	tries  int
 	tried  []string
 	box    string // of the newest try
@@ -248,10 +249,11 @@
 			c.mu.Unlock()
 			return answer{}, ErrClosed
 		}
-		m, ok, wait := c.table.Pick(route.Ask{Rank: x.Rank, Not: x.tried, Only: x.only}, c.now(), c.rand)
+		m, ok, wait := c.table.Pick(route.Ask{Rank: x.Rank, Not: x.tried, Only: x.only, Again: x.asked}, c.now(), c.rand)
+		x.asked = true
 		if !ok && len(x.tried) > 0 && x.only == "" { // all were tried: they may be tried again
 			x.tried = nil
-			m, ok, wait = c.table.Pick(route.Ask{Rank: x.Rank}, c.now(), c.rand)
+			m, ok, wait = c.table.Pick(route.Ask{Rank: x.Rank, Again: true}, c.now(), c.rand)
 		}
 		var l *lines
 		if ok {
@@ -296,7 +298,7 @@
 	if !e.local {
 		good := e.outcome == retry.Served || e.outcome == retry.Refused || e.outcome == retry.Failed
 		if e.outcome != retry.Late || e.silent {
-			c.table.Ended(x.box, route.End{Took: e.took, Good: good, Refused: e.outcome == retry.Refused, Away: e.away, Level: e.level}, now)
+			c.table.Ended(x.box, route.End{Took: e.took, Good: good, Gone: e.gone, Refused: e.outcome == retry.Refused, Away: e.away, Level: e.level}, now)
 		} else {
 			c.table.Ended(x.box, route.End{Good: true, Refused: true, Level: -1}, now) // its caller's time was short: no fault of its
 		}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,6 +122,77 @@
 		goleak.IgnoreAnyFunction("larchscale/internal/standin.(*Box).Start.func1"), goleak.IgnoreAnyFunction("larchscale/internal/standin.(*Box).Start"), goleak.IgnoreAnyFunction("os/exec.(*Cmd).Start.func2"))
 }
 
+// stand answers each request on l, and counts them.
+func stand(l net.Listener, n *atomic.Int64) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for in := bufio.NewScanner(c); in.Scan(); {
+				n.Add(1)
+				fmt.Fprintf(c, `{"id":%s,"result":{"bytes":"eA=="}}`+"\n", gjson.GetBytes(in.Bytes(), "id").Raw)
+			}
+		}()
+	}
+}
+
+// A box where nobody listened has started anew once it answers: it is cold, and gets a tenth of its share at first,
+// though too few tries failed for it to be ejected.
+func TestABoxThatWasGoneComesBackSlowly(t *testing.T) {
+	warm, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer warm.Close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0) // its port is taken, and nobody listens yet
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "cold")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var warmed, cold atomic.Int64
+	go stand(warm, &warmed)
+	c := open(t, client.Options{Floor: 100}, warm.Addr().String(), fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port))
+	call := func() int {
+		got, err := c.Do(within(t, 3*time.Second), quote("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got.Tries
+	}
+	for n := 0; call() == 1; n++ { // until one met nobody
+		if n == 100 {
+			t.Fatal("no try went to the box that was gone")
+		}
+	}
+	if err := syscall.Listen(fd, 16); err != nil {
+		t.Fatal(err)
+	}
+	back, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer back.Close()
+	go stand(back, &cold)
+	before := warmed.Load()
+	for range 100 {
+		call()
+	}
+	if n := cold.Load(); n == 0 || n > 10 || n+warmed.Load()-before < 99 {
+		t.Errorf("of 100 calls %d went to the box that came back, %d to the other", n, warmed.Load()-before)
+	}
+}
+
 // What cannot be is a typed error before anything is sent.
 func TestRequestsThatCannotBe(t *testing.T) {
 	c := open(t, client.Options{}, "127.0.0.1:1")
--- a/client/line.go
+++ b/client/line.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -36,6 +37,7 @@
 	away    time.Duration
 	level   float64 // negative = none was told
 	final   bool
+	gone    bool // Unsent: nobody listens there
 	silent  bool // Late: the box said nothing at all for as long as boxes usually take
 	local   bool // no try was made
 	why     string
@@ -270,7 +272,7 @@
 	began := time.Now()
 	c, err := l.take(ctx)
 	if err != nil {
-		return answer{outcome: retry.Unsent, level: -1, why: err.Error()}
+		return answer{outcome: retry.Unsent, level: -1, gone: errors.Is(err, syscall.ECONNREFUSED), why: err.Error()}
 	}
 	left := time.Until(deadline(ctx)) - l.c.opt.Retry.Margin
 	if left < time.Millisecond {
--- a/client/route/route.go
+++ b/client/route/route.go
@@ -60,6 +60,8 @@
 	heard    bool          // a level
 	since    time.Duration // it came (back)
 	probing  bool          // it was ejected, and one try is finding out
+	gone     bool          // nobody listened there when it was last tried
+	due      float64       // tries, while it takes a part of its share: at 1 one is sent
 }
 
 // Table is a client's view of all boxes.
@@ -110,7 +112,8 @@
 	for name, m := range next {
 		b := t.boxes[name]
 		if b == nil || b.Addr != m.Addr {
-			b = &box{Member: m, weight: weigh(t.self, name), limit: float64(t.policy.CapLeast * 2), since: now}
+			b = &box{Member: m, weight: weigh(t.self, name), limit: float64(t.policy.CapLeast * 2)}
+			b.cool(now)
 			if first { // the whole fleet is not cold
 				b.since = now - t.policy.SlowStart
 			}
@@ -162,7 +165,8 @@
 	back := false
 	for _, b := range t.boxes {
 		if b.draining && now >= b.drained+t.policy.DrainFor {
-			b.draining, b.since, back = false, now, true
+			b.draining, back = false, true
+			b.cool(now)
 		}
 	}
 	if back {
@@ -170,15 +174,28 @@
 	}
 }
 
+// cool begins the slow start of a box. What is due there begins anywhere from 0 to 1, spread evenly over clients by the
+// low bits of the weight: then the whole tries of all clients add up to the sum of what is due.
+func (b *box) cool(now time.Duration) {
+	b.since, b.due = now, float64(uint32(b.weight))/(1<<32)
+}
+
 // Ask is what a try needs.
 type Ask struct {
-	Rank float64
-	Not  []string // boxes that this request has tried
-	Only string   // the one box that may be tried; "" = any
+	Rank  float64
+	Not   []string // boxes that this request has tried
+	Only  string   // the one box that may be tried; "" = any
+	Again bool     // this request has asked before
 }
 
 // Pick chooses a box and counts the try as in flight there. Without one, wait is when there may be one again, 0 = not
-// known; level tells that boxes would take it at a higher rank.
+// known.
+//
+// Nobody knows how many clients there are, so a box that came back gets of each a part of what this client itself asks
+// for the first time: its part of the slow start, of one share in the subset. These add up to that part of what the box
+// gets when it is warm, however many send, where a least for each client would not. What other boxes turn away, and
+// what waits, adds nothing. Without a box that takes its whole share there is no better place: then only the cap and
+// the level hold.
 func (t *Table) Pick(a Ask, now time.Duration, r *rand.Rand) (m Member, ok bool, wait time.Duration) {
 	t.refill(now)
 	var may []*box
@@ -190,8 +207,16 @@
 			consider = []*box{b}
 		}
 	}
+	var slow *box
+	settled := t.settled(now)
 	for _, b := range consider {
 		switch until := t.closed(b, a, now); {
+		case until == 0 && settled && a.Only == "" && t.part(b, now) < 1:
+			if !a.Again {
+				if b.due += t.part(b, now) / float64(len(t.order)); b.due >= 1 && (slow == nil || b.due > slow.due) {
+					slow = b
+				}
+			}
 		case until == 0:
 			may = append(may, b)
 		case until > now:
@@ -203,6 +228,9 @@
 			soon = min(soon, b.drained+t.policy.DrainFor)
 		}
 	}
+	if slow != nil {
+		may = []*box{slow}
+	}
 	if len(may) == 0 {
 		if soon == math.MaxInt64 {
 			return m, false, 0
@@ -221,6 +249,9 @@
 		}
 	}
 	b.flight++
+	if settled && t.part(b, now) < 1 {
+		b.due-- // also for a repeat that may go nowhere else: it goes at once, and is made up for
+	}
 	b.probing = b.probing || b.times > 0 && b.failures > 0
 	return b.Member, true, 0
 }
@@ -254,10 +285,24 @@
 	return true
 }
 
-// part is what a box takes of its share: less after it came back.
+// settled tells that some box takes its whole share.
+func (t *Table) settled(now time.Duration) bool {
+	return slices.ContainsFunc(t.order, func(b *box) bool { return b.ejected <= now && t.part(b, now) == 1 })
+}
+
+// leastPart is what a box gets of its share that has just come back, or may have.
+const leastPart = 0.1
+
+// part is what a box takes of its share: less after it came back, and until it has answered.
 func (t *Table) part(b *box, now time.Duration) float64 {
-	if s := t.policy.SlowStart; s > 0 && now < b.since+s {
-		return max(0.1, float64(now-b.since)/float64(s))
+	s := t.policy.SlowStart
+	switch {
+	case s <= 0:
+		return 1
+	case b.gone, b.times > 0 && b.failures > 0:
+		return leastPart
+	case now < b.since+s:
+		return max(leastPart, float64(now-b.since)/float64(s))
 	}
 	return 1
 }
@@ -275,6 +320,7 @@
 type End struct {
 	Took    time.Duration
 	Good    bool // the box answered, with a result or a refusal
+	Gone    bool // nobody listens at its address
 	Refused bool
 	Away    time.Duration // of a refusal
 	Level   float64       // the free value that the answer told; negative = none
@@ -291,6 +337,10 @@
 	if e.Level >= 0 && e.Good {
 		b.level, b.levelAt, b.heard = e.Level, now, true
 	}
+	if e.Gone && !b.gone {
+		b.gone = true
+		b.cool(now)
+	}
 	if !e.Good {
 		b.limit = max(float64(t.policy.CapLeast), b.limit/2)
 		if b.failures++; b.failures >= t.policy.Failures {
@@ -298,8 +348,8 @@
 		}
 		return
 	}
-	if b.failures > 0 && b.times > 0 && b.ejected != 0 && b.ejected <= now { // it is back
-		b.since, b.ejected = now, 0
+	if b.gone || b.failures > 0 && b.times > 0 && b.ejected != 0 && b.ejected <= now { // it is back
+		b.since, b.ejected, b.gone = now, 0, false
 	}
 	b.failures = 0
 	if e.Refused {
@@ -345,6 +395,7 @@
 		return
 	}
 	b.times = min(b.times+1, 6)
+	b.cool(now)
 	b.ejected = now + t.policy.EjectFor<<(b.times-1)
 }
 
