Client: a box that ramps up is not kept back for others that only fail

A box with as many failures in a row as eject one no longer counts. Failed before: client/route TestBoxesThatFailDoNotCountAsWarm.

--- a/client/route/cold_test.go
+++ b/client/route/cold_test.go
@@ -150,3 +150,26 @@
 		}
 	}
 }
+
+// A box that only ramps up is not kept back for the sake of others that answer nothing, though too many are out for
+// them to be ejected too.
+func TestBoxesThatFailDoNotCountAsWarm(t *testing.T) {
+	x := New(Defaults(), "me")
+	x.Set(members(3)[1:], 0)
+	x.Set(members(3), ms)
+	r := rand.New(rand.NewPCG(1, 1))
+	if m, ok, _ := x.Pick(Ask{Again: true}, 2*ms, r); !ok || m.Name == "n00" {
+		t.Errorf("%q while others are warm", m.Name)
+	}
+	for _, name := range []string{"n01", "n02"} {
+		for range x.policy.Failures {
+			x.Ended(name, End{Level: -1}, 3*ms)
+		}
+	}
+	for range 40 {
+		if m, _, _ := x.Pick(Ask{Again: true}, 4*ms, r); m.Name == "n00" {
+			return
+		}
+	}
+	t.Errorf("the only box that is up is not tried; out are %v", x.Ejected(4*ms))
+}
--- a/client/route/route.go
+++ b/client/route/route.go
@@ -285,9 +285,11 @@
 	return true
 }
 
-// settled tells that some box takes its whole share.
+// settled tells that some box takes its whole share, and is not failing.
 func (t *Table) settled(now time.Duration) bool {
-	return slices.ContainsFunc(t.order, func(b *box) bool { return b.ejected <= now && t.part(b, now) == 1 })
+	return slices.ContainsFunc(t.order, func(b *box) bool {
+		return b.ejected <= now && b.failures < t.policy.Failures && t.part(b, now) == 1
+	})
 }
 
 // leastPart is what a box gets of its share that has just come back, or may have.
