--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -104,12 +104,13 @@
 	box := sock.NewBox(conn)
 	defer box.Kill()
 	defer context.AfterFunc(ctx, box.Kill)()
-	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
-	if !l.set(box, addr) {
+	if !l.begin(box, addr) {
 		return false, errMoved
 	}
 	defer func() {
-		l.set(nil, "")
+		l.mu.Lock()
+		l.box = nil
+		l.mu.Unlock()
 		l.sink(core.PoolLost{})
 	}()
 	in := bufio.NewReaderSize(conn, maxLine)
@@ -125,13 +126,15 @@
 	}
 }
 
-// set makes b the link; false = it goes to an address that was left meanwhile.
-func (l *Link) set(b *sock.Box, addr string) bool {
+// begin makes b the link, with its bind as the first line; false = it goes to an address that was left meanwhile, and
+// nothing was sent. Whoever sees the bind can rely on a Move to end the link.
+func (l *Link) begin(b *sock.Box, addr string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b != nil && addr != l.addr {
+	if addr != l.addr {
 		return false
 	}
+	b.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
 	l.box = b
 	return true
 }
