Pool: notices of a pool that numbers them anew are read

Seen: a pool that began anew and numbers its notices from 1 had all of them passed over up to the number that was read on the link before (TestAPoolThatBeganAnewNumbersItsNoticesFromOneOrGoesOn failed before for 1): no run of its first ones ended, each request waited for its due time. At fault: notice of pool.go, which took any low number for a copy. A pool that began after the last link was made may now begin at 1; numbers that go on are as before, and copies are still told.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,9 +34,15 @@
 	log   *slog.Logger
 	moved chan struct{}
 	read  atomic.Uint64 // number of the last notice that was read; Keep's goroutine writes it
-	mu    sync.Mutex
-	addr  string
-	box   *sock.Box // nil = no link
+
+	// Keep's goroutine alone has these.
+	dialed time.Time // when the connection of this link was made
+	bound  time.Time // when that of the last link was made on which the pool spoke: it had begun by then
+	anew   bool      // the pool began since, and may number its notices from 1
+
+	mu   sync.Mutex
+	addr string
+	box  *sock.Box // nil = no link
 }
 
 // New makes a link that tells sink what comes.
@@ -101,6 +107,7 @@
 	if err != nil {
 		return false, err
 	}
+	l.dialed = time.Now()
 	box := sock.NewBox(conn)
 	defer box.Kill()
 	defer context.AfterFunc(ctx, box.Kill)()
@@ -204,12 +211,18 @@
 	if err != nil {
 		return err
 	}
-	if n.cursor > 0 && n.cursor <= l.read.Load() { // it came already, on this link or an earlier one
-		return nil
+	if n.cursor > 0 {
+		if n.cursor <= l.read.Load() && !(l.anew && n.cursor == 1) { // it came already, on this link or an earlier one
+			return nil
+		}
+		l.anew = false
+		defer l.read.Store(n.cursor)
 	}
-	defer func() { l.read.Store(max(l.read.Load(), n.cursor)) }()
 	switch n.event {
 	case "bound":
+		// Guards against notices of a pool that numbers them anew, taken for those that came already.
+		l.anew = l.anew || time.Now().Add(-n.lasted).After(l.bound)
+		l.bound = l.dialed
 		l.sink(core.PoolBound{Cold: n.fate == "chilly", Age: n.lasted})
 	case "polled":
 		l.sink(core.PoolPolled{Ticket: n.ticket, Figures: n.figures})
