Core: a pool that began anew within a second of the one before is another one

Seen: a pool that ended and began again 0.4 s after the first was bound passed for the same one, as bound allowed a second for the way of its word; a keyed write in hand was asked for a second time there, though its run may have had its effect (TestAPoolThatBeganAnewSoonAfterTheFirst failed before). At fault: bound of send.go. A pool that began after the last one was heard of is another one. Ruled out: that a word of the age which was long on its way makes the same pool another.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	now      time.Duration // since start, of this turn
 	ctl      *control.Controller
 	poolAt   time.Duration // when the worker pool started
+	heard    time.Duration // its last link, call or end of a run came: it had started by then
 	warmAt   time.Duration // when it is warm at the latest
 	acts     []act         // what the controller asked for in this turn
 	again    []func()      // what this turn's actions have to tell the controller
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -22,3 +22,26 @@
 		})
 	}
 }
+
+// A pool that began after the link before was bound is another one, however soon after the first it began: what ran in
+// that one may have had its effect, and a write is not asked for again.
+func TestAPoolThatBeganAnewSoonAfterTheFirst(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(core.PoolLost{}, core.PoolBound{})
+		w.Expect(300 * ms)
+		w.Send(w.Ask("a", "book", "k"))
+		w.Expect(500*ms, "run a book body")
+		w.Send(core.PoolLost{}, core.PoolBound{Age: 100 * ms}, w.Ask("b", "book", "k"))
+		w.Expect(ms, "failed a", "failed b")
+	})
+	play(t, false, func(w *scenario.World) { // the same one, whose word of its age was 400 ms on its way
+		w.Send(core.PoolLost{}, core.PoolBound{})
+		w.Expect(300 * ms)
+		w.Send(w.Ask("a", "book", "k"), w.Ask("b", "quote", ""))
+		w.Expect(500*ms, "run a book body", "run b quote body")
+		w.Send(finished("b", control.OK, "x"))
+		w.Expect(ms, "served b x")
+		w.Send(core.PoolLost{}, core.PoolBound{Age: 401 * ms})
+		w.Expect(ms, "run a book body")
+	})
+}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -10,6 +10,7 @@
 
 // blocked is a run that waits for a call.
 func (c *Core) blocked(e PoolBlocked) {
+	c.heard = c.now
 	r := c.byHandle[e.Handle]
 	if r == nil || r.state != running {
 		return
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -166,13 +166,15 @@
 
 // bound is a new link to the worker pool; the first one makes the controller.
 func (c *Core) bound(e PoolBound) {
-	at := c.now - e.Age
+	at, heard := c.now-e.Age, c.heard
+	c.heard = c.now
 	if c.ctl == nil {
 		c.linked = true
 		c.begin(e.Cold, at)
 		return
 	}
-	if at > c.poolAt+time.Second {
+	// The age is told on its way for a while: for a pool that was just heard of, at is too late by that.
+	if at > min(c.poolAt+time.Second, heard) {
 		c.linked = true
 		c.restarted(e.Cold, at)
 		return
@@ -283,6 +285,7 @@
 
 // finished is the end of a run.
 func (c *Core) finished(e PoolFinished) {
+	c.heard = c.now
 	r := c.byHandle[e.Handle]
 	if r == nil || !r.ran || r.state == ending {
 		return
