--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"larchscale/control"
 	"larchscale/internal/core"
@@ -45,3 +46,17 @@
 		w.Expect(ms, "run a book body")
 	})
 }
+
+// A pool that has taken a run and says nothing any longer: the request is answered just before it is due, once.
+func TestASilentRunIsAnsweredByItsDueTime(t *testing.T) {
+	for _, budget := range []time.Duration{700 * ms, 4 * time.Second} {
+		play(t, false, func(w *scenario.World) {
+			a := w.Ask("a", "book", "k")
+			a.Req.Budget = budget
+			w.Send(a)
+			w.Expect(budget-50*ms, "run a book body")
+			w.Expect(50*ms, "out of time a")
+			w.Expect(time.Second)
+		})
+	}
+}
