Pool: a reply is given once on each link

Seen on sockets, with the loop held in an answer: a reply was given while PoolLost still waited in the loop's queue and the next link was up. A link now gives a run one reply until the run has told of its next call or its end. Ruled out: a move there and back while a link is not bound; a link that goes silent.

--- a/internal/pool/crossing_test.go
+++ b/internal/pool/crossing_test.go
@@ -93,3 +93,19 @@
 		})
 	}
 }
+
+// A link is moved, and moved back, while its pool has not said that it is bound: the last address is bound, and the end of
+// each link that was there is told.
+func TestAMoveFindsALinkThatIsNotBound(t *testing.T) {
+	k, next := keep(t), scenario.Listen(t)
+	p := k.stand.Accept()
+	p.Expect(`"bind","cursor":0`)
+	k.Move(next.Addr)
+	k.expect(core.PoolLost{})
+	q := next.Accept()
+	q.Expect(`"bind","cursor":0`)
+	p.Send(`{"event":"bound","fate":"hot","lasted":1}`, "\n") // too late
+	k.Move(k.stand.Addr)
+	k.expect(core.PoolLost{})
+	k.bind(0, time.Hour)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -43,6 +43,8 @@
 	mu   sync.Mutex
 	addr string
 	box  *sock.Box // nil = no link
+
+	supplied map[string]bool // handles of runs that were given a reply on this link and have told nothing since
 }
 
 // New makes a link that tells sink what comes.
@@ -142,7 +144,7 @@
 		return false
 	}
 	b.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
-	l.box = b
+	l.box, l.supplied = b, map[string]bool{}
 	return true
 }
 
@@ -218,6 +220,11 @@
 		l.anew = false
 		defer l.read.Store(n.cursor)
 	}
+	if n.event == "blocked" || n.event == "finished" {
+		l.mu.Lock()
+		delete(l.supplied, n.handle)
+		l.mu.Unlock()
+	}
 	switch n.event {
 	case "bound":
 		// Guards against notices of a pool that numbers them anew, taken for those that came already.
@@ -273,8 +280,17 @@
 // Stop stops a run.
 func (l *Link) Stop(handle string) { l.send(command("suspend", handle), []byte("}\n")) }
 
-// Supply gives a run the reply that it waits for.
-func (l *Link) Supply(handle string, body []byte) { l.send(supply(handle, body)...) }
+// Supply gives a run the reply that it waits for, once on each link: a copy does nothing. Guards against a reply that goes
+// out on a new link before the core has heard of the end of the one before, and that it has sent again for that: the run
+// would take the copy for the reply to its next call.
+func (l *Link) Supply(handle string, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.box != nil && !l.supplied[handle] {
+		l.supplied[handle] = true
+		l.box.Send(supply(handle, body)...)
+	}
+}
 
 func supply(handle string, body []byte) [][]byte {
 	return [][]byte{command("supply", handle), arg(body)}
--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -20,6 +20,7 @@
 	t     *testing.T
 	stand *scenario.Stand
 	said  chan string
+	stall chan bool // the loop stands still in the answer to a request of that name until told to go on
 }
 
 type told struct {
@@ -35,12 +36,16 @@
 func (r told) Answer(a core.Answer) {
 	word := map[core.Kind]string{core.Served: "served ", core.Failed: "failed ", core.TimedOut: "out of time ", core.Refused: "refused "}[a.Kind]
 	r.said <- word + r.handle
+	if r.handle == "stall" {
+		r.stall <- true
+		<-r.stall
+	}
 }
 
 // start gives a box whose pool is bound.
 func start(t *testing.T) (*box, *scenario.Peer) {
 	site, log := scenario.Site(), slog.New(slog.DiscardHandler)
-	b := &box{Core: core.New(site, log), t: t, stand: scenario.Listen(t), said: make(chan string, 64)}
+	b := &box{Core: core.New(site, log), t: t, stand: scenario.Listen(t), said: make(chan string, 64), stall: make(chan bool)}
 	b.Link = pool.New(b.stand.Addr, b.Core.Send, log)
 	b.Attach(b.Link, b, b, nil)
 	ctx, end := context.WithCancel(context.Background())
@@ -176,3 +181,65 @@
 		b.expect("served a")
 	})
 }
+
+// A link that goes silent without an end is kept: nothing tells it from a pool that is busy. A request is answered when it is
+// due all the same (core's TestASilentRunIsAnsweredByItsDueTime has the time of it), a write is asked for once, and what the
+// pool says when it speaks again counts.
+func TestALinkThatGoesSilent(t *testing.T) {
+	b, p := start(t)
+	b.ask("a", "book", "k", 700*time.Millisecond)
+	p.Expect(`"spawn","handle":"a"`)
+	b.expect("out of time a")
+	b.ask("b", "book", "k", 4*time.Second) // the run of its key may go on
+	p.Send(done("2", "a"))
+	b.expect("served b")
+	b.ask("c", "quote", "", 4*time.Second)
+	if got := p.Expect(`"spawn","handle":"(\w)"`)[1]; got != "c" {
+		t.Errorf("%s was asked for", got)
+	}
+	p.Send(done("3", "c"))
+	b.expect("served c")
+}
+
+// A reply is given while the loop has not heard yet that the link it knows has ended, and another is up: it goes out on that
+// one, and is not given there again. The run would take the copy for the reply to its next call.
+func TestAReplyCrossesTheEndOfALink(t *testing.T) {
+	b, p := start(t)
+	for _, h := range []string{"a", "stall"} {
+		b.ask(h, "quote", "", 4*time.Second)
+		p.Expect(`"spawn","handle":"` + h + `"`)
+	}
+	p.Send(`{"event":"blocked","cursor":2,"handle":"a","arg":""}`, "\n")
+	b.expect("call a")
+	p.Send(done("3", "stall"))
+	b.expect("served stall")
+	wait(t, b.stall)
+	b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")})
+	p.Close()
+	p = b.bind(3)
+	b.stall <- true
+	supplies := 0
+	for ticket := ""; !strings.HasPrefix(ticket, "r"); {
+		m := p.Expect(`"supply","handle":"a"|"poll","ticket":"(\w+)"`)
+		if ticket = m[1]; ticket == "" {
+			supplies++
+			continue
+		}
+		p.Send(`{"event":"polled","ticket":"`, ticket, `","figures":[0.1,0]}`, "\n")
+	}
+	b.ask("c", "quote", "", 4*time.Second)
+	for m := []string{"", ""}; m[1] == ""; { // what is sent again comes before it
+		if m = p.Expect(`"supply","handle":"a"|"spawn","handle":"(c)"`); m[1] == "" {
+			supplies++
+		}
+	}
+	if supplies != 1 {
+		t.Errorf("the reply was given %d times on one link", supplies)
+	}
+	p.Send(`{"event":"blocked","cursor":4,"handle":"a","arg":""}`, "\n") // its next call has its own reply
+	b.expect("call a")
+	b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("s")})
+	p.Expect(`"supply","handle":"a","arg":"cw=="`)
+	p.Send(done("5", "a"))
+	b.expect("served a")
+}
