Pool: a link on which nobody says that it is bound is given up

Seen: a connection that was accepted and stayed silent was kept for ever, with no try at another (TestALinkThatIsNeverBound failed before): nothing ran until the other side closed it. Nothing but the bind and questions is sent before the pool speaks, so a new link costs nothing: after 1 s, then 2, 4 and so on up to 16 s, so that a pool that is slow to speak is waited for. A link that was bound and goes silent later is kept as before: commands are on it, and a copy of a reply could be taken for another.

--- a/internal/pool/crossing_test.go
+++ b/internal/pool/crossing_test.go
@@ -109,3 +109,15 @@
 	k.expect(core.PoolLost{})
 	k.bind(0, time.Hour)
 }
+
+// A link that is accepted, and on which nobody says that it is bound, is given up for a new one; one that was bound is not,
+// however long nothing comes.
+func TestALinkThatIsNeverBound(t *testing.T) {
+	k := keep(t)
+	k.stand.Accept().Expect(`"bind","cursor":0`)
+	k.expect(core.PoolLost{})
+	p := k.bind(0, time.Hour)
+	time.Sleep(1200 * time.Millisecond) // past the time for the first word
+	p.Send(ended(1, "a"))
+	k.expect(finished("a"))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,10 @@
 	maxLine     = 64 << 10
 	dialTimeout = time.Second
 	steady      = 100 * time.Millisecond // a link that lasted so long worked
+	// A link on which the pool says nothing at all is given up after firstWord, and after twice that each time up to
+	// lastWord: a pool that is slow to speak is waited for.
+	firstWord = time.Second
+	lastWord  = 16 * time.Second
 )
 
 // Link keeps one connection to the worker pool open. Commands given while there is none are lost: the core
@@ -73,18 +78,25 @@
 // there is none, runs go on that nobody hears of.
 func (l *Link) Keep(ctx context.Context) {
 	var wait sock.Backoff
+	silence := firstWord
 	for ctx.Err() == nil {
 		up := time.Now()
-		bound, err := l.once(ctx)
+		bound, err := l.once(ctx, silence)
 		if ctx.Err() != nil {
 			return
 		}
 		select {
 		case <-l.moved:
 			wait.Reset()
+			silence = firstWord
 			continue
 		default:
 		}
+		if bound {
+			silence = firstWord
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			silence = min(2*silence, lastWord)
+		}
 		l.log.Warn("link down", "to", "pool", "err", err)
 		if bound && time.Since(up) > steady && !errors.Is(err, errNotice) {
 			wait.Reset()
@@ -99,8 +111,8 @@
 	}
 }
 
-// once is the life of one connection; bound = the worker pool spoke on it.
-func (l *Link) once(ctx context.Context) (bound bool, err error) {
+// once is the life of one connection, on which the worker pool speaks within silence; bound = it did.
+func (l *Link) once(ctx context.Context, silence time.Duration) (bound bool, err error) {
 	l.mu.Lock()
 	addr := l.addr
 	l.mu.Unlock()
@@ -122,6 +134,7 @@
 		l.mu.Unlock()
 		l.sink(core.PoolLost{})
 	}()
+	conn.SetReadDeadline(time.Now().Add(silence))
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
 		line, err := sock.Line(in)
@@ -131,7 +144,10 @@
 		if err := l.notice(line); err != nil {
 			return bound, err
 		}
-		bound = true
+		if !bound {
+			bound = true
+			conn.SetReadDeadline(time.Time{})
+		}
 	}
 }
 
