--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,10 @@
 	maxLine     = 64 << 10
 	dialTimeout = time.Second
 	steady      = 100 * time.Millisecond // a link that lasted so long worked
+	// A link on which the pool says nothing at all is given up after firstWord, and after twice that each time up to
+	// lastWord: a pool that is slow to speak is waited for.
+	firstWord = time.Second
+	lastWord  = 16 * time.Second
 )
 
 // Link keeps one connection to the worker pool open. Commands given while there is none are lost: the core
@@ -34,9 +39,17 @@
 	log   *slog.Logger
 	moved chan struct{}
 	read  atomic.Uint64 // number of the last notice that was read; Keep's goroutine writes it
-	mu    sync.Mutex
-	addr  string
-	box   *sock.Box // nil = no link
+
+	// Keep's goroutine alone has these.
+	dialed time.Time // when the connection of this link was made
+	bound  time.Time // when that of the last link was made on which the pool spoke: it had begun by then
+	anew   bool      // the pool began since, and may number its notices from 1
+
+	mu   sync.Mutex
+	addr string
+	box  *sock.Box // nil = no link
+
+	supplied map[string]bool // handles of runs that were given a reply on this link and have told nothing since
 }
 
 // New makes a link that tells sink what comes.
@@ -65,18 +78,25 @@
 // there is none, runs go on that nobody hears of.
 func (l *Link) Keep(ctx context.Context) {
 	var wait sock.Backoff
+	silence := firstWord
 	for ctx.Err() == nil {
 		up := time.Now()
-		bound, err := l.once(ctx)
+		bound, err := l.once(ctx, silence)
 		if ctx.Err() != nil {
 			return
 		}
 		select {
 		case <-l.moved:
 			wait.Reset()
+			silence = firstWord
 			continue
 		default:
 		}
+		if bound {
+			silence = firstWord
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			silence = min(2*silence, lastWord)
+		}
 		l.log.Warn("link down", "to", "pool", "err", err)
 		if bound && time.Since(up) > steady && !errors.Is(err, errNotice) {
 			wait.Reset()
@@ -91,8 +111,8 @@
 	}
 }
 
-// once is the life of one connection; bound = the worker pool spoke on it.
-func (l *Link) once(ctx context.Context) (bound bool, err error) {
+// once is the life of one connection, on which the worker pool speaks within silence; bound = it did.
+func (l *Link) once(ctx context.Context, silence time.Duration) (bound bool, err error) {
 	l.mu.Lock()
 	addr := l.addr
 	l.mu.Unlock()
@@ -101,17 +121,20 @@
 	if err != nil {
 		return false, err
 	}
+	l.dialed = time.Now()
 	box := sock.NewBox(conn)
 	defer box.Kill()
 	defer context.AfterFunc(ctx, box.Kill)()
-	box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
-	if !l.set(box, addr) {
+	if !l.begin(box, addr) {
 		return false, errMoved
 	}
 	defer func() {
-		l.set(nil, "")
+		l.mu.Lock()
+		l.box = nil
+		l.mu.Unlock()
 		l.sink(core.PoolLost{})
 	}()
+	conn.SetReadDeadline(time.Now().Add(silence))
 	in := bufio.NewReaderSize(conn, maxLine)
 	for {
 		line, err := sock.Line(in)
@@ -121,18 +144,23 @@
 		if err := l.notice(line); err != nil {
 			return bound, err
 		}
-		bound = true
+		if !bound {
+			bound = true
+			conn.SetReadDeadline(time.Time{})
+		}
 	}
 }
 
-// set makes b the link; false = it goes to an address that was left meanwhile.
-func (l *Link) set(b *sock.Box, addr string) bool {
+// begin makes b the link, with its bind as the first line; false = it goes to an address that was left meanwhile, and
+// nothing was sent. Whoever sees the bind can rely on a Move to end the link.
+func (l *Link) begin(b *sock.Box, addr string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b != nil && addr != l.addr {
+	if addr != l.addr {
 		return false
 	}
-	l.box = b
+	b.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
+	l.box, l.supplied = b, map[string]bool{}
 	return true
 }
 
@@ -201,12 +229,23 @@
 	if err != nil {
 		return err
 	}
-	if n.cursor > 0 && n.cursor <= l.read.Load() { // it came already, on this link or an earlier one
-		return nil
+	if n.cursor > 0 {
+		if n.cursor <= l.read.Load() && !(l.anew && n.cursor == 1) { // it came already, on this link or an earlier one
+			return nil
+		}
+		l.anew = false
+		defer l.read.Store(n.cursor)
+	}
+	if n.event == "blocked" || n.event == "finished" {
+		l.mu.Lock()
+		delete(l.supplied, n.handle)
+		l.mu.Unlock()
 	}
-	defer func() { l.read.Store(max(l.read.Load(), n.cursor)) }()
 	switch n.event {
 	case "bound":
+		// Guards against notices of a pool that numbers them anew, taken for those that came already.
+		l.anew = l.anew || time.Now().Add(-n.lasted).After(l.bound)
+		l.bound = l.dialed
 		l.sink(core.PoolBound{Cold: n.fate == "chilly", Age: n.lasted})
 	case "polled":
 		l.sink(core.PoolPolled{Ticket: n.ticket, Figures: n.figures})
@@ -257,8 +296,17 @@
 // Stop stops a run.
 func (l *Link) Stop(handle string) { l.send(command("suspend", handle), []byte("}\n")) }
 
-// Supply gives a run the reply that it waits for.
-func (l *Link) Supply(handle string, body []byte) { l.send(supply(handle, body)...) }
+// Supply gives a run the reply that it waits for, once on each link: a copy does nothing. Guards against a reply that goes
+// out on a new link before the core has heard of the end of the one before, and that it has sent again for that: the run
+// would take the copy for the reply to its next call.
+func (l *Link) Supply(handle string, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.box != nil && !l.supplied[handle] {
+		l.supplied[handle] = true
+		l.box.Send(supply(handle, body)...)
+	}
+}
 
 func supply(handle string, body []byte) [][]byte {
 	return [][]byte{command("supply", handle), arg(body)}
