A claim that is won late is given up

At fault: claimed in route.go, which took a claim however late. It now counts from when the store was last heard of, or t0 of the try; given up, the next try may claim it. A piece that is adopted is known not to have ended, and is not counted so. The price: a store that takes over 2 s refuses.

Ruled out: a try whose caller waits past the class's deadline does not run when the lost claim expires, the controller refuses it (TestATryDoesNotOutwaitAClaim).

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -134,7 +134,7 @@
 		if e.sum != p.Sum {
 			a.State = ClaimOff
 		}
-		c.claimed(a)
+		c.decided(a)
 	}
 	if c.table.entries[p.Key] != nil {
 		return
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -47,6 +47,7 @@
 	claimed bool // it is this server's in the shared store
 	result  []byte
 	waiters []*request
+	heard   time.Duration // that another server has it; 0 = never
 	size    int
 	until   time.Duration
 	expiry  deadline
@@ -297,7 +298,7 @@
 	c.holdForStore(r)
 	if !c.store.Claim(Piece{Key: e.key, Handle: r.Handle, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank, Memory: r.Memory, Work: r.Work,
 		Subject: r.Subject, Caller: r.Caller, Left: max(0, r.due-c.now), Life: ClaimLife(k)}) {
-		c.claimed(Claimed{Key: e.key, State: ClaimDown})
+		c.decided(Claimed{Key: e.key, State: ClaimDown})
 	}
 }
 
@@ -307,8 +308,24 @@
 	c.late.set(&r.patience, r.due-dueEarly)
 }
 
-// claimed is the store's answer. Without one a new keyed request is refused, never run on a guess.
+// claimed is the store's answer. One that was won more than windowMargin after the store was last heard of, or the try's
+// t0, is given up: the end of a run whose window the try was written in may be forgotten there. Guards against a server
+// that stood still.
 func (c *Core) claimed(a Claimed) {
+	if e := c.table.entries[a.Key]; a.State == ClaimWon && e != nil && e.phase == asking {
+		last := e.owner.arrived
+		if e.heard > 0 {
+			last = max(last, e.heard)
+		}
+		if c.now-last > windowMargin {
+			a.State = ClaimDown
+		}
+	}
+	c.decided(a)
+}
+
+// decided carries out what became of a claim. Without an answer a new keyed request is refused, never run on a guess.
+func (c *Core) decided(a Claimed) {
 	e := c.table.entries[a.Key]
 	if e == nil || e.phase != asking {
 		if a.State == ClaimWon && e == nil { // nobody waits for it any longer
@@ -326,6 +343,7 @@
 			c.enter(r, 1)
 		}
 	case ClaimOther:
+		e.heard = c.now
 		again := &deadline{do: func() {
 			if c.table.entries[a.Key] == e && e.phase == asking {
 				c.ask(e)
--- a/internal/core/window_test.go
+++ b/internal/core/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,6 +103,73 @@
 	})
 }
 
+// late plays f with a shared store, on a server whose keyed class has nearly its deadline for its aim.
+func late(t *testing.T, f func(w *scenario.World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		site := scenario.Site()
+		site.Control.Classes[1].Aim, site.Control.Classes[1].LateWorth = 7900*ms, 0.5
+		w := scenario.NewWorld(t, site, true)
+		w.Expect(ms)
+		f(w)
+	})
+}
+
+// A try that waits for another server's claim does not run once that may have expired, however long its caller waits: the
+// claim of a server that was killed is then won by who asks, though its run may have had its effect.
+func TestATryDoesNotOutwaitAClaim(t *testing.T) {
+	late(t, func(w *scenario.World) {
+		other := core.Claimed{Key: fleetKey, State: core.ClaimOther}
+		a := written(w.Ask("a", "book", "k"), time.Second) // the try that ran elsewhere is one window and 1 s older than now
+		a.Req.Budget = time.Minute
+		on(w, "claim k", a)
+		for range 68 {
+			w.Send(other)
+			w.Expect(101*ms, "claim k")
+		}
+		w.Send(other)
+		w.Expect(200*ms, "claim k")
+		on(w, "refused a; release k", won()) // 8 s from its t0: the claim may have expired just now
+	})
+}
+
+// A claim that is won long after the store was last heard of, or after the try's t0, may be that of a run whose end the
+// store has forgotten meanwhile: this server stood still. The try is refused and the claim given up; the next one runs.
+func TestAClaimThatIsWonLate(t *testing.T) {
+	for name, x := range map[string]struct {
+		unread, wait time.Duration // until the store's first word
+		others       int           // words that another has it, each 100 ms
+		stood        time.Duration // before the last word
+		want         string
+	}{
+		"at once":                        {0, 0, 0, 0, "run a book body"},
+		"in time":                        {1500 * ms, 400 * ms, 0, 0, "run a book body"},
+		"late":                           {1500 * ms, 600 * ms, 0, 0, "release k; refused a"},
+		"after another had it":           {0, 100 * ms, 30, 0, "run a book body"},
+		"after it stood still":           {0, 100 * ms, 30, 2100 * ms, "release k; refused a"},
+		"after it stood still for less":  {0, 100 * ms, 30, 1800 * ms, "run a book body"},
+		"its first word, after standing": {0, 2100 * ms, 0, 0, "release k; refused a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			late(t, func(w *scenario.World) {
+				a := written(w.Ask("a", "book", "k"), x.unread)
+				a.Req.Budget = time.Minute
+				on(w, "claim k", a)
+				w.Expect(x.wait)
+				for range x.others {
+					w.Send(core.Claimed{Key: fleetKey, State: core.ClaimOther})
+					w.Expect(101*ms, "claim k")
+				}
+				w.Expect(x.stood)
+				on(w, x.want, won())
+				if strings.HasPrefix(x.want, "release") {
+					on(w, "claim k; run b book body", w.Ask("b", "book", "k"), won())
+				}
+			})
+		})
+	}
+}
+
 // On a real connection: a repeat that its caller wrote within the window, and that is read once the key is forgotten, is
 // refused as never run, and does not run.
 func TestARepeatThatIsReadLate(t *testing.T) {
