A SIGTERM in the last instant does not change the exit code

Seen: between the end of run, which lets go of its signals, and os.Exit a further SIGTERM ended the program by its default. TestASIGTERMAfterTheEnd forces the order with a signal to its own thread, and fails without it. At fault: the deferred signal.Stop in run, with nothing after it; main now keeps the signals to the very end.

--- a/cmd/larchscale/leave_test.go
+++ b/cmd/larchscale/leave_test.go
@@ -6,14 +6,18 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"larchscale/internal/handoff"
 	"larchscale/internal/scenario"
 )
@@ -277,6 +281,29 @@
 	p.ends(map[string]int{drains: 1})
 }
 
+// ending is the environment variable that has this test's binary be the program, and get a SIGTERM just before its end.
+const ending = "LARCHSCALE_ENDING"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(ending) == "" {
+		os.Exit(m.Run())
+	}
+	outlive()
+	code := run(nil, func(string) string { return "" }, io.Discard)
+	runtime.LockOSThread()
+	unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGTERM) // to this thread: it has come when the call is over
+	os.Exit(code)
+}
+
+// A SIGTERM after all is over, just before the program ends, changes nothing about its exit code.
+func TestASIGTERMAfterTheEnd(t *testing.T) {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), ending+"=1")
+	if c.Run(); c.ProcessState.ExitCode() != 2 { // it was given no configuration
+		t.Errorf("%s", c.ProcessState)
+	}
+}
+
 // anyListener is a listener that no kernel steers.
 type anyListener struct{ net.Listener }
 
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -44,7 +44,16 @@
 	lastWrites = 60 * time.Millisecond
 )
 
-func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stderr)) }
+func main() {
+	outlive()
+	os.Exit(run(os.Args[1:], os.Getenv, os.Stderr))
+}
+
+// outlive has no signal that the program answers end it by its default, up to the very end: one may come once run has
+// let go of its own, and the exit code is to tell how run ended.
+func outlive() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+}
 
 // flags are the program's arguments. The platform gives none: it names its file by the environment.
 type flags struct {
