Settings: without a QuantumUs answers are still given before they are due

Seen: a site that names no quantum has failures answered at the due time to the instant, so late by whatever the loop, the socket and the machine take. At fault: settings.Config, which passed a quantum of 0 on; control answers two quanta before the due time. Failed before: core.TestEveryDeploymentOutlivesItsCalls/no_quantum. Ruled out by the same tests, now with handoffs, 39 classes, one class alone and no tenants: any answer that is not before its due time, an end after the kill of a handoff, a write that runs twice.

--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -14,6 +14,7 @@
 	"larchscale/control"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
+	"larchscale/internal/handoff"
 	"larchscale/internal/scenario"
 )
 
@@ -48,15 +49,30 @@
 	out["a stop shorter than the deadline"] = edge(4*time.Second, 5*time.Second, 200*ms, 400*ms)
 	out["no grace"] = edge(500*ms, 500*ms, 0, 400*ms)
 	out["hardly a stop"] = edge(500*ms, 500*ms, 200*ms, 100*ms)
-	text, err := os.ReadFile("../config/testdata/ridge-lift-gates.json")
-	if err != nil {
-		t.Fatal(err)
+	many := edge(500*ms, 500*ms, 200*ms, 400*ms)
+	for i := range 36 {
+		many.Classes = append(many.Classes, fmt.Sprint(many.Classes[i%3], i))
+		many.Control.Classes = append(many.Control.Classes, many.Control.Classes[i%3])
 	}
-	c, err := config.Parse(regexp.MustCompile(`"GiveUpUs": \d+, `).ReplaceAll(text, nil))
-	if err != nil {
-		t.Fatal(err)
+	out["39 classes"] = many
+	writes := edge(500*ms, 500*ms, 200*ms, 400*ms)
+	writes.Classes, writes.Control.Classes = []string{"keyed"}, writes.Control.Classes[1:2]
+	writes.Tenants, writes.Control.Tenants = nil, nil
+	out["one class, no tenants"] = writes
+	for name, less := range map[string][2]string{ // what is told without one setting
+		"no deadline": {"ridge-lift-gates", `"GiveUpUs": \d+, `},
+		"no quantum":  {"tide-harbour-office", `"QuantumUs": \d+,`},
+	} {
+		text, err := os.ReadFile("../config/testdata/" + less[0] + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := config.Parse(regexp.MustCompile(less[1]).ReplaceAll(text, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[name] = c.Site
 	}
-	out["no deadline"] = c.Site
 	return out
 }
 
@@ -117,16 +133,19 @@
 
 // ask sends a request of a class that waits for its deadline, and gives its handle.
 func (c *callers) ask(class int, token, body string) string {
-	line := c.open()
+	line, tenant := c.open(), -1
 	c.mu.Lock()
 	c.sent++
 	handle := fmt.Sprintf("h%d", c.sent)
 	c.due[handle] = time.Now().Add(c.site.Control.Classes[class].Deadline)
+	if n := len(c.site.Tenants); n > 0 {
+		tenant = c.sent % n
+	}
 	c.mu.Unlock()
 	if !c.site.Keyed(class) {
 		token = ""
 	}
-	c.w.Send(core.Arrive{Session: line, Reply: callersReply{c, handle}, Req: core.Incoming{Handle: handle, Class: class, Tenant: c.sent % max(1, len(c.site.Tenants)),
+	c.w.Send(core.Arrive{Session: line, Reply: callersReply{c, handle}, Req: core.Incoming{Handle: handle, Class: class, Tenant: tenant,
 		Arrived: time.Now(), Rank: 0.9, Memory: 10, Token: token, Body: []byte(body)}})
 	return handle
 }
@@ -141,7 +160,7 @@
 	return -1
 }
 
-// check finds requests with no answer, two, one after its due time, or a refusal of what ran.
+// check finds requests with no answer, two, one that is not before its due time, or a refusal of what ran.
 func (c *callers) check(t *testing.T) {
 	t.Helper()
 	ran := map[string]bool{}
@@ -151,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range slices.Sorted(maps.Keys(c.due)) {
-		if a := c.told[h]; len(a) != 1 || a[0].at.After(c.due[h]) {
+		if a := c.told[h]; len(a) != 1 || !a[0].at.Before(c.due[h]) {
 			t.Errorf("%s: %d answers, due %v: %+v", h, len(a), c.due[h], a)
 		} else if a[0].Kind == core.Refused && ran[h] {
 			t.Errorf("%s ran and was refused", h)
@@ -298,13 +317,31 @@
 // run, each request that came before the loop's end has its answer by then and by its due time, and that end is before
 // the kill.
 func TestEveryDeploymentDrainsInTime(t *testing.T) {
-	t.Run("quick runs", func(t *testing.T) { onEach(t, quick, drains) })
-	t.Run("long runs", func(t *testing.T) {
-		onEach(t, func(s core.Site) time.Duration { return shortest(s) * 2 / 3 }, drains)
-	})
+	long := func(s core.Site) time.Duration { return shortest(s) * 2 / 3 }
+	notice := func(c *callers) (time.Duration, core.Event) { return c.site.Stop, core.Drain{} }
+	restart := func(c *callers) (time.Duration, core.Event) {
+		var deadlines []time.Duration
+		for _, k := range c.site.Control.Classes {
+			deadlines = append(deadlines, k.Deadline)
+		}
+		kill := handoff.Kill(deadlines)
+		return min(kill, c.site.Stop), core.Handoff{Kill: kill}
+	}
+	t.Run("quick runs", func(t *testing.T) { onEach(t, quick, leaves(notice)) })
+	t.Run("long runs", func(t *testing.T) { onEach(t, long, leaves(notice)) })
+	t.Run("quick runs, a handoff", func(t *testing.T) { onEach(t, quick, leaves(restart)) })
+	t.Run("long runs, a handoff", func(t *testing.T) { onEach(t, long, leaves(restart)) })
+}
+
+// leaves has a core told to leave by an event in the middle of a stream, and killed so long after it.
+func leaves(by func(c *callers) (kill time.Duration, e core.Event)) func(t *testing.T, c *callers) {
+	return func(t *testing.T, c *callers) {
+		kill, e := by(c)
+		c.leave(t, kill, e)
+	}
 }
 
-func drains(t *testing.T, c *callers) {
+func (c *callers) leave(t *testing.T, kill time.Duration, e core.Event) {
 	step := max(ms, quick(c.site)/8)
 	send := func(until time.Time) {
 		for i := 0; time.Now().Before(until); i++ {
@@ -319,14 +356,14 @@
 	}
 	send(time.Now().Add(10 * step))
 	notice := time.Now()
-	c.w.Send(core.Drain{})
-	send(notice.Add(c.site.Stop + time.Second))
+	c.w.Send(e)
+	send(notice.Add(kill + time.Second))
 	<-c.w.Done
 	ended := time.Now()
-	if d := ended.Sub(notice); d > c.site.Stop {
-		t.Errorf("it ended %v after the notice, %v before the kill", d, c.site.Stop-d)
+	if d := ended.Sub(notice); d > kill {
+		t.Errorf("it ended %v after the notice, %v before the kill", d, kill-d)
 	}
-	if len(c.left) == 0 || c.left[0].After(notice.Add(min(c.site.Control.DrainGrace, c.site.Stop))) || !c.left[0].Before(ended) {
+	if len(c.left) == 0 || c.left[0].After(notice.Add(min(c.site.Control.DrainGrace, kill))) || c.left[0].After(ended) {
 		t.Errorf("told %v, notice %v, end %v", c.left, notice, ended)
 	}
 	delete(c.due, fmt.Sprintf("h%d", c.sent)) // it may have crossed the end
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,9 +13,13 @@
 	"larchscale/internal/wire"
 )
 
-// untold is the deadline of a class whose settings name none, as control.Class has it: due times, claims in a shared
-// store and a handoff's end are counted from it too.
-const untold = time.Minute
+// What holds where the settings say nothing.
+const (
+	// of a class, as control.Class has it: due times, claims in a shared store and a handoff's end are counted from it too
+	untoldDeadline = time.Minute
+	// between two decisions: without one an answer would be given at its due time, and so be late by what it takes
+	untoldQuantum = 5 * time.Millisecond
+)
 
 func usf(n float64) time.Duration { return time.Duration(n * float64(time.Microsecond)) }
 
@@ -29,7 +33,7 @@
 		Crowd: q.FallMultiple, CrowdFor: usf(q.FallUs),
 		CallWindow: usf(f.DepWindowUs), CallLingers: usf(f.LingersUs), CallShare: f.CallsOut, CallsTier: f.Below == "tier",
 		DrainGrace: usf(q.DrainGraceUs), Slack: usf(q.AnswerSlackUs),
-		HeardFor: usf(f.HeardForUs), IdleMax: usf(f.KeepaliveMaxUs), Quantum: usf(s.QuantumUs),
+		HeardFor: usf(f.HeardForUs), IdleMax: usf(f.KeepaliveMaxUs), Quantum: cmp.Or(usf(s.QuantumUs), untoldQuantum),
 		HearsGone: f.HangupSeen, DearChecks: f.FullChecks, OverWorth: s.OverShareWorth,
 	}
 	if l.RetryAfter {
@@ -50,7 +54,7 @@
 		c.Stopping = control.StopHolds
 	}
 	for i, k := range s.RequestClasses {
-		class := control.Class{Aim: usf(k.AimUs), Deadline: cmp.Or(usf(k.GiveUpUs), untold), Window: usf(k.MemorySpanUs),
+		class := control.Class{Aim: usf(k.AimUs), Deadline: cmp.Or(usf(k.GiveUpUs), untoldDeadline), Window: usf(k.MemorySpanUs),
 			Worth: k.Importance, LateWorth: k.LateWorth}
 		switch k.Effect {
 		case "by_key":
