--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -180,10 +180,15 @@
 
 // onEach plays f on each deployment, with a connection open and every run ended well after work.
 func onEach(t *testing.T, work func(core.Site) time.Duration, f func(t *testing.T, c *callers)) {
+	onEachWith(t, false, work, f)
+}
+
+// onEachWith is onEach, with a shared store that the test plays or without.
+func onEachWith(t *testing.T, shared bool, work func(core.Site) time.Duration, f func(t *testing.T, c *callers)) {
 	for name, site := range deployments(t) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := &callers{w: scenario.NewWorld(t, site, false), site: site, told: map[string][]told{}, due: map[string]time.Time{}}
+				c := &callers{w: scenario.NewWorld(t, site, shared), site: site, told: map[string][]told{}, due: map[string]time.Time{}}
 				if d := work(site); d > 0 {
 					c.w.Serve(d)
 				}
@@ -313,6 +318,31 @@
 	})
 }
 
+// A shared store that tells nothing, or tells only after a request is due that its key is won, costs no request its
+// answer in time, and what it tells then runs nothing.
+func TestEveryDeploymentOutlivesItsStore(t *testing.T) {
+	onEachWith(t, true, quick, func(t *testing.T, c *callers) {
+		for i, k := range c.site.Control.Classes {
+			if k.Effect != control.Keyed {
+				continue
+			}
+			first := c.ask(i, "k", c.site.Classes[i])
+			time.Sleep(k.Deadline / 2)
+			second := c.ask(i, "k", c.site.Classes[i])
+			time.Sleep(k.Deadline/2 + ms)
+			c.w.Send(core.Claimed{Key: core.Key{Class: i, Token: "k"}, State: core.ClaimWon})
+			time.Sleep(k.Deadline)
+			if a, b := c.kind(first), c.kind(second); a == int(core.Served) || a == -1 || b == -1 {
+				t.Errorf("%s: %d, %d", c.site.Classes[i], a, b)
+			}
+			if n := c.w.Runs()[c.site.Classes[i]]; n > 1 {
+				t.Errorf("%s ran %d times", c.site.Classes[i], n)
+			}
+		}
+		c.check(t)
+	})
+}
+
 // A notice to leave in the middle of a stream: connections are told before the end, what comes after the grace is not
 // run, each request that came before the loop's end has its answer by then and by its due time, and that end is before
 // the kill.
