Stand-in: a run that was cancelled may be asked for again

Seen: standin.TestLedgerMatchesCallers failed on busy cores, on the unchanged program too: a call below that took over 300 ms had the stand-in's run end as cancelled, the core asked for the run again under its handle, as it may, and the stand-in passed that over, as it kept the handle as one that runs. The request then failed when it was due. At fault: Site.spawn, which never forgot a handle. The test is as it was. Also the pool's test double takes the core's newer interfaces.

--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -29,8 +29,10 @@
 }
 
 func (b *box) Drain(time.Duration)                                           {}
-func (b *box) Close()                                                        {}
+func (b *box) Close(uint64)                                                  {}
+func (b *box) Cut()                                                          {}
 func (b *box) Report(bool)                                                   {}
+func (b *box) Silence()                                                      {}
 func (b *box) Abandon(string)                                                {}
 func (b *box) Call(h, _ string, _ uint64, _ time.Duration, _ bool, _ []byte) { b.said <- "call " + h }
 func (r told) Answer(a core.Answer) {
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -249,6 +249,9 @@
 		time.Sleep(work)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if fate == "cancelled" { // as the worker pool has it: only one that runs is not run again
+			delete(s.begun, handle)
+		}
 		result := base64.StdEncoding.EncodeToString([]byte("done: " + string(body)))
 		if fate != "complete" {
 			result = ""
