No warning of a store that was done in time

Where the last writes of a front took their whole time, the end of the store and that of the time were both there, and one of them was taken at random.

--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -336,8 +336,12 @@
 	if stored != nil { // the end of the last run is shared: the next process may be asked for it
 		select {
 		case <-stored:
-		case <-last:
-			log.Warn("store", "do", "end", "err", "not done in time")
+		case <-last: // it may be done all the same
+			select {
+			case <-stored:
+			default:
+				log.Warn("store", "do", "end", "err", "not done in time")
+			}
 		}
 	}
 	log.Info("stopped")
