Control: a cold worker takes the bins that its callers hide for as full as the rest

At fault: window, which starts with almost empty bins (coldRate), and as callers that heed the level hide what ranks under it from the start, those bins stay empty: the cursor falls over them at once. While cold they are now taken to be as full as those that show.

--- a/control/control.go
+++ b/control/control.go
@@ -857,11 +857,7 @@
 		sum += (c.now - r.arrived).Seconds()
 		n++
 	}
-	q := 0.0
-	if n > 0 {
-		q = max(0, sum/n-c.reading)
-	}
-	over := q / (queuePart * aim.Seconds())
+	over := max(0, sum/max(1, n)-c.reading) / (queuePart * aim.Seconds())
 	use := c.use.v
 	if c.use.n == 0 {
 		use = 1
@@ -895,8 +891,7 @@
 	c.weighTenants(span.Seconds(), seen)
 	c.opened, c.queued, c.left = c.now, 0, 0
 	c.closeIdle(usual / (1 - math.Exp(-float64(c.now-c.born)/float64(memory))))
-	held := c.backlog()
-	c.over, c.held = over, held
+	c.over, c.held = over, c.backlog()
 	want := admitted
 	if over > 1 {
 		c.credit = 0
@@ -905,10 +900,15 @@
 		// What a window may add and no bin was small enough for is kept: else a hot user's bin, which
 		// holds more than beta of all, would stop the cursor for good.
 		// Guards against refusals that outlast a jump of traffic: what is added too much can wait.
-		calm := max(0, 1-2*max(over, held/(queuePart*aim.Seconds())))
+		calm := max(0, 1-2*max(over, c.held/(queuePart*aim.Seconds())))
 		c.credit += min(betaMax, beta+betaCalm*calm+betaIdle*max(0, wantUse/max(use, 0.1)-1))
 		want *= 1 + c.credit
 	}
+	for b := range c.cursor { // callers who heed it have hidden these from the start: taken to be as full
+		if c.cfg.Cold && c.now-c.born < c.cfg.ColdFor {
+			c.rate[b] = max(c.rate[b], admitted/float64(bins-c.cursor))
+		}
+	}
 	k, sum := bins, 0.0
 	for k > 0 && sum+c.rate[k-1] <= want {
 		k--
