--- a/cmd/larchscale/leave_test.go
+++ b/cmd/larchscale/leave_test.go
@@ -96,7 +96,14 @@
 	}
 }
 
-func (p *instance) signal(s syscall.Signal) { syscall.Kill(os.Getpid(), s) }
+// signal sends the program a signal, and returns once it has it: none is left for the next test.
+func (p *instance) signal(s syscall.Signal) {
+	seen := make(chan os.Signal, 1)
+	signal.Notify(seen, s)
+	defer signal.Stop(seen)
+	syscall.Kill(os.Getpid(), s)
+	<-seen
+}
 
 // ends expects exit code 0, and what the log says how often.
 func (p *instance) ends(want map[string]int) {
