Core: calls below are numbered, and the end of an earlier one is passed over

A safe call whose patience ends is given up and made again for the same handle. The end of the first try may stand in the loop's queue by then. callEnded (internal/core/relay.go) looked at the handle and at the run's state only, so it took that end as the second try's; the second's own end, when it came as the run waited for its next call, was then supplied as that call's reply: the worker pool got a reply that belongs to another call.

The core now numbers its calls, Caller.Call takes the number, CallEnded carries it back, and callEnded passes over an end whose number is not that of the call in hand. The second try wins: the first's reply, late, is lost as one that never came.

The clients below keep a call's number with the call: the index's names that of the call which is on the connection that the reply came by. The keeper hands the core's number on, and passes over an end below that is not its want's. The desk, which calls for runs of lost boxes, numbers its calls itself and looked at the handle alone in the same way.

The benches of the index's and the keeper's tests now hold each end to its call's number too. In a World the end of a call that names no number has that of its handle's newest call, so tests that write such ends expect what they did.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -119,8 +119,8 @@
 }
 
 // Call implements desk.Calls.
-func (l *left) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
-	l.to[l.tests.Found(class)].Call(handle, class, subject, patience, once, body)
+func (l *left) Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte) {
+	l.to[l.tests.Found(class)].Call(handle, number, class, subject, patience, once, body)
 }
 
 // newDesk makes the box's desk at which keyed work is claimed in the fleet.
--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -120,19 +120,19 @@
 }
 
 // The rig plays all other parties.
-func (g *rig) Run(handle, _ string, _ []byte)                           { g.pool <- handle }
-func (g *rig) Stop(string)                                              {}
-func (g *rig) Supply(string, []byte)                                    {}
-func (g *rig) Pass(string, uint64)                                      {}
-func (g *rig) Verify(string)                                            {}
-func (g *rig) Poll(string)                                              {}
-func (g *rig) Call(string, string, uint64, time.Duration, bool, []byte) {}
-func (g *rig) Abandon(string)                                           {}
-func (g *rig) Report(bool)                                              {}
-func (g *rig) Silence()                                                 {}
-func (g *rig) Drain(time.Duration)                                      {}
-func (g *rig) Close(uint64)                                             {}
-func (g *rig) Cut()                                                     {}
+func (g *rig) Run(handle, _ string, _ []byte)                                   { g.pool <- handle }
+func (g *rig) Stop(string)                                                      {}
+func (g *rig) Supply(string, []byte)                                            {}
+func (g *rig) Pass(string, uint64)                                              {}
+func (g *rig) Verify(string)                                                    {}
+func (g *rig) Poll(string)                                                      {}
+func (g *rig) Call(string, uint64, string, uint64, time.Duration, bool, []byte) {}
+func (g *rig) Abandon(string)                                                   {}
+func (g *rig) Report(bool)                                                      {}
+func (g *rig) Silence()                                                         {}
+func (g *rig) Drain(time.Duration)                                              {}
+func (g *rig) Close(uint64)                                                     {}
+func (g *rig) Cut()                                                             {}
 
 type waiter struct {
 	g      *rig
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -71,9 +71,10 @@
 
 // Caller makes calls below; a subject of 0 is of nobody. Its methods must not block; each Call ends with one CallEnded, unless it was
 // given up by Abandon or by a further Call for the same handle. One that must be made once is not repeated
-// whatever becomes of its connection.
+// whatever becomes of its connection. Numbers are new with every Call, and CallEnded carries that of the call which it is
+// the end of: a call that is given up may have ended already, and its end is told all the same.
 type Caller interface {
-	Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte)
+	Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte)
 	Abandon(handle string)
 }
 
@@ -293,9 +294,10 @@
 	}
 )
 
-// CallEnded tells how a call below ended.
+// CallEnded tells how a call below ended. One whose number is not that of the call in hand is passed over.
 type CallEnded struct {
 	Handle  string
+	Number  uint64 // of the Call
 	Outcome control.Outcome
 	Body    []byte // OK: the reply
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 	acts     []act         // what the controller asked for in this turn
 	again    []func()      // what this turn's actions have to tell the controller
 	late     deadlines
+	calls    uint64 // made so far: each has its number
 	wake     deadline
 	report   deadline
 	polled   time.Duration
@@ -130,6 +131,7 @@
 	entry      *entry // the key it owns or repeats
 	patience   deadline
 	began      time.Duration // of the call in hand
+	callNumber uint64        // of the call in hand, or the last
 	callBody   []byte
 	callNotice uint64        // that asked for it
 	resend     func()        // repeats its last command on a new link to the worker pool
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -27,6 +27,8 @@
 		return
 	}
 	r.state, r.began = calling, c.now
+	c.calls++
+	r.callNumber = c.calls
 	r.use.calls++
 	c.late.set(&r.patience, c.now+patience+callMargin)
 	subject := r.Subject
@@ -34,7 +36,7 @@
 		subject = 0
 	}
 	once := c.site.Control.Classes[r.Class].Effect != control.Safe
-	c.caller.Call(r.Handle, c.site.Classes[r.Class], subject, patience, once, r.callBody)
+	c.caller.Call(r.Handle, r.callNumber, c.site.Classes[r.Class], subject, patience, once, r.callBody)
 }
 
 // skip has a run go on without the call that it waits for. The command names that call's notice, so that a copy
@@ -55,10 +57,11 @@
 	c.caller.Abandon(r.Handle)
 }
 
-// callEnded is how a call ended. One that found no run waiting ends with the run's own end.
+// callEnded is how a call ended. One that found no run waiting ends with the run's own end. The end of an earlier call
+// than the one in hand, given up as it was on its way here, is passed over: its reply would be taken for another's.
 func (c *Core) callEnded(e CallEnded) {
 	r := c.byHandle[e.Handle]
-	if r == nil || r.state != calling || e.Outcome == control.Moot {
+	if r == nil || r.state != calling || r.callNumber != e.Number || e.Outcome == control.Moot {
 		return
 	}
 	c.late.drop(&r.patience)
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -59,7 +59,7 @@
 
 // Calls makes calls below for runs of lost boxes. Its methods are as core.Caller's.
 type Calls interface {
-	Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte)
+	Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte)
 }
 
 // tally counts what was taken over.
--- a/internal/fleet/desk/heirs.go
+++ b/internal/fleet/desk/heirs.go
@@ -102,23 +102,44 @@
 	if end, ok := ctx.Deadline(); ok {
 		patience = min(patience, time.Until(end))
 	}
-	d.waits.add(c.Handle, link)
-	d.calls.Call(c.Handle, class, 0, patience, true, c.Body)
+	d.calls.Call(c.Handle, d.waits.add(c.Handle, link), class, 0, patience, true, c.Body)
 }
 
 // waits are the runs that wait for a reply, by handle. It is safe for concurrent use.
 type waits struct {
-	mu sync.Mutex
-	by map[string]*pool.Heir
+	mu    sync.Mutex
+	calls uint64 // made so far: each has its number
+	by    map[string]waiting
 }
 
-func (w *waits) add(handle string, link *pool.Heir) {
+// waiting is a run at a call.
+type waiting struct {
+	link   *pool.Heir
+	number uint64
+}
+
+// add gives the number of a run's call.
+func (w *waits) add(handle string, link *pool.Heir) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.by == nil {
-		w.by = map[string]*pool.Heir{}
+		w.by = map[string]waiting{}
+	}
+	w.calls++
+	w.by[handle] = waiting{link, w.calls}
+	return w.calls
+}
+
+// end gives the link of the run that waits for the end of that call; nil = none does, or it is at another.
+func (w *waits) end(handle string, number uint64) *pool.Heir {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x := w.by[handle]
+	if x.number != number {
+		return nil
 	}
-	w.by[handle] = link
+	delete(w.by, handle)
+	return x.link
 }
 
 // Reply takes what a call of Calls came to, as its sink. Without a reply the run goes on to wait, and its pool ends it.
@@ -127,11 +148,7 @@
 	if !ok {
 		return
 	}
-	d.waits.mu.Lock()
-	link := d.waits.by[c.Handle]
-	delete(d.waits.by, c.Handle)
-	d.waits.mu.Unlock()
-	if link != nil && c.Outcome == control.OK {
+	if link := d.waits.end(c.Handle, c.Number); link != nil && c.Outcome == control.OK {
 		link.Reply(c.Handle, c.Body)
 	}
 }
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -33,6 +33,7 @@
 type want struct {
 	who           uint64
 	handle, class string
+	number        uint64 // of the core's call, and of the one below that is made for it
 	subject       uint64
 	body          []byte
 	key           kept.Key
@@ -175,16 +176,16 @@
 }
 
 // Call implements core.Caller.
-func (k *Keep) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
+func (k *Keep) Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte) {
 	k.enter(func(ctx context.Context) {
 		k.giveUp(ctx, handle)
 		if once || k.lasts[class] == 0 || k.spoilt.Contains(handle) {
-			k.below.Call(handle, class, subject, patience, once, body)
+			k.below.Call(handle, number, class, subject, patience, once, body)
 			return
 		}
 		at := now()
 		k.who++
-		w := &want{who: k.who, handle: handle, class: class, subject: subject, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
+		w := &want{who: k.who, handle: handle, number: number, class: class, subject: subject, body: body, key: kept.KeyOf(class, body), due: at + max(1, patience.Milliseconds()) + lastWord}
 		k.wants[w.who], k.handles[handle] = w, w
 		if _, theirs := k.led[w.key]; theirs { // that box may be gone
 			w.until = at + int64(askShare*float64(w.due-at))
@@ -235,7 +236,7 @@
 			k.sink(e)
 			return
 		}
-		if !w.calling {
+		if !w.calling || w.number != c.Number {
 			return
 		}
 		w.calling = false
@@ -274,10 +275,10 @@
 				k.hits.Add(1)
 			}
 			k.drop(ctx, w, false)
-			k.sink(core.CallEnded{Handle: w.handle, Outcome: control.OK, Body: a.Reply})
+			k.sink(core.CallEnded{Handle: w.handle, Number: w.number, Outcome: control.OK, Body: a.Reply})
 		case kept.GiveUp:
 			k.drop(ctx, w, true)
-			k.sink(core.CallEnded{Handle: w.handle, Outcome: end})
+			k.sink(core.CallEnded{Handle: w.handle, Number: w.number, Outcome: end})
 		case kept.CallBelow:
 			if w.ask != 0 && !w.heard {
 				k.pause(w.home, "it is late")
@@ -292,7 +293,7 @@
 func (k *Keep) callBelow(w *want) {
 	k.calls.Add(1)
 	w.calling = true
-	k.below.Call(w.handle, w.class, w.subject, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
+	k.below.Call(w.handle, w.number, w.class, w.subject, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
 }
 
 // Lines are the figures for the door.
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -26,7 +26,7 @@
 	calls int
 }
 
-func (s *service) Call(handle, _ string, _ uint64, patience time.Duration, _ bool, body []byte) {
+func (s *service) Call(handle string, number uint64, _ string, _ uint64, patience time.Duration, _ bool, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -49,7 +49,7 @@
 		delete(s.open, handle)
 		s.mu.Unlock()
 		if mine {
-			s.keep.Ended(core.CallEnded{Handle: handle, Outcome: outcome, Body: []byte("re " + string(body))})
+			s.keep.Ended(core.CallEnded{Handle: handle, Number: number, Outcome: outcome, Body: []byte("re " + string(body))})
 		}
 	})
 }
@@ -103,12 +103,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := newRig(t, seed)
 			draw := rand.New(rand.NewPCG(seed, 2))
-			bodies, gaveUp := map[string]string{}, map[string]bool{}
+			bodies, numbers, gaveUp := map[string]string{}, map[string]uint64{}, map[string]bool{}
 			const calls = 400
 			for i := range calls {
 				h := fmt.Sprint(i)
-				bodies[h] = fmt.Sprint("body ", draw.IntN(8))
-				r.Call(h, []string{"fare", "fare", "fare", "map"}[draw.IntN(4)], 0, 100*time.Millisecond, false, []byte(bodies[h]))
+				bodies[h], numbers[h] = fmt.Sprint("body ", draw.IntN(8)), uint64(i+1)
+				r.Call(h, uint64(i+1), []string{"fare", "fare", "fare", "map"}[draw.IntN(4)], 0, 100*time.Millisecond, false, []byte(bodies[h]))
 				time.Sleep(time.Duration(draw.Int64N(int64(2 * time.Millisecond))))
 				if draw.IntN(8) == 0 {
 					gaveUp[h] = true
@@ -124,6 +124,8 @@
 					t.Fatalf("seed %d: call %s of %q has ends %+v", seed, h, body, r.told(h))
 				case n == 0:
 					hung++
+				case r.told(h)[0].Number != numbers[h]:
+					t.Fatalf("seed %d: call %d was told %+v", seed, numbers[h], r.told(h)[0])
 				case r.told(h)[0].Outcome == control.OK && string(r.told(h)[0].Body) != "re "+body:
 					t.Fatalf("seed %d: %q was told %q", seed, body, r.told(h)[0].Body)
 				}
@@ -140,8 +142,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		r.below.takes = 10 * time.Millisecond
-		for _, h := range []string{"a", "b"} {
-			r.Call(h, "fare", 0, time.Second, false, []byte("one"))
+		for i, h := range []string{"a", "b"} {
+			r.Call(h, uint64(i+1), "fare", 0, time.Second, false, []byte("one"))
 		}
 		r.Abandon("a")
 		time.Sleep(11 * time.Millisecond)
@@ -157,12 +159,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		r.below.takes = 10 * time.Millisecond
-		r.Call("a", "fare", 0, time.Second, false, []byte("one"))
+		r.Call("a", 1, "fare", 0, time.Second, false, []byte("one"))
 		synctest.Wait()
 		r.Abandon("a")
-		r.Call("a", "fare", 0, time.Second, false, []byte("two"))
-		r.Ended(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("re one")})
-		r.Call("b", "fare", 0, time.Second, false, []byte("two"))
+		r.Call("a", 2, "fare", 0, time.Second, false, []byte("two"))
+		r.Ended(core.CallEnded{Handle: "a", Number: 1, Outcome: control.OK, Body: []byte("re one")})
+		r.Call("b", 3, "fare", 0, time.Second, false, []byte("two"))
 		time.Sleep(100 * time.Millisecond)
 		if got := r.told("b"); len(got) != 1 || string(got[0].Body) != "re two" {
 			t.Errorf("%+v", got)
@@ -185,7 +187,7 @@
 			r.enter(func(context.Context) { r.homes = make([]uint16, kept.Slices) })
 			say(message{Kind: question, ID: 7, Ask: 2000})
 			began := time.Now()
-			r.Call("a", "fare", 0, time.Second, false, []byte("one"))
+			r.Call("a", 1, "fare", 0, time.Second, false, []byte("one"))
 			time.Sleep(20 * time.Millisecond)
 			calls, within := 1, time.Duration(askShare*float64(time.Second+lastWord*time.Millisecond))+20*time.Millisecond
 			if comes {
@@ -228,7 +230,7 @@
 		share := time.Duration(askShare*float64(time.Second+lastWord*time.Millisecond)) + 10*time.Millisecond
 		for i, want := range []time.Duration{share, 10 * time.Millisecond, 10 * time.Millisecond} {
 			h, began := fmt.Sprint(i), time.Now()
-			r.Call(h, "fare", 0, time.Second, false, []byte(h))
+			r.Call(h, uint64(i+1), "fare", 0, time.Second, false, []byte(h))
 			for len(r.told(h)) == 0 && time.Since(began) < time.Second {
 				time.Sleep(time.Millisecond)
 				synctest.Wait()
--- a/internal/fleet/trials/split.go
+++ b/internal/fleet/trials/split.go
@@ -42,14 +42,14 @@
 }
 
 // Call implements core.Caller, on the core's loop.
-func (t *Trials) Call(handle, class string, subject uint64, patience time.Duration, once bool, body []byte) {
+func (t *Trials) Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte) {
 	to := t.to(t.choose(handle, class, subject))
 	for _, c := range t.callers { // the call before may have gone elsewhere
 		if c != to {
 			c.Abandon(handle)
 		}
 	}
-	to.Call(handle, class, subject, patience, once, body)
+	to.Call(handle, number, class, subject, patience, once, body)
 }
 
 // to is the caller of an address that this box knows.
--- a/internal/fleet/trials/split_test.go
+++ b/internal/fleet/trials/split_test.go
@@ -13,8 +13,8 @@
 // place notes the calls that came to it.
 type place struct{ calls, gone int }
 
-func (p *place) Call(string, string, uint64, time.Duration, bool, []byte) { p.calls++ }
-func (p *place) Abandon(string)                                           { p.gone++ }
+func (p *place) Call(string, uint64, string, uint64, time.Duration, bool, []byte) { p.calls++ }
+func (p *place) Abandon(string)                                                   { p.gone++ }
 
 // Where 200 calls go, and what of them counts, by lease, outcome, subject and life of the process.
 func TestWhereCallsGoAndWhatCounts(t *testing.T) {
@@ -55,8 +55,8 @@
 				if x.nobody {
 					subject = 0
 				}
-				s.Call(h, "quote", subject, time.Second, false, nil)
-				s.Call(h, "quote", subject, time.Second, false, nil) // a repeat is no further unit
+				s.Call(h, 1, "quote", subject, time.Second, false, nil)
+				s.Call(h, 2, "quote", subject, time.Second, false, nil) // a repeat is no further unit
 				if c.open > 1 {
 					t.Fatalf("%d units of one request", c.open)
 				}
--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -25,18 +25,36 @@
 	t      *testing.T
 	stand  *scenario.Stand
 	events chan core.Event
+	number sync.Mutex        // of made and newest
+	made   uint64            // calls
+	newest map[string]uint64 // number of the newest call of each handle
 }
 
 func cross(t *testing.T, limit int) *crossing {
 	stand, events := scenario.Listen(t), make(chan core.Event, 64)
-	return &crossing{New(stand.Addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, stand, events}
+	return &crossing{Client: New(stand.Addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t: t, stand: stand, events: events,
+		newest: map[string]uint64{}}
 }
 
-func (c *crossing) call(handle string, once bool) { c.Call(handle, "quote", 0, time.Second, once, nil) }
+func (c *crossing) call(handle string, once bool) {
+	c.Call(handle, c.next(handle), "quote", 0, time.Second, once, nil)
+}
+
+// next gives a new call its number.
+func (c *crossing) next(handle string) uint64 {
+	c.number.Lock()
+	defer c.number.Unlock()
+	c.made++
+	c.newest[handle] = c.made
+	return c.made
+}
 
 func (c *crossing) expect(handle string, how control.Outcome, body []byte) {
 	c.t.Helper()
-	if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Outcome: how, Body: body}), wait(c.t, c.events)); diff != "" {
+	c.number.Lock()
+	number := c.newest[handle]
+	c.number.Unlock()
+	if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Number: number, Outcome: how, Body: body}), wait(c.t, c.events)); diff != "" {
 		c.t.Error(diff)
 	}
 }
@@ -201,7 +219,7 @@
 	c.locked(func() {
 		p.Send("a HIT 3\r\nold\r\n")
 		c.giveUp("a")
-		x := &call{handle: "a", line: []byte("GET a 1000 0\r\n\r\n")}
+		x := &call{handle: "a", number: c.next("a"), line: []byte("GET a 1000 0\r\n\r\n")}
 		c.calls["a"] = x
 		c.place(x)
 	})
@@ -244,7 +262,7 @@
 	p := c.warm("a")
 	c.locked(func() {
 		c.idle[0].box.Kill()
-		x := &call{handle: "b", line: []byte("GET b 1000 0\r\n\r\n")}
+		x := &call{handle: "b", number: c.next("b"), line: []byte("GET b 1000 0\r\n\r\n")}
 		c.calls["b"] = x
 		c.place(x)
 		x.sent = x.sent.Add(-time.Hour)
@@ -427,3 +445,36 @@
 		c.none()
 	})
 }
+
+// The end of a call stands before the core's loop, full as it is, while the same request's next call is made and ends: each
+// end names the call that its connection carried, by which the core tells them apart.
+func TestAnEndNamesTheCallOfItsConnection(t *testing.T) {
+	c, told := cross(t, 4), make(chan core.Event) // an end is told once it is taken
+	c.sink = func(e core.Event) { told <- e }
+	for i, reply := range []string{"a HIT 1\r\n1\r\n", "a HIT 1\r\n2\r\n", "a SHED\r\n", ""} {
+		c.Call("a", uint64(i+1), "quote", 0, time.Second, true, nil)
+		p := c.stand.Accept()
+		p.Expect(`^GET a `)
+		if p.Send(reply); reply == "" {
+			p.Close()
+		}
+		for end, open := time.Now().Add(10*time.Second), true; open; time.Sleep(time.Millisecond) {
+			if c.locked(func() { open = len(c.Client.calls) > 0 }); time.Now().After(end) {
+				t.Fatalf("call %d does not end", i+1)
+			}
+		}
+	}
+	got := map[uint64]core.Event{}
+	for range 4 {
+		e := wait(t, told).(core.CallEnded)
+		got[e.Number] = e
+	}
+	if diff := cmp.Diff(map[uint64]core.Event{
+		1: core.CallEnded{Handle: "a", Number: 1, Outcome: control.OK, Body: []byte("1")},
+		2: core.CallEnded{Handle: "a", Number: 2, Outcome: control.OK, Body: []byte("2")},
+		3: core.CallEnded{Handle: "a", Number: 3, Outcome: control.Rejected},
+		4: core.CallEnded{Handle: "a", Number: 4, Outcome: control.Broken},
+	}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -47,6 +47,7 @@
 // call is one call in hand.
 type call struct {
 	handle string
+	number uint64
 	line   []byte
 	once   bool // it must not be made twice
 	fresh  bool // it needs a new connection
@@ -84,10 +85,10 @@
 }
 
 // Call makes a call. Class and subject are not told here: the body says it all.
-func (c *Client) Call(handle, _ string, _ uint64, patience time.Duration, once bool, body []byte) {
+func (c *Client) Call(handle string, number uint64, _ string, _ uint64, patience time.Duration, once bool, body []byte) {
 	ms := max(1, patience.Milliseconds())
 	line := fmt.Appendf(make([]byte, 0, len(body)+64), "GET %s %d %d\r\n", handle, ms, len(body))
-	x := &call{handle: handle, line: append(append(line, body...), '\r', '\n'), once: once, fresh: once}
+	x := &call{handle: handle, number: number, line: append(append(line, body...), '\r', '\n'), once: once, fresh: once}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.giveUp(handle)
@@ -227,7 +228,7 @@
 	}
 	c.mu.Unlock()
 	if lost != nil {
-		c.sink(core.CallEnded{Handle: lost.handle, Outcome: how})
+		c.sink(core.CallEnded{Handle: lost.handle, Number: lost.number, Outcome: how})
 	}
 }
 
@@ -259,7 +260,8 @@
 		l.heard = true
 		x := l.call
 		mine := x != nil && x.handle == e.Handle
-		if mine {
+		if mine { // the reply is to the call that this connection carries, whatever calls of its handle there are
+			e.Number = x.number
 			delete(c.calls, e.Handle)
 			c.rest(l, addr)
 		}
@@ -270,7 +272,7 @@
 	}
 }
 
-// readReply reads one reply. NOBODY is Moot: the run is over, and its own end follows.
+// readReply reads one reply, which names no number. NOBODY is Moot: the run is over, and its own end follows.
 func readReply(in *bufio.Reader) (e core.CallEnded, err error) {
 	line, err := sock.Line(in)
 	if err != nil {
--- a/internal/index/index_test.go
+++ b/internal/index/index_test.go
@@ -17,18 +17,26 @@
 	*index.Client
 	t      *testing.T
 	events chan core.Event
+	calls  uint64
+	newest map[string]uint64 // number of the newest call of each handle
 }
 
 func client(t *testing.T, addr string, limit int) *bench {
 	events := make(chan core.Event, 16)
-	return &bench{index.New(addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, events}
+	return &bench{index.New(addr, limit, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, events, 0, map[string]uint64{}}
 }
 
-func (b *bench) call(handle string, once bool) { b.Call(handle, "quote", 0, time.Second, once, nil) }
+func (b *bench) call(handle string, once bool) { b.make(handle, time.Second, once, nil) }
+
+func (b *bench) make(handle string, patience time.Duration, once bool, body []byte) {
+	b.calls++
+	b.newest[handle] = b.calls
+	b.Call(handle, b.calls, "quote", 0, patience, once, body)
+}
 
 func (b *bench) expect(handle string, how control.Outcome, body []byte) {
 	b.t.Helper()
-	if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Outcome: how, Body: body}), <-b.events); diff != "" {
+	if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Number: b.newest[handle], Outcome: how, Body: body}), <-b.events); diff != "" {
 		b.t.Error(diff)
 	}
 }
@@ -37,7 +45,7 @@
 func TestCallsAndReplies(t *testing.T) {
 	stand := scenario.Listen(t)
 	c := client(t, stand.Addr, 8)
-	c.Call("a", "quote", 0, 250*time.Millisecond, false, []byte("x\r\ny"))
+	c.make("a", 250*time.Millisecond, false, []byte("x\r\ny"))
 	p := stand.Accept()
 	for _, line := range []string{`^GET a 250 4$`, `^x$`, `^y$`} {
 		p.Expect(line)
@@ -50,7 +58,7 @@
 		body          []byte
 	}{{"b", "HIT 0\r\n", control.OK, []byte{}}, {"c", "SHED", control.Rejected, nil}, {"d", "BROKEN", control.Errored, nil},
 		{"e", "SLOW", control.TimedOut, nil}, {"f", "NOBODY", control.Moot, nil}} {
-		c.Call(x.handle, "quote", 0, time.Microsecond, false, nil)
+		c.make(x.handle, time.Microsecond, false, nil)
 		p.Expect("^GET " + x.handle + " 1 0$")
 		p.Send(x.handle, " ", x.reply, "\r\n")
 		c.expect(x.handle, x.how, x.body)
--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -28,13 +28,15 @@
 	handle string
 }
 
-func (b *box) Drain(time.Duration)                                           {}
-func (b *box) Close(uint64)                                                  {}
-func (b *box) Cut()                                                          {}
-func (b *box) Report(bool)                                                   {}
-func (b *box) Silence()                                                      {}
-func (b *box) Abandon(string)                                                {}
-func (b *box) Call(h, _ string, _ uint64, _ time.Duration, _ bool, _ []byte) { b.said <- "call " + h }
+func (b *box) Drain(time.Duration) {}
+func (b *box) Close(uint64)        {}
+func (b *box) Cut()                {}
+func (b *box) Report(bool)         {}
+func (b *box) Silence()            {}
+func (b *box) Abandon(string)      {}
+func (b *box) Call(h string, _ uint64, _ string, _ uint64, _ time.Duration, _ bool, _ []byte) {
+	b.said <- "call " + h
+}
 func (r told) Answer(a core.Answer) {
 	word := map[core.Kind]string{core.Served: "served ", core.Failed: "failed ", core.TimedOut: "out of time ", core.Refused: "refused "}[a.Kind]
 	r.said <- word + r.handle
@@ -159,7 +161,7 @@
 		p.Expect(spawn)
 		p.Send(`{"event":"blocked","cursor":2,"handle":"a","arg":""}`, "\n")
 		b.expect("call a")
-		b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")})
+		b.Core.Send(core.CallEnded{Handle: "a", Number: 1, Outcome: control.OK, Body: []byte("r")})
 		p.Expect(`"supply","handle":"a","arg":"cg=="`)
 		p.Close()
 		p = b.resync(2)
@@ -176,7 +178,7 @@
 		p.Close()
 		p = b.bind(2)
 		ticket := p.Expect(`"poll","ticket":"(r\d+)"`)[1]
-		b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")})
+		b.Core.Send(core.CallEnded{Handle: "a", Number: 1, Outcome: control.OK, Body: []byte("r")})
 		p.Send(`{"event":"polled","ticket":"`, ticket, `","figures":[0.1,0]}`, "\n")
 		p.Expect(`"supply","handle":"a","arg":"cg=="`)
 		p.Send(done("3", "a"))
@@ -216,7 +218,7 @@
 	p.Send(done("3", "stall"))
 	b.expect("served stall")
 	wait(t, b.stall)
-	b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")})
+	b.Core.Send(core.CallEnded{Handle: "a", Number: 1, Outcome: control.OK, Body: []byte("r")})
 	p.Close()
 	p = b.bind(3)
 	b.stall <- true
@@ -240,7 +242,7 @@
 	}
 	p.Send(`{"event":"blocked","cursor":4,"handle":"a","arg":""}`, "\n") // its next call has its own reply
 	b.expect("call a")
-	b.Core.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("s")})
+	b.Core.Send(core.CallEnded{Handle: "a", Number: 2, Outcome: control.OK, Body: []byte("s")})
 	p.Expect(`"supply","handle":"a","arg":"cw=="`)
 	p.Send(done("5", "a"))
 	b.expect("served a")
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -52,6 +52,7 @@
 	count  map[string]int
 	hands  []string
 	sent   map[string]uint64        // events of each session
+	calls  map[string]uint64        // number of the newest call of each handle
 	lives  map[string]time.Duration // of the ends that the store was given, by token
 }
 
@@ -59,7 +60,7 @@
 // events. The core ends with the test.
 func NewWorld(t *testing.T, site core.Site, shared bool, with ...func(*World)) *World {
 	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{},
-		sent: map[string]uint64{}, lives: map[string]time.Duration{}}
+		sent: map[string]uint64{}, calls: map[string]uint64{}, lives: map[string]time.Duration{}}
 	var s core.Store
 	if shared {
 		s = keys{w}
@@ -160,9 +161,15 @@
 	w.lines = append(w.lines, w.named(fmt.Sprintf(f, a...)))
 }
 
-// Send hands an event to the core.
+// Send hands an event to the core. The end of a call that names no number is that of its handle's newest call.
 func (w *World) Send(events ...core.Event) {
 	for _, e := range events {
+		if x, ok := e.(core.CallEnded); ok && x.Number == 0 {
+			w.mu.Lock()
+			x.Number = w.calls[x.Handle]
+			w.mu.Unlock()
+			e = x
+		}
 		var on core.Session
 		switch e := e.(type) {
 		case core.Arrive:
@@ -340,7 +347,10 @@
 	})
 }
 
-func (c caller) Call(h, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
+func (c caller) Call(h string, number uint64, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
+	c.w.mu.Lock()
+	c.w.calls[h] = number
+	c.w.mu.Unlock()
 	c.w.note("call %s %s %v %s", h, class, patience.Round(100*time.Millisecond), body)
 }
 func (c caller) Abandon(h string) { c.w.note("abandon %s", h) }
--- a/internal/uwsgi/client.go
+++ b/internal/uwsgi/client.go
@@ -41,7 +41,7 @@
 }
 
 // Call makes a call; a further one for the same handle gives up the first.
-func (c *Client) Call(handle, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
+func (c *Client) Call(handle string, number uint64, class string, _ uint64, patience time.Duration, _ bool, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	x := &call{cancel}
 	c.mu.Lock()
@@ -52,7 +52,7 @@
 	c.mu.Unlock()
 	go func() {
 		defer cancel()
-		e := core.CallEnded{Handle: handle, Outcome: control.Unreachable} // without room nothing is sent
+		e := core.CallEnded{Handle: handle, Number: number, Outcome: control.Unreachable} // without room nothing is sent
 		select {
 		case c.room <- struct{}{}:
 			e.Outcome, e.Body = c.make(ctx, handle, class, patience, body)
--- a/internal/uwsgi/client_test.go
+++ b/internal/uwsgi/client_test.go
@@ -40,13 +40,13 @@
 		t.Run(name, func(t *testing.T) {
 			stand := scenario.Listen(t)
 			cl, events := below(stand.Addr)
-			cl.Call("h", "quote", 0, 5*time.Second, false, []byte("body"))
+			cl.Call("h", 7, "quote", 0, 5*time.Second, false, []byte("body"))
 			p := stand.Accept()
 			p.Bytes(string(uwsgi.Packet("REQUEST_METHOD", "POST", "PATH_INFO", "/quote", "CONTENT_LENGTH", "4",
 				"HTTP_X_BUDGET_MS", "5000", "HTTP_IDEMPOTENCY_KEY", "h.1")) + "body")
 			p.Send(c.reply)
 			p.Close()
-			want := core.CallEnded{Handle: "h", Outcome: c.how}
+			want := core.CallEnded{Handle: "h", Number: 7, Outcome: c.how}
 			if c.how == control.OK {
 				want.Body = []byte(c.body)
 			}
@@ -61,26 +61,26 @@
 func TestCallDeadlinesAndRoom(t *testing.T) {
 	stand := scenario.Listen(t)
 	cl, events := below(stand.Addr)
-	cl.Call("slow", "quote", 0, 50*time.Millisecond, false, nil)
+	cl.Call("slow", 1, "quote", 0, 50*time.Millisecond, false, nil)
 	stand.Accept()
-	expect := func(handle string, how control.Outcome) {
+	expect := func(handle string, number uint64, how control.Outcome) {
 		t.Helper()
-		if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Outcome: how}), <-events); diff != "" {
+		if diff := cmp.Diff(core.Event(core.CallEnded{Handle: handle, Number: number, Outcome: how}), <-events); diff != "" {
 			t.Error(diff)
 		}
 	}
-	expect("slow", control.TimedOut)
-	cl.Call("a", "quote", 0, 5*time.Second, false, nil)
+	expect("slow", 1, control.TimedOut)
+	cl.Call("a", 2, "quote", 0, 5*time.Second, false, nil)
 	a := stand.Accept()
-	cl.Call("b", "quote", 0, 5*time.Second, false, nil)
+	cl.Call("b", 3, "quote", 0, 5*time.Second, false, nil)
 	b := stand.Accept()
-	cl.Call("c", "quote", 0, 5*time.Second, false, nil)
-	expect("c", control.Unreachable)
+	cl.Call("c", 4, "quote", 0, 5*time.Second, false, nil)
+	expect("c", 4, control.Unreachable)
 	cl.Abandon("a")
 	a.Rest() // its connection is closed
 	b.Send("HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n")
-	expect("b", control.TimedOut)
+	expect("b", 3, control.TimedOut)
 	stand.Close()
-	cl.Call("d", "quote", 0, 5*time.Second, false, nil)
-	expect("d", control.Unreachable)
+	cl.Call("d", 5, "quote", 0, 5*time.Second, false, nil)
+	expect("d", 5, control.Unreachable)
 }
