Config: Go's limit is three quarters of the memory again, in little memory too

Taken back: 18 of 32 MB for the Go runtime. TestLimits expects its old figure again, and those of 16 and 64 MB too.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,20 +37,15 @@
 }
 
 const (
-	programBytes = 14 << 20 // of the program's file that lie in memory once all of it has run; Go does not count them
-	spareSockets = 32       // for the links, the store, the listeners and the runtime's own
+	spareSockets = 32 // for the links, the store, the listeners and the runtime's own
 	defaultMB    = 192
 	defaultSocks = 1024
 	minSocks     = 96
 	leastConns   = 16 // clients of the platform's front, whatever else is on
 )
 
-// GoMemory is the bytes that the Go runtime is told to keep to: three quarters of the memory, and in little memory no
-// more than the program's own pages leave of it, but never under half.
-func (l *Limits) GoMemory() int64 {
-	all := int64(l.MemoryMB) << 20
-	return max(all/2, min(all*3/4, all-programBytes))
-}
+// GoMemory is what the Go runtime is told to keep to; the rest is for what it does not count.
+func (l *Limits) GoMemory() int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
 
 // HomeBytes is what a box keeps of keyed work as a home in its fleet.
 func (l *Limits) HomeBytes() int64 { return int64(l.MemoryMB) << 20 / 8 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -133,8 +133,8 @@
 		open, table  int
 		memory       int64
 	}{
-		{`{"memory_mb":16,"sockets":384}`, 336, 16, 512, 4 << 20, 8 << 20},
-		{`{"memory_mb":32,"sockets":384}`, 336, 16, 1024, 8 << 20, 18 << 20}, // and 14 of the program's file are under 32
+		{`{"memory_mb":16,"sockets":384}`, 336, 16, 512, 4 << 20, 12 << 20},
+		{`{"memory_mb":32,"sockets":384}`, 336, 16, 1024, 8 << 20, 24 << 20},
 		{`{"memory_mb":64,"sockets":384}`, 336, 16, 2048, 16 << 20, 48 << 20},
 		{`{"memory_mb":192,"sockets":1024}`, 976, 16, 4096, 48 << 20, 144 << 20},
 		{`{}`, 976, 16, 4096, 48 << 20, 144 << 20},
