Core: a stop shorter than the grace tells connections in time that the server leaves

Seen: with a stop_ms of 400 and a grace of 1,500 ms no connection was ever told draining: drain set that for 300 ms before the end of the grace, which lies after the end of the process; the time that a uwsgi packet has was counted from the same. At fault: drain, tellDrain and checkEnd, which took DrainGrace as it is. The case "a stop shorter than the grace" of TestEveryDeploymentDrainsInTime failed before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -406,7 +406,7 @@
 		c.ctl.Leave(c.now, max(0, c.site.Stop-stopEarly))
 	}
 	c.reported()
-	grace := c.site.Control.DrainGrace
+	grace := c.grace()
 	c.late.set(&deadline{do: c.shutDown}, c.now+max(0, grace-shutEarly))
 	c.late.set(&deadline{do: func() {}}, c.now+grace+quitAfter)
 	c.late.set(&deadline{do: c.end}, c.now+c.site.Stop-endEarly)
@@ -463,7 +463,12 @@
 		return
 	}
 	x.told = true
-	x.Drain(max(0, c.notice+c.site.Control.DrainGrace-c.now))
+	x.Drain(max(0, c.notice+c.grace()-c.now))
+}
+
+// grace is how long after the notice new requests may still be run: none are once all has to be answered.
+func (c *Core) grace() time.Duration {
+	return min(c.site.Control.DrainGrace, max(0, c.site.Stop-stopEarly))
 }
 
 // checkEnd ends the loop early when the grace is over, all is answered and nobody is connected.
@@ -471,7 +476,7 @@
 	if !c.leaving || len(c.byHandle) > 0 || len(c.sessions) > 0 || len(c.unwritten) > 0 {
 		return
 	}
-	if !c.ending && c.ctl != nil && !c.handing && c.now < c.notice+c.site.Control.DrainGrace+quitAfter {
+	if !c.ending && c.ctl != nil && !c.handing && c.now < c.notice+c.grace()+quitAfter {
 		return
 	}
 	if c.closeDoors(); !c.handing {
--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -46,6 +46,7 @@
 	out["deadlines of 200 ms"] = edge(200*ms, 500*ms, 200*ms, 400*ms)
 	out["deadlines of 500 ms"] = edge(500*ms, 500*ms, 200*ms, 400*ms)
 	out["a window shorter than the deadline"] = edge(4*time.Second, 500*ms, 2*time.Second, 4*time.Second)
+	out["a stop shorter than the grace"] = edge(300*ms, 500*ms, 1500*ms, 400*ms)
 	out["a stop shorter than the deadline"] = edge(4*time.Second, 5*time.Second, 200*ms, 400*ms)
 	out["no grace"] = edge(500*ms, 500*ms, 0, 400*ms)
 	out["hardly a stop"] = edge(500*ms, 500*ms, 200*ms, 100*ms)
