--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -22,7 +22,7 @@
 	}
 	c.counted(r.Class, a.Kind)
 	if r.session.idled++; a.Kind == Served {
-		r.session.idled = 0
+		r.session.idled, r.session.served = 0, true
 		r.use.out = int64(len(a.Body))
 	}
 	c.endsAs(r, a.Kind)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,16 +91,17 @@
 
 type session struct {
 	Session
-	open  int
-	heard uint64        // events that were taken of it
-	once  bool          // it carries one request
-	asked bool          // something came on it
-	idled int           // requests in a row that came to nothing
-	since time.Duration // nothing has been open on it
-	idle  deadline
-	told  bool // it was told to drain
-	ends  bool // its end was asked for, and it has not been heard of since
-	cut   bool // it is read no further
+	open   int
+	heard  uint64        // events that were taken of it
+	once   bool          // it carries one request
+	asked  bool          // something came on it
+	served bool          // a request on it was
+	idled  int           // requests in a row that came to nothing
+	since  time.Duration // nothing has been open on it
+	idle   deadline
+	told   bool // it was told to drain
+	ends   bool // its end was asked for, and it has not been heard of since
+	cut    bool // it is read no further
 }
 
 type state uint8
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -269,7 +269,9 @@
 			name := string(rune('d' + i))
 			open(name)
 			if name != "h" {
+				release := w.Block() // both come in one turn
 				w.Send(w.AskOn(name, name, "quote", ""), core.Withdraw{Session: w.Session(name), Handle: name})
+				release()
 			}
 			w.Expect(150 * ms)
 		}
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -12,13 +12,21 @@
 	c.makeRoom(x)
 }
 
-// makeRoom closes a connection that stands idle when there are too many: one that has said nothing so far
-// rather than one in use of late. Guards against clients that connect and say nothing, or ask once and
-// stay, until no balancer finds room.
+// makeRoom asks a connection to end that stands idle when there are too many: first one that has said nothing so far,
+// then one that asked and was never served, then the one that has been idle for longest. Guards against clients that
+// connect and say nothing, ask for the health over and over, or ask once and stay, until no balancer finds room.
 func (c *Core) makeRoom(newest *session) {
 	var out *session
 	n := 0 // that are kept open; those of one request are bounded by their front
-	silent := func(x *session) bool { return !x.asked && c.now-x.since > newcomer }
+	worth := func(x *session) int {
+		switch {
+		case !x.asked && c.now-x.since > newcomer:
+			return 0
+		case x.asked && !x.served:
+			return 1
+		}
+		return 2
+	}
 	for _, x := range c.sessions {
 		if x.ends {
 			continue
@@ -26,8 +34,7 @@
 		if !x.once {
 			n++
 		}
-		if x.open == 0 && !x.once && (out == nil || silent(x) && !silent(out) ||
-			silent(x) == silent(out) && x.since < out.since) {
+		if x.open == 0 && !x.once && (out == nil || worth(x) < worth(out) || worth(x) == worth(out) && x.since < out.since) {
 			out = x
 		}
 	}
--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -132,9 +132,9 @@
 	go l.c.w.Send(core.Closed{Session: l})
 }
 
+// open gives the connection for the next request. The caller holds c.mu until that is counted: a connection does not end
+// between the two.
 func (c *callers) open() *callersLine {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.line == nil {
 		c.line = &callersLine{c: c}
 		c.w.Send(core.Opened{Session: c.line})
@@ -144,8 +144,8 @@
 
 // ask sends a request of a class that waits for its deadline, and gives its handle.
 func (c *callers) ask(class int, token, body string) string {
-	line, tenant := c.open(), -1
 	c.mu.Lock()
+	line, tenant := c.open(), -1
 	line.sent++
 	c.sent++
 	handle := fmt.Sprintf("h%d", c.sent)
@@ -204,7 +204,9 @@
 				if d := work(site); d > 0 {
 					c.w.Serve(d)
 				}
+				c.mu.Lock()
 				c.open()
+				c.mu.Unlock()
 				time.Sleep(ms)
 				f(t, c)
 			})
