Lint: staticcheck as a tool of the module, and its two findings mended

Two findings: the unused field within of hand.Hand (U1000), and a value of p that a subtest of the pool assigned and never read (SA4006). No check is changed.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet ./...
+	go tool staticcheck ./...
 
 # The decision module: 950 non-blank lines at most, none longer than 110 characters.
 size:
--- a/internal/fleet/hand/hand.go
+++ b/internal/fleet/hand/hand.go
@@ -194,10 +194,9 @@
 	adopted int  // of mine, and on the way to be
 	look    bool // lost pieces are to be looked at before the next drain
 
-	out    Outputs
-	place  map[string]int // of a box in out.Sends
-	self   []Item         // from this box to itself
-	within bool           // self is being worked off
+	out   Outputs
+	place map[string]int // of a box in out.Sends
+	self  []Item         // from this box to itself
 }
 
 // defects are faults that tests put in to see them found. Nothing else sets them.
--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -137,7 +137,7 @@
 		b.ask("b", "quote", "", 4*time.Second)
 		p.Expect(`"handle":"b"`)
 		p.Close()
-		p = b.resync(2, done("2", "a"), done("3", "b"))
+		b.resync(2, done("2", "a"), done("3", "b"))
 		b.expect("served b")
 		if len(b.said) > 0 {
 			t.Errorf("a further %q", <-b.said)
