Capacity: fits, rows, walls and the generated page

The fleet ahead has 740 servers; what grows with it has to be known before the design is chosen. internal/capacity fits measurements (linear, power; used only when each left-out size is predicted within 15%), works rows out at the target and twice it, solves for the size at which a budget is reached, and lists the constants that end growth. bin/measure capacity rewrites the tables of docs/CAPACITY.md; a test holds the committed page to its data. So far only counted rows: nothing is recorded yet.

--- /dev/null
+++ b/internal/capacity/names.go
@@ -0,0 +1,221 @@
+package capacity
+
+import (
+	"slices"
+	"strings"
+)
+
+// The designs of a control plane. Rows of the same quantities exist for each, so that the page compares them.
+const (
+	designLearner = "learner" // every app server is a raft learner
+	designLeases  = "learner.leases"
+	designSession = "session" // control nodes, and a session of each app server
+)
+
+var designs = []string{designLeases, designLearner, designSession} // a longer name before its beginning
+
+// mechanisms are how the designs carry what a role does.
+var mechanisms = map[string]map[Role]string{
+	designLearner: {
+		ServerControl: "`fleet/agree` raft learner, `fleet/driver` reports",
+		Leader:        "`fleet/agree` raft leader",
+		Follower:      "`fleet/agree` raft follower",
+		Fleet:         "`fleet/agree`, `fleet/driver`",
+	},
+	designLeases: {
+		ServerControl: "the same and `fleet/lease` renewals",
+		Leader:        "the same and `fleet/lease` read index",
+		Follower:      "the same and `fleet/lease`",
+		Fleet:         "the same and `fleet/lease`",
+	},
+	designSession: {
+		ServerControl: "session to a control node, watch",
+		Leader:        "raft leader of the control nodes",
+		Follower:      "raft follower of the control nodes",
+		Fleet:         "control nodes and sessions",
+	},
+}
+
+// perRequest is the quantity that is spent on each request.
+const perRequest = "cpu.request"
+
+// quantity is what the end of a measurement's name stands for.
+type quantity struct {
+	suffix string
+	aspect Aspect
+	text   string
+	unit   string // that the page uses; "" = the measurement's
+}
+
+// quantities are looked through in their order: the first suffix that ends a name, or stands in it as a whole part,
+// describes it.
+var quantities = []quantity{
+	{"entry.cpu", Processor, "of an entry of the log", ""},
+	{"entry.messages", Messages, "for an entry of the log", ""},
+	{"build.time", Time, "first start of all at once, until all are members", "s"},
+	{"build.cpu", Processor, "of all servers, until all are members", ""},
+	{"build.entries", Messages, "entries of the log until all are members", ""},
+	{"build.bytes", Messages, "bytes sent until all are members", "MB"},
+	{"config.p99", Time, "a change in force, 99th percentile of servers", "s"},
+	{"config.max", Time, "a change in force, last server", "s"},
+	{"failover", Time, "until replaced", "s"},
+	{"added.keyed.p99", Time, "added to a keyed request, 99th percentile", "ms"},
+	{"added.p99", Time, "added to a request, 99th percentile", "ms"},
+	{"added.p50", Time, "added to a request, median", "ms"},
+	{"added", Time, "added to a request", "ms"},
+	{perRequest, Processor, "of requests", "% of a core"},
+	{"status.time", Time, "of the fleet's status", "s"},
+	{"config.time", Time, "of a change, until accepted", "s"},
+	{"start", Time, "start until served", "s"},
+	{"reload", Time, "reload on SIGHUP", "s"},
+	{"stats.time", Time, "of one answer of /stats", "ms"},
+	{"stats.bytes", Messages, "bytes of one answer of /stats", "KB"},
+	{"messages.in", Messages, "in", "messages/s"},
+	{"messages.out", Messages, "out", "messages/s"},
+	{"messages", Messages, "both ways", "messages/s"},
+	{"bytes.in", Messages, "bytes in", "KB/s"},
+	{"bytes.out", Messages, "bytes out", "KB/s"},
+	{"bytes", Messages, "bytes both ways", "KB/s"},
+	{"in", Messages, "in, by path", "messages/s"},
+	{"rss", Memory, "resident", "MB"},
+	{"heap", Memory, "live heap", "MB"},
+	{"descriptors", Descriptors, "open", ""},
+	{"goroutines", Memory, "goroutines", ""},
+	{"disk", Disk, "written", "KB/s"},
+	{"cpu", Processor, "at rest", "% of a core"},
+}
+
+// expectedNames are the measurements that the page waits for: they have rows before there is a record.
+func expectedNames() []string {
+	names := []string{"path.added.p99", "path.added.keyed.p99", "path.added.p99.tenant", "path.added.p99.class", "path.cpu.request", "path.cpu.request.tenant",
+		"path.cpu.request.class", "path.rss.connection", "path.rss.tenant", "path.rss.class", "path.start.tenant",
+		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time"}
+	for _, server := range []string{"learner.learner", "learner.leases.learner", "session.server"} {
+		names = append(names, server+".cpu", server+".rss", server+".bytes", server+".messages", server+".descriptors")
+	}
+	for _, design := range designs {
+		for _, node := range []string{".leader", ".follower"} {
+			for _, what := range []string{".cpu", ".rss", ".messages", ".bytes", ".bytes.in", ".bytes.out", ".descriptors", ".disk"} {
+				names = append(names, design+node+what)
+			}
+		}
+		names = append(names, design+".build.time", design+".build.cpu")
+	}
+	return append(names, "session.config.p99", "session.config.max", "session.failover.leader", "session.failover.follower",
+		"caller.cpu.request", "caller.rss", "caller.bytes", "operator.status.time", "operator.config.time")
+}
+
+// measuredRow is the row of a measurement, by its name; m = nil when it is not measured.
+func measuredRow(name string, m *Measurement) Row {
+	design, rest := splitDesign(name)
+	role := roleOf(design, rest)
+	row := Row{ID: name, Role: role, Design: design, Mechanism: mechanismOf(design, role), Measurement: name}
+	what := quantityOf(rest)
+	row.Aspect, row.Quantity, row.Unit = what.aspect, what.text, what.unit
+	if m != nil {
+		row.Unit = pageUnit(what, m.Unit)
+		if row.Quantity == "" {
+			row.Quantity = m.Note
+		}
+	}
+	if role == RequestPath && what.suffix == perRequest && row.Unit == "% of a core" {
+		row.Times = &Count{"requests/s a server", Size.RequestsPerServer}
+	}
+	row.Budget = budgetOf(&row, rest)
+	return row
+}
+
+// splitDesign splits a name into its design and the rest.
+func splitDesign(name string) (design, rest string) {
+	for _, d := range designs {
+		if after, ok := strings.CutPrefix(name, d+"."); ok {
+			return d, after
+		}
+	}
+	design, rest, _ = strings.Cut(name, ".")
+	return design, rest
+}
+
+// roleOf tells the role that spends what a name stands for.
+func roleOf(design, rest string) Role {
+	part, _, _ := strings.Cut(rest, ".")
+	switch {
+	case strings.HasPrefix(design, "path"):
+		return RequestPath
+	case design == "caller" || part == "caller":
+		return Caller
+	case design == "operator" || part == "operator":
+		return Operator
+	case part == "leader":
+		return Leader
+	case part == "follower":
+		return Follower
+	case slices.Contains([]string{"server", "learner", "shared"}, part):
+		return ServerControl
+	}
+	return Fleet
+}
+
+func mechanismOf(design string, role Role) string {
+	if of, ok := mechanisms[design]; ok {
+		return of[role]
+	}
+	switch role {
+	case RequestPath:
+		return "`core`, `jsonrpc`, `uwsgi`, `admin`"
+	case Caller:
+		return "`client`"
+	case Operator:
+		return "`larchctl`"
+	}
+	return ""
+}
+
+// quantityOf finds what a name without its design stands for.
+func quantityOf(rest string) quantity {
+	framed := "." + rest + "."
+	for _, q := range quantities {
+		if strings.Contains(framed, "."+q.suffix+".") {
+			return q
+		}
+	}
+	return quantity{}
+}
+
+// pageUnit is the unit that the page uses, as long as the measurement's can be converted to it. Time spent on each
+// request becomes a part of a core with the requests a second.
+func pageUnit(what quantity, measured string) string {
+	if what.unit == "" {
+		return measured
+	}
+	if what.suffix == perRequest {
+		measured += "/s"
+	}
+	if _, err := unitFactor(measured, what.unit); err != nil {
+		return strings.TrimSuffix(measured, "/s")
+	}
+	return what.unit
+}
+
+// budgetOf is the target's budget of a row: on an app server for its control part, on a control node for its loop.
+func budgetOf(row *Row, rest string) Budget {
+	onServer := row.Role == ServerControl || (row.Role == Leader || row.Role == Follower) && row.Design != designSession
+	last := rest[strings.LastIndex(rest, ".")+1:]
+	switch {
+	case row.Role == RequestPath && strings.Contains(rest, "added.") && strings.Contains(rest, "p99") && !strings.Contains(rest, "p999"):
+		return Budget{addedMilliseconds, "target, 99 in 100"}
+	case row.Role == Fleet && strings.HasPrefix(rest, "config."):
+		return Budget{configSeconds, "target, everywhere"}
+	case onServer && last == "cpu" && row.Unit == "% of a core":
+		return Budget{serverControlCPU, "target, on an app server"}
+	case onServer && last == "rss":
+		return Budget{serverControlMemory, "target, on an app server"}
+	case onServer && last == "bytes" && row.Unit == "KB/s":
+		return Budget{serverControlBytes, "target, on an app server"}
+	case onServer && last == "descriptors":
+		return Budget{serverDescriptors, "platform"}
+	case (row.Role == Leader || row.Role == Follower) && last == "cpu" && row.Unit == "% of a core":
+		return Budget{controlNodeCPU, "assumed: the raft loop is one goroutine, one core"}
+	}
+	return Budget{}
+}
--- /dev/null
+++ b/internal/capacity/suspects.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Verdict is what became of a suspect.
+type Verdict string
+
+// The verdicts.
+const (
+	Confirmed  Verdict = "confirmed"
+	RuledOut   Verdict = "ruled out"
+	Unmeasured Verdict = "not measured"
+)
+
+// Suspect is something that might keep the fleet from its target size. Without a stated verdict, its rows decide: it is
+// confirmed when one is over its budget at the target.
+type Suspect struct {
+	Text    string
+	Verdict Verdict  // stated where the code decides
+	Rows    []string // ids of the figures
+	Why     string
+}
+
+// Suspects are what was named before anything was measured.
+func Suspects() []Suspect {
+	return []Suspect{
+		{"a bound of 300 servers in six places", Confirmed, nil, "`link.maxBoxes`, `takeout.MaxBoxes`, `lease.MaxBoxes`, `place.MaxBoxes`, `forecast.MaxBoxes`, `sequential.MaxBoxes` are under 740"},
+		{"every server is a raft learner", "", []string{"learner.leader.messages", "learner.leader.bytes", "learner.leader.cpu", "learner.leases.leader.messages", "learner.leases.leader.bytes", "learner.leases.leader.cpu", "counted.leader.messages", "counted.leader.leases"}, ""},
+		{"an idle server's own control traffic", "", []string{"learner.learner.bytes", "learner.leases.learner.bytes"}, ""},
+		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, "no budget is stated for the first start"},
+		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked"}, "each request dials anew; the cost is not measured"},
+		{"a mesh of connections for claims, kept replies and messages", "", []string{"counted.mesh.descriptors", "counted.fleet.descriptors"}, ""},
+		{"1,024 shards", "", []string{"counted.shards.imbalance"}, "no budget is stated; from 1,025 servers on some have none"},
+		{"`Host.Ready` waits for every member", Confirmed, nil, "`driver.Host.Ready` wants a report of every member since the process of the leader started; with 17 failures a day, one that is down and not removed holds up the first entry of a part"},
+		{"linear searches by name, whole-state snapshots and digests", "", []string{"counted.members.bytes", "learner.learner.cpu", "learner.leases.learner.cpu"}, "`agree.State.Named`, `agree.State.Member` look through all members"},
+		{"configuration has no way to the servers but a file and SIGHUP", Confirmed, []string{"counted.config.files"}, "and SIGHUP takes three addresses alone: the rest waits for a restart"},
+		{"`core.place` compares names one by one", "", []string{"counted.names", "path.cpu.request.tenant", "path.cpu.request.class", "path.added.p99.tenant", "path.added.p99.class"}, ""},
+		{"the module's window goes over all tenants", "", []string{"path.cpu.request.tenant", "path.added.p99.tenant"}, ""},
+		{"start and SIGHUP with 42,000 tenants", "", []string{"path.start.tenant", "path.reload.tenant"}, "no budget is stated"},
+		{"7,700 connections at a server", "", []string{"counted.callers.all", "counted.caller.connections", "path.rss.connection"}, "confirmed for callers that use every server; ruled out for those with the library's subset of 8"},
+		{"/stats of 4,500 routes", "", []string{"counted.stats.bytes", "path.stats.bytes", "path.stats.time"}, "no budget is stated"},
+	}
+}
+
+// SuspectsTable writes the suspects with their verdicts and the figures that they rest on.
+func SuspectsTable(suspects []Suspect, rows []Row, recording *Recording, target Size) (string, error) {
+	var lines [][]string
+	for _, s := range suspects {
+		verdict, figures, err := judge(s, rows, recording, target)
+		if err != nil {
+			return "", err
+		}
+		lines = append(lines, []string{s.Text, string(verdict), strings.Join(figures, "; "), s.Why})
+	}
+	return table([]string{"suspect", "verdict", fmt.Sprintf("figures at %s servers", formatNumber(target.Servers)), "remark"}, lines), nil
+}
+
+// judge returns the verdict on a suspect and the figures of its rows.
+func judge(s Suspect, rows []Row, recording *Recording, target Size) (Verdict, []string, error) {
+	var verdicts []Verdict
+	var figures []string
+	for _, id := range s.Rows {
+		row, err := findRow(rows, id)
+		if err != nil {
+			return "", nil, err
+		}
+		cell, err := row.Cell(recording, target)
+		if err != nil {
+			return "", nil, err
+		}
+		text := "`" + id + "` " + formatCell(cell, row.Unit)
+		if share, ok := cell.Share(row.Budget); ok {
+			text += ", " + formatShare(share, true) + " of its budget"
+			verdicts = append(verdicts, RuledOut)
+			if share > 1 {
+				verdicts[len(verdicts)-1] = Confirmed
+			}
+		}
+		figures = append(figures, text)
+	}
+	switch {
+	case s.Verdict != "":
+		return s.Verdict, figures, nil
+	case slices.Contains(verdicts, Confirmed):
+		return Confirmed, figures, nil
+	case slices.Contains(verdicts, RuledOut):
+		return RuledOut, figures, nil
+	}
+	return Unmeasured, figures, nil
+}
