--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand
+.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand measure-scale-path
 
 check: lint build size test
 
@@ -34,6 +34,10 @@
 measure-stopper: build
 	bin/measure stopper
 
+# One server at the size of a large fleet: tenants, classes, connections.
+measure-scale-path: build
+	bin/measure scale path
+
 # With simulated boxes: the real kept replies, samplers and forecasts, drawn wants.
 measure-forecast: build
 	bin/measure forecast
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -70,6 +70,7 @@
 	operator      string // the text of its operator's file, as given
 	window        time.Duration
 	memory        int // MB that it may use
+	size          Size
 	cmd           *exec.Cmd
 	log           *tail
 	ended         chan struct{}
@@ -82,7 +83,12 @@
 }
 
 func newBox(program, home, name string, site *Site, operator string, window time.Duration, memory int) (*Box, error) {
-	b := &Box{memory: memory, Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), window: window, log: &tail{}}
+	size := Size{Tenants: Stands, Classes: Classes, Sockets: defaultSockets, MemoryMB: memory}
+	return newBoxOfSize(program, home, name, site, operator, window, size)
+}
+
+func newBoxOfSize(program, home, name string, site *Site, operator string, window time.Duration, size Size) (*Box, error) {
+	b := &Box{memory: size.MemoryMB, size: size, Name: name, program: program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: filepath.Join(home, "tmp"), window: window, log: &tail{}}
 	var err error
 	if b.Listen, err = FreeAddr(); err != nil {
 		return nil, err
@@ -93,7 +99,7 @@
 // Twin is the next process of box b, as a replacement starts it: the same name and clients' address, the same
 // $TMPDIR, another door, uwsgi front and site under home.
 func (b *Box) Twin(home string, site *Site) (*Box, error) {
-	t := &Box{memory: b.memory, Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, window: b.window, log: &tail{}}
+	t := &Box{memory: b.memory, size: b.size, Name: b.Name, Listen: b.Listen, program: b.program, home: home, Dir: filepath.Join(home, "ledger"), Tmp: b.Tmp, window: b.window, log: &tail{}}
 	return t, t.write(site, b.operator)
 }
 
@@ -113,21 +119,25 @@
 		}
 	}
 	var classes, tenants []map[string]any
-	for i, c := range Classes {
+	for i, c := range b.size.Classes {
 		k := map[string]any{"Name": c, "AimUs": Aim.Microseconds(), "GiveUpUs": 8700000, "Importance": 1, "LateWorth": 0.2, "Effect": "repeatable"}
-		if i == 1 {
+		if Keyed(i) {
 			k["Effect"], k["Importance"], k["MemorySpanUs"] = "by_key", 3, b.window.Microseconds()
 		}
 		classes = append(classes, k)
 	}
-	for _, s := range Stands {
-		tenants = append(tenants, map[string]any{"Name": s, "Fraction": 0.25, "QuotaPerS": 1000})
+	for _, s := range b.size.Tenants {
+		tenants = append(tenants, map[string]any{"Name": s, "Fraction": 1 / float64(len(b.size.Tenants)), "QuotaPerS": 1000})
+	}
+	calls := make([]bool, len(b.size.Classes))
+	for i := range calls {
+		calls[i] = true
 	}
 	config, err := json.Marshal(map[string]any{"name": name, "listen": b.Listen, "pool": site.Pool, "index": site.Index, "lookup": site.Lookup,
-		"seed": "1", "stop_ms": 1200, "limits": map[string]any{"memory_mb": b.memory, "sockets": 1024},
+		"seed": "1", "stop_ms": 1200, "limits": map[string]any{"memory_mb": b.memory, "sockets": b.size.Sockets},
 		"settings": map[string]any{"Servers": 1, "RequestClasses": classes, "Tenants": tenants,
 			"FamilyInfo": map[string]any{"Cpus": 6, "Upstreams": 4, "Advert": "level", "MemoryKb": 8_000_000, "RunFactor": 8, "OwnStats": []string{"core_use", "on_cores", "heap_share", "links"},
-				"Below": "tier", "ClassCalls": []bool{true, true, true}, "HangupSeen": true, "Preemption": "drop"},
+				"Below": "tier", "ClassCalls": calls, "HangupSeen": true, "Preemption": "drop"},
 			"Safety": map[string]any{"FallMultiple": 8, "FallUs": 1500000, "DrainGraceUs": 500000, "AnswerSlackUs": 80000}}})
 	if err != nil {
 		return err
@@ -197,6 +207,21 @@
 	}
 }
 
+// Reload has the process read its configuration again, and returns how long that took.
+func (b *Box) Reload() (time.Duration, error) {
+	done := b.log.wait("reload")
+	began := time.Now()
+	if err := b.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return 0, err
+	}
+	select {
+	case <-done:
+		return time.Since(began), nil
+	case <-time.After(10 * time.Second):
+		return 0, fmt.Errorf("no reload within 10 s: %s", b.log)
+	}
+}
+
 // Kill ends the process at once.
 func (b *Box) Kill() {
 	b.cmd.Process.Signal(syscall.SIGKILL)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// Health sends a health check, waits for its answer and reports whether the server is up.
+func (l *Line) Health() bool {
+	answer := make(chan gjson.Result, 1)
+	l.mu.Lock()
+	if l.over != nil {
+		l.mu.Unlock()
+		return false
+	}
+	l.id++
+	l.open[l.id] = answer
+	_, err := fmt.Fprintf(l.conn, `{"jsonrpc":"2.0","id":%d,"method":"status"}`+"\n", l.id)
+	l.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	result, ok := <-answer
+	return ok && result.Get("result.up").Bool()
+}
+
+// Closed reports whether the connection has ended.
+func (l *Line) Closed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over != nil
+}
+
 // Do sends a request and waits for its end.
 func (l *Line) Do(r Request) Seen {
 	s := Seen{r.Stand, r.Class, "lost"}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -41,7 +41,8 @@
 	listing net.Listener
 	began   time.Time
 	mu      sync.Mutex
-	runs    map[string][]time.Time // when each body began to run
+	runs    map[string][]time.Time   // when each body began to run
+	worked  map[string]time.Duration // how long the newest run of each body worked, without its wait for a call
 	link    net.Conn
 	notices []string // of this start of the box, numbered from 1
 	begun   map[string]string
@@ -54,7 +55,7 @@
 
 // NewSite starts a site on loopback. A run takes work, and every third makes a call below.
 func NewSite(work time.Duration) (*Site, error) {
-	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, begun: map[string]string{}, waiting: map[string]chan string{}, asked: map[string]int{}}
+	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, worked: map[string]time.Duration{}, begun: map[string]string{}, waiting: map[string]chan string{}, asked: map[string]int{}}
 	for _, x := range []struct {
 		l      *net.Listener
 		addr   *string
@@ -139,6 +140,14 @@
 	return slices.Clone(s.runs[body])
 }
 
+// Worked returns how long the newest run of a body worked, without its wait for a call; false if none has ended.
+func (s *Site) Worked(body string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	worked, ok := s.worked[body]
+	return worked, ok
+}
+
 // pool serves one link of the worker pool's protocol.
 func (s *Site) pool(c net.Conn) {
 	defer c.Close()
@@ -246,9 +255,12 @@
 				s.mu.Unlock()
 			}
 		}
+		starts := time.Now()
 		time.Sleep(work)
+		worked := time.Since(starts)
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.worked[string(body)] = worked
 		if fate == "cancelled" { // as the worker pool has it: only one that runs is not run again
 			delete(s.begun, handle)
 		}
