--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -19,6 +19,7 @@
 	Stopper  stopperCmd  `cmd:"" help:"Trials of two ways: wrong winners over looks at every second, and units until a stop."`
 	Forecast forecastCmd `cmd:"" help:"Hits of kept replies foretold over moves of slices, with simulated boxes."`
 	Capacity capacityCmd `cmd:"" help:"The tables of docs/CAPACITY.md, from what is recorded."`
+	Scale    scaleCmd    `cmd:"" help:"What one server costs at the size of a large fleet."`
 
 	Recover recoverCmd `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
 	Hour    hourCmd    `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
