larchscale: the wiring as a server type with one step a method, files by job

server holds the parts; start lists the steps in their order, shutdown those after the core has ended, and close runs what the steps left to be ended, newest first, just as the deferred calls did. main.go keeps the exit codes and the settings; flags.go, signals.go, ledger.go, store.go, handoff.go and fleet.go have their jobs. Nothing that is opened, logged, started or ended changes its place in the order. The tests call catchSignals where they called outlive, and are otherwise untouched.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -22,78 +22,103 @@
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/fleet/trials"
 	"larchscale/internal/index"
-	"larchscale/internal/keeper"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
 )
 
-// joinOthers opens the way to the other boxes, and on it what this box has to say to them: the ledger's sums, its part
-// in the fleet. The channel is closed once the fleet's part has ended, after ctx; lines are its figures, nil = none.
-func joinOthers(ctx context.Context, cfg *config.Config, own *config.Operator, books *keeper.Keeper, keys *desk.Desk, g *ground.Ground, tests *trials.Trials,
-	stays *keep.Keep, figures func() *core.Figures,
-	holder *admin.Holder, log *slog.Logger) (over <-chan struct{}, lines func() []byte, err error) {
-	way := own.Ledger.Peers.Options
-	l, err := link.New(way, log)
+// joinFleet connects this server to its peers, if the operator names any, and starts what it shares with them: the sums
+// of the ledger and its membership of the fleet, which close waits for.
+func (s *server) joinFleet(ctx context.Context) error {
+	if s.operator.Ledger.Peers.Listen == "" {
+		return nil
+	}
+	peerLink, err := link.New(s.operator.Ledger.Peers.Options, s.log)
 	if err != nil {
-		return nil, nil, fmt.Errorf("ledger.peers.%w", err)
+		return fmt.Errorf("ledger.peers.%w", err)
 	}
 	mux := http.NewServeMux()
-	ended := make(chan struct{})
-	if books != nil {
-		others := peers.New(own.Ledger.Peers, cfg.Name, books, l, log)
-		mux.Handle("/", others)
-		go others.Run(ctx)
-	}
-	if own.Fleet.Dir != "" {
-		body := &body{figures: figures, holder: holder, guess: guess(cfg)}
-		modules := func() []driver.Module { return nil }
-		if keys != nil {
-			left := &left{map[string]*index.Client{trials.Present: index.New(cfg.Index, leftCalls, keys.Reply, log)}, tests}
-			for _, a := range own.Fleet.TrialCalls {
-				left.to[a] = index.New(a, leftCalls, keys.Reply, log)
-			}
-			if stays != nil {
-				mux.Handle("/kept/", stays.Handler())
-				stays.Stand(g, l, ways(own))
-			}
-			keys.Stand(g, l, left)
-			go keys.Run(ctx)
-			mux.Handle("/hand/", keys.Handler())
-			modules = func() []driver.Module { return append(g.Modules(), tests.Module()) }
-		}
-		part := driver.NewPart(func() (*driver.Driver, error) {
-			return driver.New(own.Fleet, cfg.Name, way.Listen, way.Others(), l, body, log, modules()...)
-		}, log)
-		mux.Handle("/fleet/", part)
-		lines = part.Lines
-		if keys != nil {
-			lines = func() []byte { return append(part.Lines(), keys.Lines()...) }
-		}
+	if s.ledger != nil {
+		sums := peers.New(s.operator.Ledger.Peers, s.config.Name, s.ledger, peerLink, s.log)
+		mux.Handle("/", sums)
+		go sums.Run(ctx)
+	}
+	fleetEnded := make(chan struct{})
+	if s.operator.Fleet.Dir != "" {
+		part := s.newMember(ctx, peerLink, mux)
 		go func() {
-			defer close(ended)
+			defer close(fleetEnded)
 			part.Run(ctx)
 		}()
 	} else {
-		close(ended)
+		close(fleetEnded)
+	}
+	if err := s.listenForPeers(ctx, peerLink, mux); err != nil {
+		return err
 	}
-	in, err := l.Listen()
+	s.onClose(func() { <-fleetEnded })
+	s.onClose(s.stop) // its last messages are written before the process ends
+	return nil
+}
+
+// newMember makes this server's membership of the fleet, served at mux and reached over the link.
+func (s *server) newMember(ctx context.Context, peerLink *link.Link, mux *http.ServeMux) *driver.Part {
+	body := &body{figures: s.core.Figures, holder: s.holder, guess: guess(s.config)}
+	modules := func() []driver.Module { return nil }
+	if s.claims != nil {
+		s.startTakeOver(ctx, peerLink, mux)
+		modules = func() []driver.Module { return append(s.membership.Modules(), s.experiments.Module()) }
+	}
+	way := s.operator.Ledger.Peers.Options
+	part := driver.NewPart(func() (*driver.Driver, error) {
+		return driver.New(s.operator.Fleet, s.config.Name, way.Listen, way.Others(), peerLink, body, s.log, modules()...)
+	}, s.log)
+	mux.Handle("/fleet/", part)
+	s.metrics = part.Lines
+	if s.claims != nil {
+		s.metrics = joinMetrics(part.Lines, s.claims.Lines)
+	}
+	return part
+}
+
+// startTakeOver starts the claims of keyed requests, replicated in the fleet, and has the reply cache share its replies.
+func (s *server) startTakeOver(ctx context.Context, peerLink *link.Link, mux *http.ServeMux) {
+	left := &left{map[string]*index.Client{trials.Present: index.New(s.config.Index, leftCalls, s.claims.Reply, s.log)}, s.experiments}
+	for _, a := range s.operator.Fleet.TrialCalls {
+		left.to[a] = index.New(a, leftCalls, s.claims.Reply, s.log)
+	}
+	if s.replies != nil {
+		mux.Handle("/kept/", s.replies.Handler())
+		s.replies.Stand(s.membership, peerLink, ways(s.operator))
+	}
+	s.claims.Stand(s.membership, peerLink, left)
+	go s.claims.Run(ctx)
+	mux.Handle("/hand/", s.claims.Handler())
+}
+
+// listenForPeers serves the peers at the link's address, at once or as soon as the process that this one replaces has
+// released it.
+func (s *server) listenForPeers(ctx context.Context, peerLink *link.Link, handler http.Handler) error {
+	listener, err := peerLink.Listen()
 	switch {
 	case err == nil:
-		go l.Serve(ctx, in, mux)
-	case errors.Is(err, syscall.EADDRINUSE): // by the process that this one replaces
-		go listenOn(ctx, l, mux, log)
+		go peerLink.Serve(ctx, listener, handler)
+	case errors.Is(err, syscall.EADDRINUSE):
+		go listenOn(ctx, peerLink, handler, s.log)
 	default:
-		return nil, nil, err
+		return err
 	}
-	return ended, lines, nil
+	return nil
 }
 
-// listenOn opens the way to the other boxes once its address is free.
-func listenOn(ctx context.Context, l *link.Link, h http.Handler, log *slog.Logger) {
+// listenEach is how often an address that is in use is asked for again.
+const listenEach = 250 * time.Millisecond
+
+// listenOn serves the peers once the link's address is free.
+func listenOn(ctx context.Context, peerLink *link.Link, handler http.Handler, log *slog.Logger) {
 	for waits := false; ctx.Err() == nil; waits = true {
-		in, err := l.Listen()
+		listener, err := peerLink.Listen()
 		if err == nil {
-			l.Serve(ctx, in, h)
+			peerLink.Serve(ctx, listener, handler)
 			return
 		}
 		if !waits {
@@ -163,17 +188,14 @@
 	return keep.New(own.Kept, cfg.Name, &cfg.Site, sink, log)
 }
 
-// together gives the figures of both; nil = there are none.
-func together(a, b func() []byte) func() []byte {
+// joinMetrics returns the metrics of both; nil = there are none.
+func joinMetrics(a, b func() []byte) func() []byte {
 	if a == nil {
 		return b
 	}
 	return func() []byte { return append(a(), b()...) }
 }
 
-// listenEach is how often an address that is in use is asked for again.
-const listenEach = 250 * time.Millisecond
-
 // guess is what a box may carry before it was busy enough to tell: its part of all quotas.
 func guess(cfg *config.Config) float64 {
 	sum := 0.0
--- a/cmd/larchscale/leave_test.go
+++ b/cmd/larchscale/leave_test.go
@@ -56,7 +56,7 @@
 // launch starts the program on a $TMPDIR of its own, and returns at its "started" line. With up its worker pool is up.
 func launch(t *testing.T, up bool) *instance {
 	t.Helper()
-	outlive() // as main does: a signal that comes once run has ended is nobody's
+	catchSignals() // as main does: a signal that comes once run has ended is nobody's
 	t.Setenv("TMPDIR", t.TempDir())
 	front, pool := scenario.Listen(t), scenario.Listen(t)
 	front.Close()
@@ -296,7 +296,7 @@
 	if os.Getenv(ending) == "" {
 		os.Exit(m.Run())
 	}
-	outlive()
+	catchSignals()
 	code := run(nil, func(string) string { return "" }, io.Discard)
 	runtime.LockOSThread()
 	unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGTERM) // to this thread: it has come when the call is over
