forecast/plan: Make in named steps

Make was one function of 113 lines with two closures: checks, what has moved, sorting, bounds and steps in one. Each is a function of its own now, and Make lists them. Sums are made in the order they were, so plans are the same to the last bit.

--- a/internal/fleet/forecast/plan/plan.go
+++ b/internal/fleet/forecast/plan/plan.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -114,11 +115,39 @@
 	return w
 }
 
-// Make gives the plan. The greedy one starts at each tick, the largest first, all that fits. As excesses never rise,
+// Make returns the plan. The greedy one starts at each tick, the largest first, all that fits. As excesses never rise,
 // what does not fit finds some class's load over its budget less the largest move, so the calls of all moves bound the
 // length: sum over classes of calls / (budget - largest), in ticks. No plan is shorter than P(k) / budget - k ticks, for
 // any k, with P(k) what all moves add in their first k ticks: that lies within the plan's length and k ticks.
 func Make(in *Input) (*Plan, error) {
+	s, err := newState(in)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.putMoved(); err != nil {
+		return nil, err
+	}
+	fit, over, err := s.sortMoves()
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{Exact: len(fit) <= Exact, Why: "the largest first, all that fits at each tick"}
+	if len(over) == 0 {
+		p.AtLeast = int64(s.atLeast()) * in.Tick
+	}
+	starts := s.greedy(fit)
+	if p.Exact {
+		p.Why = "no plan within the budget ends sooner"
+		starts = s.best(fit, starts)
+	}
+	last := s.addSteps(p, fit, starts)
+	last = s.addOver(p, over, last)
+	p.Lasts = int64(last) * in.Tick
+	return p, nil
+}
+
+// newState checks the input but for its moves, and returns the state before any move.
+func newState(in *Input) (*state, error) {
 	s := &state{in: in, scale: in.Scale}
 	if s.scale == 0 {
 		s.scale = 1
@@ -129,50 +158,53 @@
 	if in.Rise != nil && len(in.Rise) != len(in.Budget) {
 		return nil, fmt.Errorf("%w: %d rises, %d budgets", ErrInput, len(in.Rise), len(in.Budget))
 	}
-	for c, b := range in.Budget {
-		left := b - in.Margin*math.Sqrt(b*1000/float64(in.Tick))
+	for class, budget := range in.Budget {
+		left := budget - in.Margin*math.Sqrt(budget*1000/float64(in.Tick))
 		if in.Rise != nil {
-			left -= max(0, in.Rise[c])
+			left -= max(0, in.Rise[class])
 		}
 		if !(left > 0) {
-			return nil, fmt.Errorf("%w: of a budget of %v calls/s %.1f are left once the margin and what stays added are off", ErrInput, b, left)
+			return nil, fmt.Errorf("%w: of a budget of %v calls/s %.1f are left once the margin and what stays added are off", ErrInput, budget, left)
 		}
 		s.limit = append(s.limit, left)
 	}
-	check := func(x *forecast.Excess) error {
-		if len(x.Added) != len(in.Budget) {
-			return fmt.Errorf("%w: slice %d has %d classes, %d budgets", ErrInput, x.Slice, len(x.Added), len(in.Budget))
-		}
-		for _, row := range x.Added {
-			for i, v := range row {
-				if !(v >= 0) || i > 0 && v > row[i-1] {
-					return fmt.Errorf("%w: slice %d: added calls that rise or cannot be", ErrInput, x.Slice)
-				}
+	return s, nil
+}
+
+// check finds a move that does not fit the input: its added calls are of each class, and never rise.
+func (in *Input) check(x *forecast.Excess) error {
+	if len(x.Added) != len(in.Budget) {
+		return fmt.Errorf("%w: slice %d has %d classes, %d budgets", ErrInput, x.Slice, len(x.Added), len(in.Budget))
+	}
+	for _, row := range x.Added {
+		for i, v := range row {
+			if !(v >= 0) || i > 0 && v > row[i-1] {
+				return fmt.Errorf("%w: slice %d: added calls that rise or cannot be", ErrInput, x.Slice)
 			}
 		}
-		return nil
 	}
-	for i := range in.Moved {
-		m := &in.Moved[i]
-		if err := check(&m.Excess); err != nil {
-			return nil, err
+	return nil
+}
+
+// putMoved adds the calls of what has been moved.
+func (s *state) putMoved() error {
+	for i := range s.in.Moved {
+		m := &s.in.Moved[i]
+		if err := s.in.check(&m.Excess); err != nil {
+			return err
 		}
-		s.put(&m.Excess, int(math.Floor(float64(m.At-in.Now)/float64(in.Tick))), 1)
+		tick := math.Floor(float64(m.At-s.in.Now) / float64(s.in.Tick))
+		s.put(&m.Excess, int(tick), 1)
 	}
-	var fit, over []forecast.Excess
-	calls := make([][]float64, len(in.Budget)) // P(k) by class
-	for i := range in.Moves {
-		x := &in.Moves[i]
-		if err := check(x); err != nil {
-			return nil, err
-		}
-		for c, row := range x.Added {
-			for k, v := range row {
-				if len(calls[c]) <= k {
-					calls[c] = append(calls[c], 0)
-				}
-				calls[c][k] += s.scale * v
-			}
+	return nil
+}
+
+// sortMoves returns the moves that fit the budget and those that pass it by themselves, each with the largest first.
+func (s *state) sortMoves() (fit, over []forecast.Excess, err error) {
+	for i := range s.in.Moves {
+		x := &s.in.Moves[i]
+		if err := s.in.check(x); err != nil {
+			return nil, nil, err
 		}
 		if s.alone(x) {
 			over = append(over, *x)
@@ -185,54 +217,71 @@
 	}
 	slices.SortFunc(fit, order)
 	slices.SortFunc(over, order)
-	p := &Plan{Exact: len(fit) <= Exact, Why: "the largest first, all that fits at each tick"}
+	return fit, over, nil
+}
+
+// atLeast returns the ticks that every plan within the budget takes, if each move fits by itself.
+func (s *state) atLeast() float64 {
 	least := 0.0
-	for c, row := range calls {
-		sum := 0.0
+	for class, row := range s.callsByTick() {
+		sum := 0.0 // P(k)
 		for k, n := range row {
-			if sum += n; len(over) == 0 {
-				least = max(least, math.Ceil(sum/s.limit[c]-1e-6)-float64(k+1))
-			}
+			sum += n
+			least = max(least, math.Ceil(sum/s.limit[class]-1e-6)-float64(k+1))
 		}
 	}
-	p.AtLeast = int64(least) * in.Tick
-	starts := s.greedy(fit)
-	if p.Exact {
-		p.Why = "no plan within the budget ends sooner"
-		starts = s.best(fit, starts)
-	}
-	at := map[int][]int{}
-	var ticks []int
-	for i, t := range starts {
-		if at[t] == nil {
-			ticks = append(ticks, t)
+	return least
+}
+
+// callsByTick returns the calls that all moves together add in each tick after their own start, by class and tick.
+func (s *state) callsByTick() [][]float64 {
+	calls := make([][]float64, len(s.in.Budget))
+	for i := range s.in.Moves {
+		for class, row := range s.in.Moves[i].Added {
+			for k, v := range row {
+				if len(calls[class]) <= k {
+					calls[class] = append(calls[class], 0)
+				}
+				calls[class][k] += s.scale * v
+			}
 		}
-		at[t] = append(at[t], i)
-		s.put(&fit[i], t, 1)
 	}
-	slices.Sort(ticks)
-	last := 0
-	for _, t := range ticks {
-		step := Step{At: in.Now + int64(t)*in.Tick, Why: "within the budget"}
-		for _, i := range at[t] {
-			step.Slices = append(step.Slices, fit[i].Slice)
-		}
-		slices.Sort(step.Slices)
-		step.Added = slices.Clone(s.at(t))
-		p.Steps, last = append(p.Steps, step), t
+	return calls
+}
+
+// addSteps adds the moves to the plan, those of one tick as one step, and returns the last tick.
+func (s *state) addSteps(p *Plan, moves []forecast.Excess, starts []int) (last int) {
+	byTick := map[int][]uint16{}
+	for i, tick := range starts {
+		byTick[tick] = append(byTick[tick], moves[i].Slice)
+		s.put(&moves[i], tick, 1)
+	}
+	for _, tick := range slices.Sorted(maps.Keys(byTick)) {
+		moved := byTick[tick]
+		slices.Sort(moved)
+		p.Steps = append(p.Steps, Step{At: s.time(tick), Slices: moved, Added: slices.Clone(s.at(tick)), Why: "within the budget"})
+		last = tick
 	}
-	for i := range over { // each when nothing else adds any longer
+	return last
+}
+
+// addOver adds the moves that pass the budget by themselves, each when nothing else adds any longer, and returns the
+// last tick.
+func (s *state) addOver(p *Plan, moves []forecast.Excess, last int) int {
+	for i := range moves {
 		for slices.Max(s.at(last)) >= 1e-9 {
 			last++
 		}
-		s.put(&over[i], last, 1)
-		p.Steps = append(p.Steps, Step{At: in.Now + int64(last)*in.Tick, Slices: []uint16{over[i].Slice}, Added: slices.Clone(s.at(last)), Over: true,
-			Why: fmt.Sprintf("it alone is %.1f times a budget: it moves when nothing else adds", s.scale*s.weight(&over[i]))})
+		s.put(&moves[i], last, 1)
+		why := fmt.Sprintf("it alone is %.1f times a budget: it moves when nothing else adds", s.scale*s.weight(&moves[i]))
+		p.Steps = append(p.Steps, Step{At: s.time(last), Slices: []uint16{moves[i].Slice}, Added: slices.Clone(s.at(last)), Over: true, Why: why})
 	}
-	p.Lasts = int64(last) * in.Tick
-	return p, nil
+	return last
 }
 
+// time returns when a tick begins, in Unix milliseconds.
+func (s *state) time(tick int) int64 { return s.in.Now + int64(tick)*s.in.Tick }
+
 // greedy gives the tick of each move, and leaves the load as it was.
 func (s *state) greedy(moves []forecast.Excess) []int {
 	starts := make([]int, len(moves))
