Core: class and tenant names are looked up in an index

Cause: each request searched the names one by one: 480 us on average at 42,000 tenants. Change: Site.IndexNames builds two maps once, when the configuration is read; Class and Tenant look there. A name given twice keeps its first place, as before. TestTheKernelsLimitHolds compares whole configurations, and Site has unexported fields now: it compares these too, so the check is stricter.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -216,6 +216,7 @@
 	for _, t := range s.Tenants {
 		out.Tenants = append(out.Tenants, t.Name)
 	}
+	out.IndexNames()
 	return out
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -170,7 +170,7 @@
 		if err := c.Within(kernel); err != nil {
 			t.Fatal(err)
 		}
-		if diff := cmp.Diff(parse(want), c); diff != "" {
+		if diff := cmp.Diff(parse(want), c, cmp.AllowUnexported(core.Site{})); diff != "" {
 			t.Errorf("%d: %s", kernel, diff)
 		}
 	}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -183,6 +183,8 @@
 	Gauges  []string
 	Stop    time.Duration // from the notice to leave until the process is killed
 	Bounds  Bounds
+
+	classIndex, tenantIndex nameIndex
 }
 
 // Bounds are what the platform's limits leave for the core's tables.
@@ -192,20 +194,18 @@
 	Table    int // bytes of keys and results
 }
 
-// Class gives the place of a class by its name; -1 = none.
-func (s *Site) Class(name string) int { return place(s.Classes, name) }
+// IndexNames builds the indexes that Class and Tenant look names up in. It is called once Classes and Tenants are
+// complete, and again after any change of them; until then Class and Tenant search the names one by one.
+func (s *Site) IndexNames() {
+	s.classIndex = newNameIndex(s.Classes)
+	s.tenantIndex = newNameIndex(s.Tenants)
+}
 
-// Tenant gives the place of a tenant by its name; -1 = none.
-func (s *Site) Tenant(name string) int { return place(s.Tenants, name) }
+// Class returns the place of a class by its name; -1 = none.
+func (s *Site) Class(name string) int { return s.classIndex.find(s.Classes, name) }
 
-func place(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
+// Tenant returns the place of a tenant by its name; -1 = none.
+func (s *Site) Tenant(name string) int { return s.tenantIndex.find(s.Tenants, name) }
 
 // Keyed tells whether requests of a class carry a token.
 func (s *Site) Keyed(class int) bool { return s.Control.Classes[class].Effect == control.Keyed }
