--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -18,6 +18,9 @@
 	"larchscale/internal/fleet/lease"
 	"larchscale/internal/fleet/place"
 	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/fleet/trial"
+	"larchscale/internal/keeper"
+	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
 	"larchscale/internal/sequential"
@@ -45,8 +48,9 @@
 		{"takeout.MaxBoxes", "internal/fleet/takeout/state.go", takeout.MaxBoxes, "a server that joins is refused"},
 		{"lease.MaxBoxes", "internal/fleet/lease/state.go", lease.MaxBoxes, "a server gets no lease"},
 		{"place.MaxBoxes", "internal/fleet/place/state.go", place.MaxBoxes, "a server is not placed on"},
-		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "a forecast is refused"},
-		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "a trial is refused"},
+		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "the sketch of a further server is refused"},
+		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "trials are ended as void more often than their plan allows"},
+		{"trial.MaxHeard", "internal/fleet/trial/count.go", (trial.MaxHeard - trial.MaxKept) / trial.MaxBlocks, "reports to a trial in its last blocks are refused"},
 		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers without a shard"},
 	}
 }
@@ -73,6 +77,17 @@
 	return (s.Servers - 1) / (float64(peers.Defaults().EveryMs) / 1000)
 }
 
+// peerAnswerBytes is one answer of a ledger peer: the digests of all that it has of all servers.
+func peerAnswerBytes(s Size) float64 {
+	digest := []ledger.Digest{{Box: "server-0001", Start: 1_790_000_000_000, Seq: 1_000_000, Closed: 1_790_000_000_000, Gone: 1_700_000_000_000}}
+	each := len(ledger.EncodeDigests(append(digest, digest...))) - len(ledger.EncodeDigests(digest))
+	periods := keeper.Defaults().Keep + 1
+	return float64(each*periods) * s.Servers
+}
+
+// peerBytes is the bytes a second of answers that one server receives from its ledger peers, and sends as well.
+func peerBytes(s Size) float64 { return 2 * peerRequests(s) * peerAnswerBytes(s) }
+
 // leaderMessages is what the leader receives and sends a second while nothing happens: a report from each server, a
 // heartbeat to each learner and its answer.
 func leaderMessages(s Size) float64 {
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -12,6 +12,7 @@
 	"larchscale/control"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
+	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 )
 
@@ -94,6 +95,7 @@
 		"mesh":        {meshDescriptors(target), 1 + 4*739 + 8 + 3*739},
 		"fleet":       {fleetDescriptors(target), 1 + 2*739 + 8 + 739},
 		"peers":       {peerRequests(target), 73.9},
+		"answer":      {peerAnswerBytes(target), float64(740 * 25 * (len(ledger.EncodeDigests(make([]ledger.Digest, 2))) - len(ledger.EncodeDigests(make([]ledger.Digest, 1))) + 11 + 8 + 4 + 8 + 8))},
 		"leader":      {leaderMessages(target), 3 * 739},
 		"admissions":  {admissions(target), 740 * 739 / 2},
 		"connections": {callerConnections(target), 7700 * 8 / 740.0},
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -57,6 +57,13 @@
 			within(serverDescriptors, "the platform's 512, which callers' connections share"),
 		counted("counted.peers.asked", ServerControl, Messages, "ledger requests a server asks, and as many it answers, each on a new connection", "requests/s",
 			Count{"(n−1) / 10 s", peerRequests}, "`peers.Defaults().EveryMs`, `peers.ask` dials anew").by("`peers`, pull of digests"),
+		counted("counted.peers.answer", ServerControl, Messages, "bytes of one answer of a ledger peer, which tells all that it has of all servers", "KB",
+			Count{"n × 25 periods × bytes of a `ledger.Digest`", func(s Size) float64 { return peerAnswerBytes(s) / (1 << 10) }},
+			"`peers.ServeHTTP`, `ledger.Peers.Digests`, `keeper.Defaults().Keep`; every server has booked in each period").by("`peers`, pull of digests").
+			within(link.MaxAnswer/(1<<10), "`link.MaxAnswer`: a longer answer is an error"),
+		counted("counted.peers.bytes", ServerControl, Messages, "bytes of these answers, received and sent", "KB/s",
+			Count{"2 (n−1) / 10 s × that", func(s Size) float64 { return peerBytes(s) / (1 << 10) }}, "the same").by("`peers`, pull of digests").
+			within(serverControlBytes, "target, on an app server"),
 		counted("counted.members.bytes", ServerControl, State, "members, leases and shards, held by every server", "KB",
 			Count{"cbor of `agree.State`, `lease.State`, `place.State`", func(s Size) float64 { return membersBytes(s) / (1 << 10) }},
 			"names of 11 bytes assumed").by("`fleet/agree` snapshot"),
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -36,53 +36,58 @@
 	},
 }
 
-// perRequest is the quantity that is spent on each request.
-const perRequest = "cpu.request"
-
 // quantity is what the end of a measurement's name stands for.
 type quantity struct {
 	suffix string
 	aspect Aspect
 	text   string
 	unit   string // that the page uses; "" = the measurement's
+	times  *Count // of what is measured for each, in a second; nil = it is not for each of something
 }
 
+// What processor time is spent on each of.
+var (
+	requestsPerServer = Count{"requests/s a server", Size.RequestsPerServer}
+	ledgerAsked       = Count{"(n−1) / 10 s", peerRequests}
+)
+
 // quantities are looked through in their order: the first suffix that ends a name, or stands in it as a whole part,
 // describes it.
 var quantities = []quantity{
-	{"entry.cpu", Processor, "of an entry of the log", ""},
-	{"entry.messages", Messages, "for an entry of the log", ""},
-	{"build.time", Time, "first start of all at once, until all are members", "s"},
-	{"build.cpu", Processor, "of all servers, until all are members", ""},
-	{"build.entries", Messages, "entries of the log until all are members", ""},
-	{"build.bytes", Messages, "bytes sent until all are members", "MB"},
-	{"config.p99", Time, "a change in force, 99th percentile of servers", "s"},
-	{"config.max", Time, "a change in force, last server", "s"},
-	{"failover", Time, "until replaced", "s"},
-	{"added.keyed.p99", Time, "added to a keyed request, 99th percentile", "ms"},
-	{"added.p99", Time, "added to a request, 99th percentile", "ms"},
-	{"added.p50", Time, "added to a request, median", "ms"},
-	{"added", Time, "added to a request", "ms"},
-	{perRequest, Processor, "of requests", "% of a core"},
-	{"status.time", Time, "of the fleet's status", "s"},
-	{"config.time", Time, "of a change, until accepted", "s"},
-	{"start", Time, "start until served", "s"},
-	{"reload", Time, "reload on SIGHUP", "s"},
-	{"stats.time", Time, "of one answer of /stats", "ms"},
-	{"stats.bytes", Messages, "bytes of one answer of /stats", "KB"},
-	{"messages.in", Messages, "in", "messages/s"},
-	{"messages.out", Messages, "out", "messages/s"},
-	{"messages", Messages, "both ways", "messages/s"},
-	{"bytes.in", Messages, "bytes in", "KB/s"},
-	{"bytes.out", Messages, "bytes out", "KB/s"},
-	{"bytes", Messages, "bytes both ways", "KB/s"},
-	{"in", Messages, "in, by path", "messages/s"},
-	{"rss", Memory, "resident", "MB"},
-	{"heap", Memory, "live heap", "MB"},
-	{"descriptors", Descriptors, "open", ""},
-	{"goroutines", Memory, "goroutines", ""},
-	{"disk", Disk, "written", "KB/s"},
-	{"cpu", Processor, "at rest", "% of a core"},
+	{"entry.cpu", Processor, "of an entry of the log", "", nil},
+	{"entry.messages", Messages, "for an entry of the log", "", nil},
+	{"build.time", Time, "first start of all at once, until all are members", "s", nil},
+	{"build.cpu", Processor, "of all servers, until all are members", "", nil},
+	{"build.entries", Messages, "entries of the log until all are members", "", nil},
+	{"build.bytes", Messages, "bytes sent until all are members", "MB", nil},
+	{"config.p99", Time, "a change in force, 99th percentile of servers", "s", nil},
+	{"config.max", Time, "a change in force, last server", "s", nil},
+	{"failover", Time, "until replaced", "s", nil},
+	{"added.keyed.p99", Time, "added to a keyed request, 99th percentile", "ms", nil},
+	{"added.p99", Time, "added to a request, 99th percentile", "ms", nil},
+	{"added.p50", Time, "added to a request, median", "ms", nil},
+	{"added", Time, "added to a request", "ms", nil},
+	{"cpu.request", Processor, "of requests", "% of a core", &requestsPerServer},
+	{"cpu.asked", Processor, "of ledger requests asked and answered, each on a new connection", "% of a core", &ledgerAsked},
+	{"status.time", Time, "of the fleet's status", "s", nil},
+	{"config.time", Time, "of a change, until accepted", "s", nil},
+	{"start", Time, "start until served", "s", nil},
+	{"reload", Time, "reload on SIGHUP", "s", nil},
+	{"stats.time", Time, "of one answer of /stats", "ms", nil},
+	{"stats.bytes", Messages, "bytes of one answer of /stats", "KB", nil},
+	{"messages.in", Messages, "in", "messages/s", nil},
+	{"messages.out", Messages, "out", "messages/s", nil},
+	{"messages", Messages, "both ways", "messages/s", nil},
+	{"bytes.in", Messages, "bytes in", "KB/s", nil},
+	{"bytes.out", Messages, "bytes out", "KB/s", nil},
+	{"bytes", Messages, "bytes both ways", "KB/s", nil},
+	{"in", Messages, "in, by path", "messages/s", nil},
+	{"rss", Memory, "resident", "MB", nil},
+	{"heap", Memory, "live heap", "MB", nil},
+	{"descriptors", Descriptors, "open", "", nil},
+	{"goroutines", Memory, "goroutines", "", nil},
+	{"disk", Disk, "written", "KB/s", nil},
+	{"cpu", Processor, "at rest", "% of a core", nil},
 }
 
 // expectedNames are the measurements that the page waits for: they have rows before there is a record.
@@ -102,7 +107,7 @@
 		names = append(names, design+".build.time", design+".build.cpu")
 	}
 	return append(names, "session.config.p99", "session.config.max", "session.failover.leader", "session.failover.follower",
-		"caller.cpu.request", "caller.rss", "caller.bytes", "operator.status.time", "operator.config.time")
+		"ledger.server.cpu.asked", "caller.cpu.request", "caller.rss", "caller.bytes", "operator.status.time", "operator.config.time")
 }
 
 // measuredRow is the row of a measurement, by its name; m = nil when it is not measured.
@@ -118,8 +123,8 @@
 			row.Quantity = m.Note
 		}
 	}
-	if role == RequestPath && what.suffix == perRequest && row.Unit == "% of a core" {
-		row.Times = &Count{"requests/s a server", Size.RequestsPerServer}
+	if row.Unit == what.unit {
+		row.Times = what.times
 	}
 	row.Budget = budgetOf(&row, rest)
 	return row
@@ -161,6 +166,8 @@
 		return of[role]
 	}
 	switch role {
+	case ServerControl:
+		return "`peers`, `link`"
 	case RequestPath:
 		return "`core`, `jsonrpc`, `uwsgi`, `admin`"
 	case Caller:
@@ -188,7 +195,7 @@
 	if what.unit == "" {
 		return measured
 	}
-	if what.suffix == perRequest {
+	if what.times != nil {
 		measured += "/s"
 	}
 	if _, err := unitFactor(measured, what.unit); err != nil {
@@ -206,7 +213,7 @@
 		return Budget{addedMilliseconds, "target, 99 in 100"}
 	case row.Role == Fleet && strings.HasPrefix(rest, "config."):
 		return Budget{configSeconds, "target, everywhere"}
-	case onServer && last == "cpu" && row.Unit == "% of a core":
+	case onServer && (last == "cpu" || strings.HasSuffix(rest, "cpu.asked")) && row.Unit == "% of a core":
 		return Budget{serverControlCPU, "target, on an app server"}
 	case onServer && last == "rss":
 		return Budget{serverControlMemory, "target, on an app server"}
--- a/internal/capacity/suspects.go
+++ b/internal/capacity/suspects.go
@@ -32,7 +32,7 @@
 		{"every server is a raft learner", "", []string{"learner.leader.messages", "learner.leader.bytes", "learner.leader.cpu", "learner.leases.leader.messages", "learner.leases.leader.bytes", "learner.leases.leader.cpu", "counted.leader.messages", "counted.leader.leases"}, ""},
 		{"an idle server's own control traffic", "", []string{"learner.learner.bytes", "learner.leases.learner.bytes"}, ""},
 		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, "no budget is stated for the first start"},
-		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked"}, "each request dials anew; the cost is not measured"},
+		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked", "counted.peers.answer", "counted.peers.bytes", "ledger.server.cpu.asked"}, "each request dials anew, and each answer has the digests of all servers; the ledger's exchange is taken as part of the control traffic"},
 		{"a mesh of connections for claims, kept replies and messages", "", []string{"counted.mesh.descriptors", "counted.fleet.descriptors"}, ""},
 		{"1,024 shards", "", []string{"counted.shards.imbalance"}, "no budget is stated; from 1,025 servers on some have none"},
 		{"`Host.Ready` waits for every member", Confirmed, nil, "`driver.Host.Ready` wants a report of every member since the process of the leader started; with 17 failures a day, one that is down and not removed holds up the first entry of a part"},
