--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -20,7 +20,6 @@
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/fleet/trial"
 	"larchscale/internal/keeper"
-	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
 	"larchscale/internal/sequential"
@@ -79,10 +78,8 @@
 
 // peerAnswerBytes is one answer of a ledger peer: the digests of all that it has of all servers.
 func peerAnswerBytes(s Size) float64 {
-	digest := []ledger.Digest{{Box: "server-0001", Start: 1_790_000_000_000, Seq: 1_000_000, Closed: 1_790_000_000_000, Gone: 1_700_000_000_000}}
-	each := len(ledger.EncodeDigests(append(digest, digest...))) - len(ledger.EncodeDigests(digest))
 	periods := keeper.Defaults().Keep + 1
-	return float64(each*periods) * s.Servers
+	return ledgerDigestBytes() * float64(periods) * s.Servers
 }
 
 // peerBytes is the bytes a second of answers that one server receives from its ledger peers, and sends as well.
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -12,6 +12,7 @@
 	"larchscale/control"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
+	"larchscale/internal/fleet/driver"
 	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 )
@@ -57,6 +58,12 @@
 	}
 }
 
+func TestVoters(t *testing.T) {
+	if got := driver.Defaults().Voters; got != voters {
+		t.Errorf("%d voters, counted with %d", got, voters)
+	}
+}
+
 // Constants that the counts repeat, as they are not exported.
 func TestConstantsOfOtherPackages(t *testing.T) {
 	for _, c := range []struct{ file, name, value string }{
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -28,7 +28,8 @@
 	target := Target()
 	twice := target.Times(2)
 	rows := Rows(recording)
-	tables := map[string]string{"sizes": SizesTable(target, twice), "measurements": MeasurementsTable(recording)}
+	tables := map[string]string{"sizes": SizesTable(target, twice), "measurements": MeasurementsTable(recording),
+		"messages": MessagesTable(MessageKinds(), target, twice)}
 	for _, role := range Roles() {
 		text, err := RowsTable(rows, role, recording, target, twice)
 		if err != nil {
