--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -79,6 +79,14 @@
 	return text
 }
 
+// formulaWithPoint writes the formula of a cell and, for a measured point, the size that it was taken at.
+func formulaWithPoint(cell Cell) string {
+	if cell.Provenance != Measured {
+		return cell.Formula
+	}
+	return fmt.Sprintf("%s (at %s %s)", cell.Formula, formatNumber(cell.PointSize), cell.PointUnit)
+}
+
 // RowsTable writes the rows of a role at two sizes.
 func RowsTable(rows []Row, role Role, recording *Recording, small, large Size) (string, error) {
 	head := []string{"row", "what", "mechanism", "slope × count", fmt.Sprintf("at %s servers", formatNumber(small.Servers)), "share",
@@ -108,7 +116,7 @@
 		return nil, err
 	}
 	what := strings.TrimPrefix(string(r.Aspect)+": "+r.Quantity, ": ")
-	formula := atSmall.Formula
+	formula := formulaWithPoint(atSmall)
 	if r.Source != "" {
 		formula += " (" + r.Source + ")"
 	}
--- a/internal/capacity/wall.go
+++ b/internal/capacity/wall.go
@@ -44,19 +44,16 @@
 		return measuredWall(wall, r, recording, target)
 	}
 	reached := func(factor float64) bool {
-		at, cellErr := r.Cell(recording, target.Times(factor))
-		if cellErr != nil {
-			err = cellErr
-		}
+		at, _ := r.Cell(recording, target.Times(factor)) // the units were checked above
 		return at.Value >= r.Budget.Most
 	}
 	low, high := 1/target.Servers, float64(maxGrowth)
 	switch {
 	case reached(low):
 		wall.Servers = 1
-		return wall, true, err
+		return wall, true, nil
 	case !reached(high):
-		return Wall{}, false, err
+		return Wall{}, false, nil
 	}
 	for high/low > wallPrecision {
 		middle := math.Sqrt(low * high)
@@ -67,7 +64,11 @@
 		}
 	}
 	wall.Servers = high * target.Servers
-	return wall, true, err
+	if cell, err = r.Cell(recording, target.Times(high)); err != nil {
+		return Wall{}, false, err
+	}
+	wall.How = formulaWithPoint(cell)
+	return wall, true, nil
 }
 
 // measuredWall finds the smallest measured size at which the budget is reached.
