--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -71,6 +71,9 @@
 	}
 	text := formatNumber(cell.Value) + " " + unit
 	if cell.Provenance == Measured && !cell.AtSize {
+		if cell.Each {
+			text += " by the cost of one"
+		}
 		return fmt.Sprintf("(%s at %s %s)", text, formatNumber(cell.PointSize), cell.PointUnit)
 	}
 	if cell.Beyond {
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -83,6 +83,7 @@
 	Formula    string
 	PointSize  float64 // of a measured point: the size that it was taken at
 	PointUnit  string
+	Each       bool // the point is of one, and the value of all in a second
 	AtSize     bool // the point's size is near enough to the one asked for
 	Beyond     bool // a fit is used past twice the largest size that was measured
 }
@@ -120,6 +121,7 @@
 	if r.Times != nil {
 		cell.Value *= r.Times.Of(size)
 		cell.Formula += " × " + r.Times.Expression
+		cell.Each = true
 	}
 	return cell, nil
 }
