Measure: hollow servers, for what the fleet costs its servers by size

How the raft of all servers scales is known only from a count over nodes without sockets. Hollow servers run the real driver, log, link and leases over mutual TLS on loopback; only the request path is a stub. Voters and one learner have processes of their own, so that CPU and bytes are theirs alone. link.Link gets an observer for its connections and requests; counts of a connection are the kernel's (test, and a row of each run).

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,7 @@
 	Hand     handCmd     `cmd:"" help:"Keyed work that outlives its box, beside the same program without."`
 	Stopper  stopperCmd  `cmd:"" help:"Trials of two ways: wrong winners over looks at every second, and units until a stop."`
 	Forecast forecastCmd `cmd:"" help:"Hits of kept replies foretold over moves of slices, with simulated boxes."`
+	Scale    scaleCmd    `cmd:"" help:"How costs grow with the size of a fleet."`
 
 	Recover recoverCmd `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
 	Hour    hourCmd    `cmd:"" hidden:"" help:"Part of ledger, in a process of its own."`
--- /dev/null
+++ b/cmd/measure/scale_learners.go
@@ -0,0 +1,324 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"larchscale/internal/capacity"
+	"larchscale/internal/measure/fit"
+	"larchscale/internal/measure/hollow"
+)
+
+type scaleLearnersCmd struct {
+	Sizes   []int         `default:"50,100,150,200,295" help:"Servers of each fleet."`
+	Voters  int           `default:"3" help:"Of the servers."`
+	Leases  bool          `help:"With leases and placement."`
+	Window  time.Duration `default:"10s" help:"Length of each reading of an idle fleet."`
+	Repeats int           `default:"2" help:"Readings of an idle fleet."`
+	Entries int           `default:"200" help:"Entries that are committed, 20 a second."`
+	Seed    uint64        `default:"1" help:"Of the order in which servers start."`
+	JSON    string        `name:"json" help:"File of recorded measurements that these are added to."`
+}
+
+// commitEvery is the time between two entries that are committed.
+const commitEvery = 50 * time.Millisecond
+
+// wallNote marks what a busy machine changes.
+const wallNote = "by the clock, on a shared machine"
+
+// Run builds a fleet of hollow servers at each size, and reads what it costs.
+func (c scaleLearnersCmd) Run(r *report) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	slices.Sort(c.Sizes)
+	for _, servers := range c.Sizes { // all are refused before the first begins
+		if err := (&hollow.Options{Servers: servers, Voters: c.Voters}).Check(); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("seed %d, voters %d, leases %t, cores %d\n", c.Seed, c.Voters, c.Leases, runtime.NumCPU())
+	series := newSeries()
+	for _, servers := range c.Sizes {
+		if err := c.size(ctx, servers, series); err != nil {
+			return fmt.Errorf("%d servers: %w", servers, err)
+		}
+		if err := c.record(series); err != nil { // what was measured stays, whatever comes next
+			return err
+		}
+	}
+	series.report(r)
+	return nil
+}
+
+// progress tells what is going on, beside the rows.
+func progress(format string, arguments ...any) {
+	fmt.Fprintf(os.Stderr, "%s "+format+"\n", append([]any{time.Now().Format(time.TimeOnly)}, arguments...)...)
+}
+
+// size measures a fleet of one size.
+func (c scaleLearnersCmd) size(ctx context.Context, servers int, series *series) error {
+	home, err := os.MkdirTemp("", "larchscale-hollow-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(home)
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	progress("%d servers: starting", servers)
+	fleet, err := hollow.Start(ctx, hollow.Options{Program: program, Arguments: []string{"scale", "hollow"}, Home: filepath.Clean(home),
+		Servers: servers, Voters: c.Voters, Leases: c.Leases, Seed: c.Seed})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	built, err := fleet.Build(ctx)
+	if err != nil {
+		return err
+	}
+	progress("%d servers: built in %.1f s with %.1f core-seconds, %d entries", servers, built.Time.Seconds(), built.CPU.Seconds(), built.Entries)
+	series.built(servers, built)
+	idle, err := c.idle(ctx, fleet, servers, series)
+	if err != nil {
+		return err
+	}
+	if err := c.commits(ctx, fleet, servers, idle, series); err != nil {
+		return err
+	}
+	check, err := fleet.Check()
+	if err != nil {
+		return err
+	}
+	series.add("connection.bytes.counted", "bytes", "one connection of a learner, beside the kernel's", servers, float64(check.CountedIn+check.CountedOut))
+	series.add("connection.bytes.kernel", "bytes", "bytes_received and bytes_acked of TCP_INFO; its opening counts as one", servers, float64(check.KernelIn+check.KernelOut))
+	sizes, err := fleet.Sizes()
+	if err != nil {
+		return err
+	}
+	series.sizes(servers, sizes)
+	return nil
+}
+
+// idle reads a fleet that has nothing to do, and gives the mean of the readings.
+func (c scaleLearnersCmd) idle(ctx context.Context, fleet *hollow.Fleet, servers int, series *series) (map[hollow.Role]hollow.Rates, error) {
+	var last map[hollow.Role]hollow.Rates
+	for i := range c.Repeats {
+		rates, err := fleet.Idle(ctx, c.Window)
+		if err != nil {
+			return nil, err
+		}
+		progress("%d servers: idle %d of %d, leader %.1f messages/s in, %.1f%% of a core", servers, i+1, c.Repeats,
+			rates[hollow.Leader].MessagesIn, 100*rates[hollow.Leader].CPU)
+		series.rates(servers, rates)
+		last = rates
+	}
+	return last, nil
+}
+
+// commits reads what an entry costs beside an idle fleet.
+func (c scaleLearnersCmd) commits(ctx context.Context, fleet *hollow.Fleet, servers int, idle map[hollow.Role]hollow.Rates, series *series) error {
+	rates, err := fleet.Commit(ctx, hollow.Commits{Count: c.Entries, Every: commitEvery})
+	if err != nil {
+		return err
+	}
+	const note = "more than idle, of each entry at 20 a second"
+	for role, busy := range rates {
+		more := busy.Minus(idle[role])
+		entry := busy.Seconds / float64(c.Entries)
+		series.add(string(role)+".entry.cpu", "µs", note, servers, 1e6*entry*more.CPU)
+		series.add(string(role)+".entry.bytes", "bytes", "in and out, "+note, servers, entry*(more.BytesIn+more.BytesOut))
+		series.add(string(role)+".entry.messages", "requests", "in and out, "+note, servers, entry*(more.MessagesIn+more.MessagesOut))
+	}
+	leader := rates[hollow.Leader]
+	progress("%d servers: %d entries in %.1f s, each costs the leader %.0f µs", servers, c.Entries, leader.Seconds,
+		1e6*leader.Minus(idle[hollow.Leader]).CPU*leader.Seconds/float64(c.Entries))
+	return nil
+}
+
+// record adds what was measured to the file of measurements.
+func (c scaleLearnersCmd) record(series *series) error {
+	if c.JSON == "" {
+		return nil
+	}
+	recording, err := capacity.ReadRecording(c.JSON)
+	if err != nil {
+		return err
+	}
+	design := "learner."
+	command := "bin/measure scale learners --sizes " + joined(c.Sizes)
+	if c.Leases {
+		design += "leases."
+		command += " --leases"
+	}
+	for _, m := range series.measurements() {
+		m.Name, m.Command, m.Revision, m.Cores = design+m.Name, command, revision(), runtime.NumCPU()
+		if err := recording.Put(m); err != nil {
+			return err
+		}
+	}
+	return recording.Write(c.JSON)
+}
+
+func joined(numbers []int) string {
+	text := make([]string, len(numbers))
+	for i, n := range numbers {
+		text[i] = strconv.Itoa(n)
+	}
+	return strings.Join(text, ",")
+}
+
+// revision is that of the program, as the compiler noted it; "" = it did not.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	revision, changed := "", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			revision = setting.Value[:min(12, len(setting.Value))]
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = "+changes"
+		}
+	}
+	return revision + changed
+}
+
+// series are the readings of all sizes.
+type series struct {
+	names    []string // in the order of their first reading
+	readings map[string]*readings
+}
+
+// readings are those of one quantity.
+type readings struct {
+	unit, note string
+	bySize     map[int][]float64
+}
+
+func newSeries() *series { return &series{readings: map[string]*readings{}} }
+
+// add notes one reading.
+func (s *series) add(name, unit, note string, servers int, value float64) {
+	r := s.readings[name]
+	if r == nil {
+		r = &readings{unit, note, map[int][]float64{}}
+		s.readings[name] = r
+		s.names = append(s.names, name)
+	}
+	r.bySize[servers] = append(r.bySize[servers], value)
+}
+
+func (s *series) built(servers int, b hollow.Built) {
+	s.add("build.time", "s", wallNote, servers, b.Time.Seconds())
+	s.add("build.cpu", "core-seconds", "of all servers, from the founding until all were admitted and at rest", servers, b.CPU.Seconds())
+	s.add("build.entries", "entries", "in the log once all were admitted", servers, float64(b.Entries))
+	s.add("build.bytes", "bytes", "that all servers sent until then", servers, float64(b.Bytes))
+}
+
+func (s *series) rates(servers int, byRole map[hollow.Role]hollow.Rates) {
+	const socket = "at the socket, TLS and HTTP included"
+	for _, role := range roles(byRole) {
+		r, at := byRole[role], string(role)
+		s.add(at+".messages", "requests/s", "answered and sent", servers, r.MessagesIn+r.MessagesOut)
+		s.add(at+".messages.in", "requests/s", "answered", servers, r.MessagesIn)
+		s.add(at+".messages.out", "requests/s", "sent", servers, r.MessagesOut)
+		s.add(at+".bytes", "bytes/s", socket, servers, r.BytesIn+r.BytesOut)
+		s.add(at+".bytes.in", "bytes/s", socket, servers, r.BytesIn)
+		s.add(at+".bytes.out", "bytes/s", socket, servers, r.BytesOut)
+		s.add(at+".cpu", "cores", "user and system, of a server at rest", servers, r.CPU)
+		s.add(at+".disk", "bytes/s", "to block devices", servers, r.DiskBytes)
+		for path, n := range r.In {
+			if n > 0 {
+				s.add(at+".in"+strings.ReplaceAll(path, "/", "."), "requests/s", "answered", servers, n)
+			}
+		}
+	}
+}
+
+func roles[T any](byRole map[hollow.Role]T) []hollow.Role {
+	var out []hollow.Role
+	for _, role := range []hollow.Role{hollow.Leader, hollow.Follower, hollow.Learner, hollow.Shared} {
+		if _, ok := byRole[role]; ok {
+			out = append(out, role)
+		}
+	}
+	return out
+}
+
+func (s *series) sizes(servers int, byRole map[hollow.Role]hollow.Size) {
+	for _, role := range roles(byRole) {
+		z, at := byRole[role], string(role)
+		each := float64(max(1, z.Servers))
+		note := "of a process with one server"
+		if role == hollow.Shared {
+			note = "of a process that servers share, by each"
+		}
+		s.add(at+".rss", "bytes", note, servers, float64(z.Resident)/each)
+		s.add(at+".heap", "bytes", "live, "+note, servers, float64(z.Heap)/each)
+		s.add(at+".descriptors", "descriptors", note, servers, float64(z.Descriptors)/each)
+		s.add(at+".goroutines", "goroutines", note, servers, float64(z.Goroutines)/each)
+	}
+}
+
+// measurements gives the record of all readings; that of a law which fits says so.
+func (s *series) measurements() []capacity.Measurement {
+	var out []capacity.Measurement
+	for _, name := range s.names {
+		r := s.readings[name]
+		m := capacity.Measurement{Name: name, Unit: r.unit, SizeUnit: "servers", Note: r.note, Points: r.points()}
+		if law, ok := r.law(); ok {
+			m.Note += "; " + law.String()
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (r *readings) points() []capacity.Point {
+	var out []capacity.Point
+	for servers, values := range r.bySize {
+		sum := 0.0
+		for _, v := range values {
+			sum += v
+		}
+		out = append(out, capacity.Point{Size: float64(servers), Value: sum / float64(len(values)),
+			Spread: slices.Max(values) - slices.Min(values), Runs: len(values)})
+	}
+	slices.SortFunc(out, func(a, b capacity.Point) int { return int(a.Size - b.Size) })
+	return out
+}
+
+// law is how the quantity grows; false = there are too few sizes.
+func (r *readings) law() (fit.Law, bool) {
+	var sizes, values []float64
+	for _, p := range r.points() {
+		sizes, values = append(sizes, p.Size), append(values, p.Value)
+	}
+	return fit.Best(sizes, values)
+}
+
+// report prints all readings, and the law of each.
+func (s *series) report(r *report) {
+	for _, name := range s.names {
+		readings := s.readings[name]
+		for _, p := range readings.points() {
+			r.row(fmt.Sprintf("%s at %g", name, p.Size), p.Value, readings.unit)
+		}
+		if law, ok := readings.law(); ok {
+			fmt.Printf("# %s: %s\n", name, law)
+		}
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -138,11 +138,20 @@
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.Get() }}, nil
 }
 
+// Observer sees what passes over a link, for measurements. A function that is nil sees nothing.
+type Observer struct {
+	// Conn wraps each connection, accepted or dialled, below TLS.
+	Conn func(net.Conn) net.Conn
+	// Request is told of each request that the link is about to send.
+	Request func(path string)
+}
+
 // Link is one box's side.
 type Link struct {
-	opt Options
-	tls *tls.Config
-	log *slog.Logger
+	opt      Options
+	tls      *tls.Config
+	log      *slog.Logger
+	observer Observer
 }
 
 // New makes a link.
@@ -151,12 +160,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{opt, c, log}, nil
+	return &Link{opt: opt, tls: c, log: log}, nil
 }
 
+// Observe has an observer see all that passes. It is called before Listen and Dial.
+func (l *Link) Observe(o Observer) { l.observer = o }
+
 // Listen opens the port on which other boxes ask.
 func (l *Link) Listen() (net.Listener, error) {
 	in, err := net.Listen("tcp", l.opt.Listen)
+	if err == nil && l.observer.Conn != nil {
+		in = &observedListener{in, l.observer.Conn}
+	}
 	if err == nil && l.tls != nil {
 		in = tls.NewListener(in, l.tls)
 	}
@@ -171,6 +186,21 @@
 	s.Serve(&limited{Listener: in, free: make(chan struct{}, l.opt.conns())})
 }
 
+// observedListener wraps the connections that it accepts.
+type observedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *observedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
+
 // limited bounds the connections that are open at a time; more are closed at once.
 type limited struct {
 	net.Listener
@@ -205,14 +235,24 @@
 
 // Client asks one box, on one connection.
 type Client struct {
-	http *http.Client
-	base url.URL
+	http     *http.Client
+	base     url.URL
+	observer Observer
 }
 
 // Dial makes a client for a box: its certificate is its own, wherever it listens. Nothing is sent yet.
 func (l *Link) Dial(name, addr string) *Client {
 	t := &http.Transport{MaxConnsPerHost: 1, MaxResponseHeaderBytes: maxHead, Proxy: nil}
-	out := &Client{base: url.URL{Scheme: "http", Host: addr}, http: &http.Client{Transport: t,
+	if wrap := l.observer.Conn; wrap != nil {
+		t.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, to)
+			if err != nil {
+				return nil, err
+			}
+			return wrap(c), nil
+		}
+	}
+	out := &Client{observer: l.observer, base: url.URL{Scheme: "http", Host: addr}, http: &http.Client{Transport: t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	if l.tls != nil {
 		out.base.Scheme = "https"
@@ -242,6 +282,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.observer.Request != nil {
+		c.observer.Request(path)
+	}
 	res, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
