--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -20,6 +20,7 @@
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/fleet/trial"
 	"larchscale/internal/keeper"
+	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
 	"larchscale/internal/sequential"
@@ -43,14 +44,16 @@
 // Bounds are the constants in the code that end the growth of the fleet.
 func Bounds() []Bound {
 	return []Bound{
-		{"link.maxBoxes", "internal/link/link.go", linkServers + 1, "the operator's file is refused, and the program does not start"},
-		{"takeout.MaxBoxes", "internal/fleet/takeout/state.go", takeout.MaxBoxes, "a server that joins is refused"},
-		{"lease.MaxBoxes", "internal/fleet/lease/state.go", lease.MaxBoxes, "a server gets no lease"},
-		{"place.MaxBoxes", "internal/fleet/place/state.go", place.MaxBoxes, "a server is not placed on"},
-		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "the sketch of a further server is refused"},
-		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "trials are ended as void more often than their plan allows"},
-		{"trial.MaxHeard", "internal/fleet/trial/count.go", (trial.MaxHeard - trial.MaxKept) / trial.MaxBlocks, "reports to a trial in its last blocks are refused"},
-		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers without a shard"},
+		{"link.maxBoxes", "internal/link/link.go", linkServers + 1, "servers", "the operator's file is refused, and the program does not start"},
+		{"takeout.MaxBoxes", "internal/fleet/takeout/state.go", takeout.MaxBoxes, "servers", "a server that joins is refused"},
+		{"lease.MaxBoxes", "internal/fleet/lease/state.go", lease.MaxBoxes, "servers", "a server gets no lease"},
+		{"place.MaxBoxes", "internal/fleet/place/state.go", place.MaxBoxes, "servers", "a server is not placed on"},
+		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "servers", "the sketch of a further server is refused"},
+		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "servers", "trials are ended as void more often than their plan allows"},
+		{"trial.MaxHeard", "internal/fleet/trial/count.go", (trial.MaxHeard - trial.MaxKept) / trial.MaxBlocks, "servers", "reports to a trial in its last blocks are refused"},
+		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers", "servers without a shard"},
+		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "tenants", "a server with a ledger does not start"},
+		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "routes", "a server with a ledger does not start"},
 	}
 }
 
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -67,10 +67,14 @@
 	{"added.p99", Time, "added to a request, 99th percentile", "ms", nil},
 	{"added.p50", Time, "added to a request, median", "ms", nil},
 	{"added", Time, "added to a request", "ms", nil},
+	{"total", Time, "of a request, as its caller sees it", "ms", nil},
+	{"bare", Time, "of the same without the program", "ms", nil},
+	{"sender", Time, "lateness of the sends", "ms", nil},
 	{"cpu.request", Processor, "of requests", "% of a core", &requestsPerServer},
 	{"cpu.asked", Processor, "of ledger requests asked and answered, each on a new connection", "% of a core", &ledgerAsked},
 	{"status.time", Time, "of the fleet's status", "s", nil},
 	{"config.time", Time, "of a change, until accepted", "s", nil},
+	{"ledger.starts", Time, "whether a server with a ledger starts, 1 = yes", "", nil},
 	{"start", Time, "start until served", "s", nil},
 	{"reload", Time, "reload on SIGHUP", "s", nil},
 	{"stats.time", Time, "of one answer of /stats", "ms", nil},
@@ -82,19 +86,23 @@
 	{"bytes.out", Messages, "bytes out", "KB/s", nil},
 	{"bytes", Messages, "bytes both ways", "KB/s", nil},
 	{"in", Messages, "in, by path", "messages/s", nil},
-	{"rss", Memory, "resident", "MB", nil},
+	{"rss", Memory, "resident, of the whole process", "MB", nil},
 	{"heap", Memory, "live heap", "MB", nil},
 	{"descriptors", Descriptors, "open", "", nil},
 	{"goroutines", Memory, "goroutines", "", nil},
 	{"disk", Disk, "written", "KB/s", nil},
+	{"cpu.connect", Processor, "of a new connection and its health check", "us", nil},
+	{"cpu.uwsgi", Processor, "of a request to the uwsgi front", "us", nil},
+	{"unserved", Messages, "requests refused, failed or lost", "", nil},
+	{"connections.kept", Descriptors, "connections kept, of more than the limit of descriptors", "", nil},
 	{"cpu", Processor, "at rest", "% of a core", nil},
 }
 
 // expectedNames are the measurements that the page waits for: they have rows before there is a record.
 func expectedNames() []string {
-	names := []string{"path.added.p99", "path.added.keyed.p99", "path.added.p99.tenant", "path.added.p99.class", "path.cpu.request", "path.cpu.request.tenant",
+	names := []string{"path.added.p99", "path.added.keyed.p99", "path.cpu.request", "path.cpu.request.tenant",
 		"path.cpu.request.class", "path.rss.connection", "path.rss.tenant", "path.rss.class", "path.start.tenant",
-		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time"}
+		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time", "path.ledger.starts"}
 	for _, server := range []string{"learner.learner", "learner.leases.learner", "session.server"} {
 		names = append(names, server+".cpu", server+".rss", server+".bytes", server+".messages", server+".descriptors")
 	}
@@ -127,6 +135,9 @@
 		row.Times = what.times
 	}
 	row.Budget = budgetOf(&row, rest)
+	if rest == "added.p99" || rest == "added.keyed.p99" {
+		row.Floor = design + ".bare.p99"
+	}
 	return row
 }
 
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -64,12 +64,25 @@
 	return out.String()
 }
 
+// truthUnit is the unit of measurements that tell whether something is so.
+const truthUnit = "0 or 1"
+
+func shownUnit(unit string) string {
+	if unit == truthUnit {
+		return ""
+	}
+	return unit
+}
+
 // formatCell writes a value with how it is known.
 func formatCell(cell Cell, unit string) string {
 	if cell.Provenance == NotMeasured {
 		return string(NotMeasured)
 	}
-	text := formatNumber(cell.Value) + " " + unit
+	text := strings.TrimSpace(formatNumber(cell.Value) + " " + shownUnit(unit))
+	if cell.Unsteady != "" {
+		text += " [unsteady: " + cell.Unsteady + "]"
+	}
 	if cell.Provenance == Measured && !cell.AtSize {
 		if cell.Each {
 			text += " by the cost of one"
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Role is a part of the system that spends something.
@@ -68,6 +69,7 @@
 	Unit        string
 	Budget      Budget
 	Measurement string
+	Floor       string // measurement of the same without the program: where it is over the budget, nothing is decided
 	Times       *Count // of the measured value; nil = 1
 	Counted     *Count
 	Source      string // of a counted row: file and constant
@@ -83,9 +85,10 @@
 	Formula    string
 	PointSize  float64 // of a measured point: the size that it was taken at
 	PointUnit  string
-	Each       bool // the point is of one, and the value of all in a second
-	AtSize     bool // the point's size is near enough to the one asked for
-	Beyond     bool // a fit is used past twice the largest size that was measured
+	Each       bool   // the point is of one, and the value of all in a second
+	AtSize     bool   // the point's size is near enough to the one asked for
+	Unsteady   string // why a measured point decides nothing; "" = it may
+	Beyond     bool   // a fit is used past twice the largest size that was measured
 }
 
 // nearSize is how far the size of a measured point may be from the one asked for, as a part of it, to count as such.
@@ -93,7 +96,7 @@
 
 // Share returns the part of the budget that is used; ok = false when there is no budget or no value at this size.
 func (c Cell) Share(b Budget) (share float64, ok bool) {
-	if b.Most == 0 || c.Provenance == NotMeasured || c.Provenance == Measured && !c.AtSize {
+	if b.Most == 0 || c.Unsteady != "" || c.Provenance == NotMeasured || c.Provenance == Measured && !c.AtSize {
 		return 0, false
 	}
 	return c.Value / b.Most, true
@@ -118,6 +121,10 @@
 	}
 	cell := measuredCell(m, size)
 	cell.Value *= factor
+	cell.Formula = strings.TrimSpace(cell.Formula + " " + shownUnit(m.Unit))
+	if cell.Unsteady == "" {
+		cell.Unsteady = r.overFloor(recording, size)
+	}
 	if r.Times != nil {
 		cell.Value *= r.Times.Of(size)
 		cell.Formula += " × " + r.Times.Expression
@@ -126,21 +133,57 @@
 	return cell, nil
 }
 
+// maxSpread is the spread of a measured point, as a part of its value, over which it decides nothing.
+const maxSpread = 0.5
+
+// unsteady tells why a point decides nothing; "" = it may.
+func unsteady(p Point) string {
+	switch {
+	case p.Value < 0:
+		return "below zero"
+	case p.Value == 0 && p.Spread > 0:
+		return "not always 0"
+	case p.Spread > maxSpread*p.Value:
+		return fmt.Sprintf("spread %s", formatShare(p.Spread/p.Value, true))
+	}
+	return ""
+}
+
+// overFloor tells that the measurement of the same without the program is over the budget already.
+func (r *Row) overFloor(recording *Recording, size Size) string {
+	floor := recording.Find(r.Floor)
+	if floor == nil || r.Budget.Most == 0 {
+		return ""
+	}
+	factor, err := unitFactor(floor.Unit, r.Unit)
+	if cell := measuredCell(floor, size); err == nil && cell.Value*factor > r.Budget.Most {
+		return fmt.Sprintf("%s %s without the program", formatNumber(cell.Value*factor), r.Unit)
+	}
+	return ""
+}
+
 // measuredCell evaluates a measurement by its fit, or by its nearest point.
 func measuredCell(m *Measurement, size Size) Cell {
 	count, sized := countsByUnit[m.SizeUnit]
 	if !sized {
 		p := m.Points[len(m.Points)-1]
-		return Cell{Value: p.Value, Provenance: Measured, Formula: formatNumber(p.Value), PointSize: p.Size, PointUnit: m.SizeUnit, AtSize: true}
+		cell := pointCell(p, m.SizeUnit)
+		cell.AtSize = true
+		return cell
 	}
 	at := count.Of(size)
 	fit, err := NewFit(m.Points)
 	if err == nil && fit.At(at) > 0 {
-		return Cell{Value: fit.At(at), Provenance: Fitted, Formula: fit.String() + ", n = " + count.Expression, AtSize: true, Beyond: at > 2*fit.MaxSize}
+		return Cell{Value: fit.At(at), Provenance: Fitted, Formula: "(" + fit.String() + ", n = " + count.Expression + ")", AtSize: true, Beyond: at > 2*fit.MaxSize}
 	}
 	p := nearestPoint(m.Points, at)
-	return Cell{Value: p.Value, Provenance: Measured, Formula: formatNumber(p.Value), PointSize: p.Size, PointUnit: m.SizeUnit,
-		AtSize: math.Abs(p.Size-at) <= nearSize*at}
+	cell := pointCell(p, m.SizeUnit)
+	cell.AtSize = math.Abs(p.Size-at) <= nearSize*at
+	return cell
+}
+
+func pointCell(p Point, unit string) Cell {
+	return Cell{Value: p.Value, Provenance: Measured, Formula: formatNumber(p.Value), PointSize: p.Size, PointUnit: unit, Unsteady: unsteady(p)}
 }
 
 // unitFactors are what one of a unit is in the first unit of its group.
--- a/internal/capacity/row_test.go
+++ b/internal/capacity/row_test.go
@@ -74,6 +74,29 @@
 	}
 }
 
+// A measurement on a machine that is too busy for its budget decides nothing.
+func TestUnsteadyPointsDecideNothing(t *testing.T) {
+	bare := Measurement{Name: "path.bare.p99", Unit: "ms", SizeUnit: "requests/s", Points: []Point{{Size: 108, Value: 120, Runs: 3}}}
+	quiet := bare
+	quiet.Points = []Point{{Size: 108, Value: 0.5, Runs: 3}}
+	for name, c := range map[string]struct {
+		point  Point
+		bare   Measurement
+		decide bool
+	}{
+		"steady":     {Point{Size: 108, Value: 1, Spread: 0.1, Runs: 3}, quiet, true},
+		"spread":     {Point{Size: 108, Value: 1, Spread: 0.6, Runs: 3}, quiet, false},
+		"below zero": {Point{Size: 108, Value: -1, Runs: 3}, quiet, false},
+		"floor":      {Point{Size: 108, Value: 1, Spread: 0.1, Runs: 3}, bare, false},
+	} {
+		recording := recorded(t, c.bare, Measurement{Name: "path.added.p99", Unit: "ms", SizeUnit: "requests/s", Points: []Point{c.point}})
+		row := rowOf(t, recording, "path.added.p99")
+		if _, ok := cellOf(t, recording, "path.added.p99", Target()).Share(row.Budget); ok != c.decide {
+			t.Errorf("%s: decides %v", name, ok)
+		}
+	}
+}
+
 func TestCellNotMeasured(t *testing.T) {
 	cell := cellOf(t, &Recording{}, "session.leader.cpu", Target())
 	if cell.Provenance != NotMeasured || formatCell(cell, "x") != "not measured" {
--- a/internal/capacity/suspects.go
+++ b/internal/capacity/suspects.go
@@ -14,6 +14,7 @@
 	Confirmed  Verdict = "confirmed"
 	RuledOut   Verdict = "ruled out"
 	Unmeasured Verdict = "not measured"
+	Undecided  Verdict = "undecided: measured or counted, but no budget is stated"
 )
 
 // Suspect is something that might keep the fleet from its target size. Without a stated verdict, its rows decide: it is
@@ -31,18 +32,19 @@
 		{"a bound of 300 servers in six places", Confirmed, nil, "`link.maxBoxes`, `takeout.MaxBoxes`, `lease.MaxBoxes`, `place.MaxBoxes`, `forecast.MaxBoxes`, `sequential.MaxBoxes` are under 740"},
 		{"every server is a raft learner", "", []string{"learner.leader.messages", "learner.leader.bytes", "learner.leader.cpu", "learner.leases.leader.messages", "learner.leases.leader.bytes", "learner.leases.leader.cpu", "counted.leader.messages", "counted.leader.leases"}, ""},
 		{"an idle server's own control traffic", "", []string{"learner.learner.bytes", "learner.leases.learner.bytes"}, ""},
-		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, "no budget is stated for the first start"},
+		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, ""},
 		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked", "counted.peers.answer", "counted.peers.bytes", "ledger.server.cpu.asked"}, "each request dials anew, and each answer has the digests of all servers; the ledger's exchange is taken as part of the control traffic"},
 		{"a mesh of connections for claims, kept replies and messages", "", []string{"counted.mesh.descriptors", "counted.fleet.descriptors"}, ""},
-		{"1,024 shards", "", []string{"counted.shards.imbalance"}, "no budget is stated; from 1,025 servers on some have none"},
+		{"1,024 shards", Confirmed, []string{"counted.shards.imbalance"}, "at twice the target some servers have none; at the target the fullest has this much more than the mean"},
 		{"`Host.Ready` waits for every member", Confirmed, nil, "`driver.Host.Ready` wants a report of every member since the process of the leader started; with 17 failures a day, one that is down and not removed holds up the first entry of a part"},
 		{"linear searches by name, whole-state snapshots and digests", "", []string{"counted.members.bytes", "learner.learner.cpu", "learner.leases.learner.cpu"}, "`agree.State.Named`, `agree.State.Member` look through all members"},
 		{"configuration has no way to the servers but a file and SIGHUP", Confirmed, []string{"counted.config.files"}, "and SIGHUP takes three addresses alone: the rest waits for a restart"},
-		{"`core.place` compares names one by one", "", []string{"counted.names", "path.cpu.request.tenant", "path.cpu.request.class", "path.added.p99.tenant", "path.added.p99.class"}, ""},
-		{"the module's window goes over all tenants", "", []string{"path.cpu.request.tenant", "path.added.p99.tenant"}, ""},
-		{"start and SIGHUP with 42,000 tenants", "", []string{"path.start.tenant", "path.reload.tenant"}, "no budget is stated"},
+		{"`core.place` compares names one by one", "", []string{"counted.names", "path.cpu.request.tenant", "path.cpu.request.class"}, ""},
+		{"the module's window goes over all tenants", "", []string{"path.cpu.request.tenant", "path.added.p99"}, ""},
+		{"start and SIGHUP with 42,000 tenants", "", []string{"path.start.tenant", "path.reload.tenant"}, ""},
+		{"a ledger of 42,000 tenants and 4,500 routes (found while measuring)", Confirmed, []string{"path.ledger.starts"}, "`ledger.MaxNames` is 4,096: the program does not start with such a ledger"},
 		{"7,700 connections at a server", "", []string{"counted.callers.all", "counted.caller.connections", "path.rss.connection"}, "confirmed for callers that use every server; ruled out for those with the library's subset of 8"},
-		{"/stats of 4,500 routes", "", []string{"counted.stats.bytes", "path.stats.bytes", "path.stats.time"}, "no budget is stated"},
+		{"/stats of 4,500 routes", "", []string{"counted.stats.bytes", "path.stats.bytes", "path.stats.time"}, ""},
 	}
 }
 
@@ -62,6 +64,7 @@
 // judge returns the verdict on a suspect and the figures of its rows.
 func judge(s Suspect, rows []Row, recording *Recording, target Size) (Verdict, []string, error) {
 	var verdicts []Verdict
+	known := false
 	var figures []string
 	for _, id := range s.Rows {
 		row, err := findRow(rows, id)
@@ -80,6 +83,7 @@
 				verdicts[len(verdicts)-1] = Confirmed
 			}
 		}
+		known = known || cell.Provenance != NotMeasured && cell.Unsteady == "" && row.Budget.Most == 0
 		figures = append(figures, text)
 	}
 	switch {
@@ -89,6 +93,8 @@
 		return Confirmed, figures, nil
 	case slices.Contains(verdicts, RuledOut):
 		return RuledOut, figures, nil
+	case known:
+		return Undecided, figures, nil
 	}
 	return Unmeasured, figures, nil
 }
--- a/internal/capacity/wall.go
+++ b/internal/capacity/wall.go
@@ -26,7 +26,8 @@
 type Bound struct {
 	Name   string // package and constant
 	File   string
-	Limit  float64 // servers up to which it works
+	Limit  float64 // up to which it works
+	Unit   string  // of the limit, one that measurements may name as their SizeUnit
 	Breaks string  // what happens beyond
 }
 
@@ -36,7 +37,7 @@
 		return Wall{}, false, nil
 	}
 	cell, err := r.Cell(recording, target)
-	if err != nil || cell.Provenance == NotMeasured {
+	if err != nil || cell.Provenance == NotMeasured || cell.Unsteady != "" {
 		return Wall{}, false, err
 	}
 	wall = Wall{What: r.ID + ": " + r.Quantity, Limit: formatNumber(r.Budget.Most) + " " + r.Unit, Provenance: cell.Provenance, How: cell.Formula}
@@ -79,7 +80,7 @@
 		return Wall{}, false, fmt.Errorf("%s: %w", r.ID, err)
 	}
 	points := slices.SortedFunc(slices.Values(m.Points), func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
-	i := slices.IndexFunc(points, func(p Point) bool { return p.Value*factor >= r.Budget.Most })
+	i := slices.IndexFunc(points, func(p Point) bool { return unsteady(p) == "" && p.Value*factor >= r.Budget.Most })
 	if i < 0 {
 		return Wall{}, false, nil
 	}
@@ -110,7 +111,7 @@
 		}
 	}
 	for _, b := range bounds {
-		walls = append(walls, Wall{Servers: b.Limit, What: "`" + b.Name + "`: " + b.Breaks, Limit: formatNumber(b.Limit) + " servers", Provenance: Counted, How: "`" + b.File + "`"})
+		walls = append(walls, Wall{Servers: serversAt(b.Unit, b.Limit, target), What: "`" + b.Name + "`: " + b.Breaks, Limit: formatNumber(b.Limit) + " " + b.Unit, Provenance: Counted, How: "`" + b.File + "`"})
 	}
 	slices.SortStableFunc(walls, func(a, b Wall) int { return cmp.Compare(a.Servers, b.Servers) })
 	return walls, nil
