--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -70,6 +70,12 @@
 	return f.Offset + f.Slope*size
 }
 
+// holdsAt tells whether the fit may be used at a size. One that falls is not used past what was measured: nothing
+// here costs less in a larger fleet.
+func (f Fit) holdsAt(size float64) bool {
+	return f.At(size) > 0 && (f.Slope >= 0 || size <= f.MaxSize)
+}
+
 // String returns the formula; n is the size.
 func (f Fit) String() string {
 	if f.Model == Power {
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+func TestFallingFitEndsWithTheMeasuredSizes(t *testing.T) {
+	fit, err := NewFit(points(50, 100, 100, 90, 200, 70, 300, 50))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !fit.holdsAt(300) || fit.holdsAt(301) {
+		t.Errorf("%s holds at 300: %v, at 301: %v", fit, fit.holdsAt(300), fit.holdsAt(301))
+	}
+}
+
 // A fit that is used has predicted each size within the bound without having seen it.
 func TestFitPredictsLeftOutSizes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -56,6 +56,8 @@
 var quantities = []quantity{
 	{"entry.cpu", Processor, "of an entry of the log", "", nil},
 	{"entry.messages", Messages, "for an entry of the log", "", nil},
+	{"entry.bytes", Messages, "bytes for an entry of the log", "", nil},
+	{"connection.bytes", Messages, "bytes on the connections of one measurement, as the program or the kernel counts them", "", nil},
 	{"build.time", Time, "first start of all at once, until all are members", "s", nil},
 	{"build.cpu", Processor, "of all servers, until all are members", "", nil},
 	{"build.entries", Messages, "entries of the log until all are members", "", nil},
@@ -81,14 +83,14 @@
 	{"stats.bytes", Messages, "bytes of one answer of /stats", "KB", nil},
 	{"messages.in", Messages, "in", "messages/s", nil},
 	{"messages.out", Messages, "out", "messages/s", nil},
-	{"messages", Messages, "both ways", "messages/s", nil},
 	{"bytes.in", Messages, "bytes in", "KB/s", nil},
 	{"bytes.out", Messages, "bytes out", "KB/s", nil},
-	{"bytes", Messages, "bytes both ways", "KB/s", nil},
 	{"in", Messages, "in, by path", "messages/s", nil},
+	{"messages", Messages, "both ways", "messages/s", nil},
+	{"bytes", Messages, "bytes both ways", "KB/s", nil},
 	{"rss", Memory, "resident, of the whole process", "MB", nil},
 	{"heap", Memory, "live heap", "MB", nil},
-	{"descriptors", Descriptors, "open", "", nil},
+	{"descriptors", Descriptors, "open", "descriptors", nil},
 	{"goroutines", Memory, "goroutines", "", nil},
 	{"disk", Disk, "written", "KB/s", nil},
 	{"cpu.connect", Processor, "of a new connection and its health check", "us", nil},
@@ -103,7 +105,7 @@
 	names := []string{"path.added.p99", "path.added.keyed.p99", "path.cpu.request", "path.cpu.request.tenant",
 		"path.cpu.request.class", "path.rss.connection", "path.rss.tenant", "path.rss.class", "path.start.tenant",
 		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time", "path.ledger.starts"}
-	for _, server := range []string{"learner.learner", "learner.leases.learner", "session.server"} {
+	for _, server := range []string{"learner.server", "learner.leases.server", "session.server"} {
 		names = append(names, server+".cpu", server+".rss", server+".bytes", server+".messages", server+".descriptors")
 	}
 	for _, design := range designs {
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -173,7 +173,7 @@
 	}
 	at := count.Of(size)
 	fit, err := NewFit(m.Points)
-	if err == nil && fit.At(at) > 0 {
+	if err == nil && fit.holdsAt(at) {
 		return Cell{Value: fit.At(at), Provenance: Fitted, Formula: "(" + fit.String() + ", n = " + count.Expression + ")", AtSize: true, Beyond: at > 2*fit.MaxSize}
 	}
 	p := nearestPoint(m.Points, at)
--- a/internal/capacity/row_test.go
+++ b/internal/capacity/row_test.go
@@ -53,12 +53,12 @@
 }
 
 func TestCellWithoutAFitKeepsTheMeasuredSize(t *testing.T) {
-	recording := recorded(t, Measurement{Name: "learner.learner.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(100, 3000, 300, 3500)})
-	cell := cellOf(t, recording, "learner.learner.bytes", Target())
+	recording := recorded(t, Measurement{Name: "learner.server.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(100, 3000, 300, 3500)})
+	cell := cellOf(t, recording, "learner.server.bytes", Target())
 	if cell.Provenance != Measured || cell.PointSize != 300 || cell.AtSize {
 		t.Errorf("%+v", cell)
 	}
-	if _, ok := cell.Share(rowOf(t, recording, "learner.learner.bytes").Budget); ok {
+	if _, ok := cell.Share(rowOf(t, recording, "learner.server.bytes").Budget); ok {
 		t.Error("a value at 300 servers has a share at 740")
 	}
 	if text := formatCell(cell, "KB/s"); text != "(3.42 KB/s at 300 servers)" {
--- a/internal/capacity/suspects.go
+++ b/internal/capacity/suspects.go
@@ -18,7 +18,7 @@
 )
 
 // Suspect is something that might keep the fleet from its target size. Without a stated verdict, its rows decide: it is
-// confirmed when one is over its budget at the target.
+// confirmed when one reaches its budget below the target.
 type Suspect struct {
 	Text    string
 	Verdict Verdict  // stated where the code decides
@@ -31,13 +31,13 @@
 	return []Suspect{
 		{"a bound of 300 servers in six places", Confirmed, nil, "`link.maxBoxes`, `takeout.MaxBoxes`, `lease.MaxBoxes`, `place.MaxBoxes`, `forecast.MaxBoxes`, `sequential.MaxBoxes` are under 740"},
 		{"every server is a raft learner", "", []string{"learner.leader.messages", "learner.leader.bytes", "learner.leader.cpu", "learner.leases.leader.messages", "learner.leases.leader.bytes", "learner.leases.leader.cpu", "counted.leader.messages", "counted.leader.leases"}, ""},
-		{"an idle server's own control traffic", "", []string{"learner.learner.bytes", "learner.leases.learner.bytes"}, ""},
+		{"an idle server's own control traffic", "", []string{"learner.server.bytes", "learner.leases.server.bytes"}, ""},
 		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, ""},
 		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked", "counted.peers.answer", "counted.peers.bytes", "ledger.server.cpu.asked"}, "each request dials anew, and each answer has the digests of all servers; the ledger's exchange is taken as part of the control traffic"},
 		{"a mesh of connections for claims, kept replies and messages", "", []string{"counted.mesh.descriptors", "counted.fleet.descriptors"}, ""},
 		{"1,024 shards", Confirmed, []string{"counted.shards.imbalance"}, "at twice the target some servers have none; at the target the fullest has this much more than the mean"},
 		{"`Host.Ready` waits for every member", Confirmed, nil, "`driver.Host.Ready` wants a report of every member since the process of the leader started; with 17 failures a day, one that is down and not removed holds up the first entry of a part"},
-		{"linear searches by name, whole-state snapshots and digests", "", []string{"counted.members.bytes", "learner.learner.cpu", "learner.leases.learner.cpu"}, "`agree.State.Named`, `agree.State.Member` look through all members"},
+		{"linear searches by name, whole-state snapshots and digests", "", []string{"counted.members.bytes", "learner.server.cpu", "learner.leases.server.cpu"}, "`agree.State.Named`, `agree.State.Member` look through all members"},
 		{"configuration has no way to the servers but a file and SIGHUP", Confirmed, []string{"counted.config.files"}, "and SIGHUP takes three addresses alone: the rest waits for a restart"},
 		{"`core.place` compares names one by one", "", []string{"counted.names", "path.cpu.request.tenant", "path.cpu.request.class"}, ""},
 		{"the module's window goes over all tenants", "", []string{"path.cpu.request.tenant", "path.added.p99"}, ""},
@@ -76,12 +76,17 @@
 			return "", nil, err
 		}
 		text := "`" + id + "` " + formatCell(cell, row.Unit)
-		if share, ok := cell.Share(row.Budget); ok {
+		share, ok := cell.Share(row.Budget)
+		if ok {
 			text += ", " + formatShare(share, true) + " of its budget"
 			verdicts = append(verdicts, RuledOut)
-			if share > 1 {
-				verdicts[len(verdicts)-1] = Confirmed
-			}
+		}
+		wall, met, err := RowWall(row, recording, target)
+		if err != nil {
+			return "", nil, err
+		}
+		if ok && share > 1 || met && wall.Servers < target.Servers {
+			verdicts = append(verdicts, Confirmed)
 		}
 		known = known || cell.Provenance != NotMeasured && cell.Unsteady == "" && row.Budget.Most == 0
 		figures = append(figures, text)
