--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -166,6 +166,3 @@
 	}
 	return float64(len(admin.Lines(routes, &core.Figures{OK: counts, Shed: counts, Errors: counts, Tries: counts})))
 }
-
-// nameComparisons is the names that core looks at, in the mean, to find a request's route and tenant.
-func nameComparisons(s Size) float64 { return (s.Routes + s.Tenants) / 2 }
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -28,11 +28,11 @@
 		Follower:      "the same and `fleet/lease`",
 		Fleet:         "the same and `fleet/lease`",
 	},
-	designSession: {
-		ServerControl: "session to a control node, watch",
-		Leader:        "raft leader of the control nodes",
-		Follower:      "raft follower of the control nodes",
-		Fleet:         "control nodes and sessions",
+	designSession: { // lands apart: its packages are not in this tree yet
+		ServerControl: "under way: `fleet/session.Client` and `fleet/watch.View` over `fleet/stream`",
+		Leader:        "under way: raft leader of the control nodes, `fleet/session.Collector`",
+		Follower:      "under way: raft follower, `fleet/session.Table`, a `fleet/watch.Reader` for each session",
+		Fleet:         "under way: `fleet/configuration`, `fleet/watch`",
 	},
 }
 
@@ -105,10 +105,10 @@
 	names := []string{"path.added.p99", "path.added.keyed.p99", "path.cpu.request", "path.cpu.request.tenant",
 		"path.cpu.request.class", "path.rss.connection", "path.rss.tenant", "path.rss.class", "path.start.tenant",
 		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time", "path.ledger.starts"}
-	for _, server := range []string{"learner.server", "learner.leases.server", "session.server"} {
+	for _, server := range []string{designLearner + ".server", designLeases + ".server", designSession + ".server"} {
 		names = append(names, server+".cpu", server+".rss", server+".bytes", server+".messages", server+".descriptors")
 	}
-	for _, design := range designs {
+	for _, design := range []string{designLearner, designLeases, designSession} {
 		for _, node := range []string{".leader", ".follower"} {
 			for _, what := range []string{".cpu", ".rss", ".messages", ".bytes", ".bytes.in", ".bytes.out", ".descriptors", ".disk"} {
 				names = append(names, design+node+what)
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -122,6 +122,11 @@
 	return table(head, lines), nil
 }
 
+// what describes a row: its aspect and quantity.
+func (r *Row) what() string {
+	return strings.TrimPrefix(string(r.Aspect)+": "+r.Quantity, ": ")
+}
+
 func rowLine(r *Row, recording *Recording, small, large Size) ([]string, error) {
 	atSmall, err := r.Cell(recording, small)
 	if err != nil {
@@ -131,7 +136,6 @@
 	if err != nil {
 		return nil, err
 	}
-	what := strings.TrimPrefix(string(r.Aspect)+": "+r.Quantity, ": ")
 	formula := formulaWithPoint(atSmall)
 	if r.Source != "" {
 		formula += " (" + r.Source + ")"
@@ -144,7 +148,7 @@
 	if mechanism == "" {
 		mechanism = "none yet"
 	}
-	return []string{"`" + r.ID + "`", what, mechanism, formula,
+	return []string{"`" + r.ID + "`", r.what(), mechanism, formula,
 		formatCell(atSmall, r.Unit), formatShare(atSmall.Share(r.Budget)),
 		formatCell(atLarge, r.Unit), formatShare(atLarge.Share(r.Budget)),
 		budget, string(atSmall.Provenance)}, nil
--- a/internal/capacity/suspects.go
+++ b/internal/capacity/suspects.go
@@ -14,6 +14,7 @@
 	Confirmed  Verdict = "confirmed"
 	RuledOut   Verdict = "ruled out"
 	Unmeasured Verdict = "not measured"
+	Mended     Verdict = "mended"
 	Undecided  Verdict = "undecided: measured or counted, but no budget is stated"
 )
 
@@ -39,7 +40,7 @@
 		{"`Host.Ready` waits for every member", Confirmed, nil, "`driver.Host.Ready` wants a report of every member since the process of the leader started; with 17 failures a day, one that is down and not removed holds up the first entry of a part"},
 		{"linear searches by name, whole-state snapshots and digests", "", []string{"counted.members.bytes", "learner.server.cpu", "learner.leases.server.cpu"}, "`agree.State.Named`, `agree.State.Member` look through all members"},
 		{"configuration has no way to the servers but a file and SIGHUP", Confirmed, []string{"counted.config.files"}, "and SIGHUP takes three addresses alone: the rest waits for a restart"},
-		{"`core.place` compares names one by one", "", []string{"counted.names", "path.cpu.request.tenant", "path.cpu.request.class"}, ""},
+		{"`core.place` compared the names of routes and tenants one by one", Mended, []string{"path.cpu.request.tenant", "path.cpu.request.class"}, "`core.nameIndex` replaces it; the note of a record tells which program was measured"},
 		{"the module's window goes over all tenants", "", []string{"path.cpu.request.tenant", "path.added.p99"}, ""},
 		{"start and SIGHUP with 42,000 tenants", "", []string{"path.start.tenant", "path.reload.tenant"}, ""},
 		{"a ledger of 42,000 tenants and 4,500 routes (found while measuring)", Confirmed, []string{"path.ledger.starts"}, "`ledger.MaxNames` is 4,096: the program does not start with such a ledger"},
--- a/internal/capacity/wall.go
+++ b/internal/capacity/wall.go
@@ -40,7 +40,7 @@
 	if err != nil || cell.Provenance == NotMeasured || cell.Unsteady != "" {
 		return Wall{}, false, err
 	}
-	wall = Wall{What: r.ID + ": " + r.Quantity, Limit: formatNumber(r.Budget.Most) + " " + r.Unit, Provenance: cell.Provenance, How: cell.Formula}
+	wall = Wall{What: "`" + r.ID + "`: " + r.what(), Limit: formatNumber(r.Budget.Most) + " " + r.Unit, Provenance: cell.Provenance, How: cell.Formula}
 	if cell.Provenance == Measured && r.Times == nil {
 		return measuredWall(wall, r, recording, target)
 	}
