--- a/cmd/measure/scale.go
+++ b/cmd/measure/scale.go
@@ -1,6 +1,8 @@
 package main
 
-// scaleCmd groups the measurements at the size of a large fleet.
+// scaleCmd are the measurements of what servers cost at the size of a large fleet.
 type scaleCmd struct {
-	Path scalePathCmd `cmd:"" help:"The request path of one server: delay added, CPU, memory, start, reload and /stats by size."`
+	Path     scalePathCmd     `cmd:"" help:"The request path of one server: delay added, CPU, memory, start, reload and /stats by size."`
+	Learners scaleLearnersCmd `cmd:"" help:"What the fleet costs its servers, each of which has the whole log, by its size."`
+	Hollow   scaleHollowCmd   `cmd:"" hidden:"" help:"Part of learners, in a process of its own."`
 }
--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -18,6 +18,9 @@
 	"larchscale/internal/fleet/lease"
 	"larchscale/internal/fleet/place"
 	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/fleet/trial"
+	"larchscale/internal/keeper"
+	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 	"larchscale/internal/peers"
 	"larchscale/internal/sequential"
@@ -41,13 +44,16 @@
 // Bounds are the constants in the code that end the growth of the fleet.
 func Bounds() []Bound {
 	return []Bound{
-		{"link.maxBoxes", "internal/link/link.go", linkServers + 1, "the operator's file is refused, and the program does not start"},
-		{"takeout.MaxBoxes", "internal/fleet/takeout/state.go", takeout.MaxBoxes, "a server that joins is refused"},
-		{"lease.MaxBoxes", "internal/fleet/lease/state.go", lease.MaxBoxes, "a server gets no lease"},
-		{"place.MaxBoxes", "internal/fleet/place/state.go", place.MaxBoxes, "a server is not placed on"},
-		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "a forecast is refused"},
-		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "a trial is refused"},
-		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers without a shard"},
+		{"link.maxBoxes", "internal/link/link.go", linkServers + 1, "servers", "the operator's file is refused, and the program does not start"},
+		{"takeout.MaxBoxes", "internal/fleet/takeout/state.go", takeout.MaxBoxes, "servers", "a server that joins is refused"},
+		{"lease.MaxBoxes", "internal/fleet/lease/state.go", lease.MaxBoxes, "servers", "a server gets no lease"},
+		{"place.MaxBoxes", "internal/fleet/place/state.go", place.MaxBoxes, "servers", "a server is not placed on"},
+		{"forecast.MaxBoxes", "internal/fleet/forecast/sketch.go", forecast.MaxBoxes, "servers", "the sketch of a further server is refused"},
+		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "servers", "trials are ended as void more often than their plan allows"},
+		{"trial.MaxHeard", "internal/fleet/trial/count.go", (trial.MaxHeard - trial.MaxKept) / trial.MaxBlocks, "servers", "reports to a trial in its last blocks are refused"},
+		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers", "servers without a shard"},
+		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "tenants", "a server with a ledger does not start"},
+		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "routes", "a server with a ledger does not start"},
 	}
 }
 
@@ -73,6 +79,15 @@
 	return (s.Servers - 1) / (float64(peers.Defaults().EveryMs) / 1000)
 }
 
+// peerAnswerBytes is one answer of a ledger peer: the digests of all that it has of all servers.
+func peerAnswerBytes(s Size) float64 {
+	periods := keeper.Defaults().Keep + 1
+	return ledgerDigestBytes() * float64(periods) * s.Servers
+}
+
+// peerBytes is the bytes a second of answers that one server receives from its ledger peers, and sends as well.
+func peerBytes(s Size) float64 { return 2 * peerRequests(s) * peerAnswerBytes(s) }
+
 // leaderMessages is what the leader receives and sends a second while nothing happens: a report from each server, a
 // heartbeat to each learner and its answer.
 func leaderMessages(s Size) float64 {
@@ -151,6 +166,3 @@
 	}
 	return float64(len(admin.Lines(routes, &core.Figures{OK: counts, Shed: counts, Errors: counts, Tries: counts})))
 }
-
-// nameComparisons is the names that core looks at, in the mean, to find a request's route and tenant.
-func nameComparisons(s Size) float64 { return (s.Routes + s.Tenants) / 2 }
--- a/internal/capacity/counts_test.go
+++ b/internal/capacity/counts_test.go
@@ -12,6 +12,8 @@
 	"larchscale/control"
 	"larchscale/internal/config"
 	"larchscale/internal/core"
+	"larchscale/internal/fleet/driver"
+	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 )
 
@@ -56,6 +58,12 @@
 	}
 }
 
+func TestVoters(t *testing.T) {
+	if got := driver.Defaults().Voters; got != voters {
+		t.Errorf("%d voters, counted with %d", got, voters)
+	}
+}
+
 // Constants that the counts repeat, as they are not exported.
 func TestConstantsOfOtherPackages(t *testing.T) {
 	for _, c := range []struct{ file, name, value string }{
@@ -94,6 +102,7 @@
 		"mesh":        {meshDescriptors(target), 1 + 4*739 + 8 + 3*739},
 		"fleet":       {fleetDescriptors(target), 1 + 2*739 + 8 + 739},
 		"peers":       {peerRequests(target), 73.9},
+		"answer":      {peerAnswerBytes(target), float64(740 * 25 * (len(ledger.EncodeDigests(make([]ledger.Digest, 2))) - len(ledger.EncodeDigests(make([]ledger.Digest, 1))) + 11 + 8 + 4 + 8 + 8))},
 		"leader":      {leaderMessages(target), 3 * 739},
 		"admissions":  {admissions(target), 740 * 739 / 2},
 		"connections": {callerConnections(target), 7700 * 8 / 740.0},
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -49,9 +49,9 @@
 }
 
 func TestVerdictFollowsTheFigures(t *testing.T) {
-	suspect := Suspect{Text: "x", Rows: []string{"learner.learner.bytes"}}
+	suspect := Suspect{Text: "x", Rows: []string{"learner.server.bytes"}}
 	for value, want := range map[float64]Verdict{5000: Confirmed, 2000: RuledOut} {
-		recording := recorded(t, Measurement{Name: "learner.learner.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(740, value)})
+		recording := recorded(t, Measurement{Name: "learner.server.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(740, value)})
 		if got, _, err := judge(suspect, Rows(recording), recording, Target()); got != want || err != nil {
 			t.Errorf("%g: %s, %v", value, got, err)
 		}
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -64,13 +64,29 @@
 	return out.String()
 }
 
+// truthUnit is the unit of measurements that tell whether something is so.
+const truthUnit = "0 or 1"
+
+func shownUnit(unit string) string {
+	if unit == truthUnit {
+		return ""
+	}
+	return unit
+}
+
 // formatCell writes a value with how it is known.
 func formatCell(cell Cell, unit string) string {
 	if cell.Provenance == NotMeasured {
 		return string(NotMeasured)
 	}
-	text := formatNumber(cell.Value) + " " + unit
+	text := strings.TrimSpace(formatNumber(cell.Value) + " " + shownUnit(unit))
+	if cell.Unsteady != "" {
+		text += " [unsteady: " + cell.Unsteady + "]"
+	}
 	if cell.Provenance == Measured && !cell.AtSize {
+		if cell.Each {
+			text += " by the cost of one"
+		}
 		return fmt.Sprintf("(%s at %s %s)", text, formatNumber(cell.PointSize), cell.PointUnit)
 	}
 	if cell.Beyond {
@@ -79,6 +95,14 @@
 	return text
 }
 
+// formulaWithPoint writes the formula of a cell and, for a measured point, the size that it was taken at.
+func formulaWithPoint(cell Cell) string {
+	if cell.Provenance != Measured {
+		return cell.Formula
+	}
+	return fmt.Sprintf("%s (at %s %s)", cell.Formula, formatNumber(cell.PointSize), cell.PointUnit)
+}
+
 // RowsTable writes the rows of a role at two sizes.
 func RowsTable(rows []Row, role Role, recording *Recording, small, large Size) (string, error) {
 	head := []string{"row", "what", "mechanism", "slope × count", fmt.Sprintf("at %s servers", formatNumber(small.Servers)), "share",
@@ -98,6 +122,11 @@
 	return table(head, lines), nil
 }
 
+// what describes a row: its aspect and quantity.
+func (r *Row) what() string {
+	return strings.TrimPrefix(string(r.Aspect)+": "+r.Quantity, ": ")
+}
+
 func rowLine(r *Row, recording *Recording, small, large Size) ([]string, error) {
 	atSmall, err := r.Cell(recording, small)
 	if err != nil {
@@ -107,8 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	what := strings.TrimPrefix(string(r.Aspect)+": "+r.Quantity, ": ")
-	formula := atSmall.Formula
+	formula := formulaWithPoint(atSmall)
 	if r.Source != "" {
 		formula += " (" + r.Source + ")"
 	}
@@ -120,7 +148,7 @@
 	if mechanism == "" {
 		mechanism = "none yet"
 	}
-	return []string{"`" + r.ID + "`", what, mechanism, formula,
+	return []string{"`" + r.ID + "`", r.what(), mechanism, formula,
 		formatCell(atSmall, r.Unit), formatShare(atSmall.Share(r.Budget)),
 		formatCell(atLarge, r.Unit), formatShare(atLarge.Share(r.Budget)),
 		budget, string(atSmall.Provenance)}, nil
--- a/internal/capacity/row_test.go
+++ b/internal/capacity/row_test.go
@@ -53,12 +53,12 @@
 }
 
 func TestCellWithoutAFitKeepsTheMeasuredSize(t *testing.T) {
-	recording := recorded(t, Measurement{Name: "learner.learner.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(100, 3000, 300, 3500)})
-	cell := cellOf(t, recording, "learner.learner.bytes", Target())
+	recording := recorded(t, Measurement{Name: "learner.server.bytes", Unit: "bytes/s", SizeUnit: "servers", Points: points(100, 3000, 300, 3500)})
+	cell := cellOf(t, recording, "learner.server.bytes", Target())
 	if cell.Provenance != Measured || cell.PointSize != 300 || cell.AtSize {
 		t.Errorf("%+v", cell)
 	}
-	if _, ok := cell.Share(rowOf(t, recording, "learner.learner.bytes").Budget); ok {
+	if _, ok := cell.Share(rowOf(t, recording, "learner.server.bytes").Budget); ok {
 		t.Error("a value at 300 servers has a share at 740")
 	}
 	if text := formatCell(cell, "KB/s"); text != "(3.42 KB/s at 300 servers)" {
@@ -74,6 +74,29 @@
 	}
 }
 
+// A measurement on a machine that is too busy for its budget decides nothing.
+func TestUnsteadyPointsDecideNothing(t *testing.T) {
+	bare := Measurement{Name: "path.bare.p99", Unit: "ms", SizeUnit: "requests/s", Points: []Point{{Size: 108, Value: 120, Runs: 3}}}
+	quiet := bare
+	quiet.Points = []Point{{Size: 108, Value: 0.5, Runs: 3}}
+	for name, c := range map[string]struct {
+		point  Point
+		bare   Measurement
+		decide bool
+	}{
+		"steady":     {Point{Size: 108, Value: 1, Spread: 0.1, Runs: 3}, quiet, true},
+		"spread":     {Point{Size: 108, Value: 1, Spread: 0.6, Runs: 3}, quiet, false},
+		"below zero": {Point{Size: 108, Value: -1, Runs: 3}, quiet, false},
+		"floor":      {Point{Size: 108, Value: 1, Spread: 0.1, Runs: 3}, bare, false},
+	} {
+		recording := recorded(t, c.bare, Measurement{Name: "path.added.p99", Unit: "ms", SizeUnit: "requests/s", Points: []Point{c.point}})
+		row := rowOf(t, recording, "path.added.p99")
+		if _, ok := cellOf(t, recording, "path.added.p99", Target()).Share(row.Budget); ok != c.decide {
+			t.Errorf("%s: decides %v", name, ok)
+		}
+	}
+}
+
 func TestCellNotMeasured(t *testing.T) {
 	cell := cellOf(t, &Recording{}, "session.leader.cpu", Target())
 	if cell.Provenance != NotMeasured || formatCell(cell, "x") != "not measured" {
--- a/internal/capacity/wall.go
+++ b/internal/capacity/wall.go
@@ -26,7 +26,8 @@
 type Bound struct {
 	Name   string // package and constant
 	File   string
-	Limit  float64 // servers up to which it works
+	Limit  float64 // up to which it works
+	Unit   string  // of the limit, one that measurements may name as their SizeUnit
 	Breaks string  // what happens beyond
 }
 
@@ -36,27 +37,24 @@
 		return Wall{}, false, nil
 	}
 	cell, err := r.Cell(recording, target)
-	if err != nil || cell.Provenance == NotMeasured {
+	if err != nil || cell.Provenance == NotMeasured || cell.Unsteady != "" {
 		return Wall{}, false, err
 	}
-	wall = Wall{What: r.ID + ": " + r.Quantity, Limit: formatNumber(r.Budget.Most) + " " + r.Unit, Provenance: cell.Provenance, How: cell.Formula}
+	wall = Wall{What: "`" + r.ID + "`: " + r.what(), Limit: formatNumber(r.Budget.Most) + " " + r.Unit, Provenance: cell.Provenance, How: cell.Formula}
 	if cell.Provenance == Measured && r.Times == nil {
 		return measuredWall(wall, r, recording, target)
 	}
 	reached := func(factor float64) bool {
-		at, cellErr := r.Cell(recording, target.Times(factor))
-		if cellErr != nil {
-			err = cellErr
-		}
+		at, _ := r.Cell(recording, target.Times(factor)) // the units were checked above
 		return at.Value >= r.Budget.Most
 	}
 	low, high := 1/target.Servers, float64(maxGrowth)
 	switch {
 	case reached(low):
 		wall.Servers = 1
-		return wall, true, err
+		return wall, true, nil
 	case !reached(high):
-		return Wall{}, false, err
+		return Wall{}, false, nil
 	}
 	for high/low > wallPrecision {
 		middle := math.Sqrt(low * high)
@@ -67,7 +65,11 @@
 		}
 	}
 	wall.Servers = high * target.Servers
-	return wall, true, err
+	if cell, err = r.Cell(recording, target.Times(high)); err != nil {
+		return Wall{}, false, err
+	}
+	wall.How = formulaWithPoint(cell)
+	return wall, true, nil
 }
 
 // measuredWall finds the smallest measured size at which the budget is reached.
@@ -78,7 +80,7 @@
 		return Wall{}, false, fmt.Errorf("%s: %w", r.ID, err)
 	}
 	points := slices.SortedFunc(slices.Values(m.Points), func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
-	i := slices.IndexFunc(points, func(p Point) bool { return p.Value*factor >= r.Budget.Most })
+	i := slices.IndexFunc(points, func(p Point) bool { return unsteady(p) == "" && p.Value*factor >= r.Budget.Most })
 	if i < 0 {
 		return Wall{}, false, nil
 	}
@@ -109,7 +111,7 @@
 		}
 	}
 	for _, b := range bounds {
-		walls = append(walls, Wall{Servers: b.Limit, What: "`" + b.Name + "`: " + b.Breaks, Limit: formatNumber(b.Limit) + " servers", Provenance: Counted, How: "`" + b.File + "`"})
+		walls = append(walls, Wall{Servers: serversAt(b.Unit, b.Limit, target), What: "`" + b.Name + "`: " + b.Breaks, Limit: formatNumber(b.Limit) + " " + b.Unit, Provenance: Counted, How: "`" + b.File + "`"})
 	}
 	slices.SortStableFunc(walls, func(a, b Wall) int { return cmp.Compare(a.Servers, b.Servers) })
 	return walls, nil
