--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand
+.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand measure-scale
 
 check: lint build size test
 
@@ -38,6 +38,12 @@
 measure-forecast: build
 	bin/measure forecast
 
+# How costs grow with the size of a fleet: hollow servers, up to 295, in up to seven processes; a quarter of an hour.
+measure-scale: build
+	bin/measure scale states --json docs/capacity.json --revision $$(git rev-parse --short=12 HEAD)
+	bin/measure scale learners --json docs/capacity.json --revision $$(git rev-parse --short=12 HEAD)
+	bin/measure scale learners --leases --json docs/capacity.json --revision $$(git rev-parse --short=12 HEAD)
+
 # The long form of the tests with the real program: 1,000 kills, and 500,000 requests against a collector that fails.
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
--- a/cmd/measure/scale_learners.go
+++ b/cmd/measure/scale_learners.go
@@ -9,13 +9,10 @@
 	"path/filepath"
 	"runtime"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
-	"larchscale/internal/capacity"
-	"larchscale/internal/measure/fit"
 	"larchscale/internal/measure/hollow"
 )
 
@@ -169,24 +166,11 @@
 
 // record adds what was measured to the file of measurements.
 func (c scaleLearnersCmd) record(series *series) error {
-	if c.JSON == "" {
-		return nil
-	}
-	recording, err := capacity.ReadRecording(c.JSON)
-	if err != nil {
-		return err
-	}
 	design := "learner."
 	if c.Leases {
 		design += "leases."
 	}
-	for _, m := range series.measurements() {
-		m.Name, m.Command, m.Revision, m.Cores = design+m.Name, c.command(), c.Revision, runtime.NumCPU()
-		if err := recording.Put(m); err != nil {
-			return err
-		}
-	}
-	return recording.Write(c.JSON)
+	return recordSeries(c.JSON, design, c.command(), c.Revision, series)
 }
 
 // command is what repeats the measurement.
@@ -199,39 +183,6 @@
 	return text
 }
 
-func joined(numbers []int) string {
-	text := make([]string, len(numbers))
-	for i, n := range numbers {
-		text[i] = strconv.Itoa(n)
-	}
-	return strings.Join(text, ",")
-}
-
-// series are the readings of all sizes.
-type series struct {
-	names    []string // in the order of their first reading
-	readings map[string]*readings
-}
-
-// readings are those of one quantity.
-type readings struct {
-	unit, note string
-	bySize     map[int][]float64
-}
-
-func newSeries() *series { return &series{readings: map[string]*readings{}} }
-
-// add notes one reading.
-func (s *series) add(name, unit, note string, servers int, value float64) {
-	r := s.readings[name]
-	if r == nil {
-		r = &readings{unit, note, map[int][]float64{}}
-		s.readings[name] = r
-		s.names = append(s.names, name)
-	}
-	r.bySize[servers] = append(r.bySize[servers], value)
-}
-
 func (s *series) built(servers int, b hollow.Built) {
 	s.add("build.time", "s", wallNote, servers, b.Time.Seconds())
 	s.add("build.cpu", "core-seconds", "of all servers, from the founding until all were admitted and at rest", servers, b.CPU.Seconds())
@@ -283,53 +234,3 @@
 		s.add(at+".goroutines", "goroutines", note, servers, float64(z.Goroutines)/each)
 	}
 }
-
-// measurements gives the record of all readings; that of a law which fits says so.
-func (s *series) measurements() []capacity.Measurement {
-	var out []capacity.Measurement
-	for _, name := range s.names {
-		r := s.readings[name]
-		m := capacity.Measurement{Name: name, Unit: r.unit, SizeUnit: "servers", Note: r.note, Points: r.points()}
-		if law, ok := r.law(); ok {
-			m.Note += "; " + law.String()
-		}
-		out = append(out, m)
-	}
-	return out
-}
-
-func (r *readings) points() []capacity.Point {
-	var out []capacity.Point
-	for servers, values := range r.bySize {
-		sum := 0.0
-		for _, v := range values {
-			sum += v
-		}
-		out = append(out, capacity.Point{Size: float64(servers), Value: sum / float64(len(values)),
-			Spread: slices.Max(values) - slices.Min(values), Runs: len(values)})
-	}
-	slices.SortFunc(out, func(a, b capacity.Point) int { return int(a.Size - b.Size) })
-	return out
-}
-
-// law is how the quantity grows; false = there are too few sizes.
-func (r *readings) law() (fit.Law, bool) {
-	var sizes, values []float64
-	for _, p := range r.points() {
-		sizes, values = append(sizes, p.Size), append(values, p.Value)
-	}
-	return fit.Best(sizes, values)
-}
-
-// report prints all readings, and the law of each.
-func (s *series) report(r *report) {
-	for _, name := range s.names {
-		readings := s.readings[name]
-		for _, p := range readings.points() {
-			r.row(fmt.Sprintf("%s at %g", name, p.Size), p.Value, readings.unit)
-		}
-		if law, ok := readings.law(); ok {
-			fmt.Printf("# %s: %s\n", name, law)
-		}
-	}
-}
