--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -109,15 +109,15 @@
 	case !set && bare < len(addrs):
 		return fmt.Errorf("%s: only mutual TLS leaves the machine: set ca, cert and key", table)
 	case set:
-		if _, err := o.tls(); err != nil {
+		if _, err := o.TLS(); err != nil {
 			return fmt.Errorf("%s.%w", table, err)
 		}
 	}
 	return nil
 }
 
-// tls gives the configuration of both sides; nil = without.
-func (o *Options) tls() (*tls.Config, error) {
+// TLS returns the configuration of both sides, which show and ask for certificates; nil = without.
+func (o *Options) TLS() (*tls.Config, error) {
 	if o.CA == "" {
 		return nil, nil
 	}
@@ -147,7 +147,7 @@
 
 // New makes a link.
 func New(opt Options, log *slog.Logger) (*Link, error) {
-	c, err := opt.tls()
+	c, err := opt.TLS()
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +168,12 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(&limited{Listener: in, free: make(chan struct{}, l.opt.conns())})
+	s.Serve(Limit(in, l.opt.conns()))
+}
+
+// Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
+func Limit(in net.Listener, most int) net.Listener {
+	return &limited{Listener: in, free: make(chan struct{}, most)}
 }
 
 // limited bounds the connections that are open at a time; more are closed at once.
