--- a/cmd/measure/hand.go
+++ b/cmd/measure/hand.go
@@ -219,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	r.most("loss to the first taken-over run's end", first.Seconds(), "s", lease.Length.Seconds()+1)
+	r.most("loss to the first taken-over run's end", first.Seconds(), "s", lease.MeshTerms.Length.Seconds()+1)
 	struck, survived := ended()
 	if struck == 0 {
 		return errors.New("nothing was in hand at the box that was killed")
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -22,7 +22,7 @@
 	places *places
 	host   *driver.Host
 	holder *lease.Holder
-	grants lease.Granter
+	grants *lease.Granter
 	rounds map[uint64]uint64 // of reads that are not confirmed, to the granter's rounds
 	spoke  time.Duration
 	loaded bool // the state was replaced by a snapshot
@@ -36,7 +36,8 @@
 
 // Begin implements driver.Module.
 func (l *leases) Begin(h *driver.Host) {
-	l.host, l.holder, l.rounds = h, lease.NewHolder(h.Self().Name), map[uint64]uint64{}
+	l.host, l.rounds = h, map[uint64]uint64{}
+	l.holder, l.grants = lease.NewHolder(h.Self().Name, lease.MeshTerms), lease.NewGranter(lease.MeshTerms)
 	l.members()
 	l.changed(true)
 }
--- a/internal/fleet/lease/granter.go
+++ b/internal/fleet/lease/granter.go
@@ -24,8 +24,9 @@
 
 // Granter is the leader's side. Renewals wait until a round of raft's read index that began after they came was
 // confirmed by a majority: this box then led when they were sent, or later. Times are of the leader's own process.
-// Its zero value does not lead.
+// It has to be made by NewGranter.
 type Granter struct {
+	terms   Terms
 	term    uint64 // 0 = it does not lead
 	known   map[string]*known
 	waiting map[string]Renewal
@@ -34,6 +35,9 @@
 	looked  time.Duration // when it last looked for who is over
 }
 
+// NewGranter returns a granter that does not lead.
+func NewGranter(terms Terms) *Granter { return &Granter{terms: terms} }
+
 // Lead begins a term: everybody counts as asked for just now, for no grant of an earlier leader is for a renewal sent
 // later than this. Told again of the same term it changes nothing. now must be read after the election.
 func (g *Granter) Lead(term uint64, now time.Duration) {
@@ -46,7 +50,7 @@
 }
 
 // Follow ends the term. Rounds that are not confirmed never are.
-func (g *Granter) Follow() { *g = Granter{last: g.last} }
+func (g *Granter) Follow() { *g = Granter{terms: g.terms, last: g.last} }
 
 // know gives what is known of a box's present life. One that it meets for the first time counts as asked for just now.
 func (g *Granter) know(b *Box, now time.Duration) *known {
@@ -83,7 +87,7 @@
 // Round begins a round with what waits; false = there is nothing, or too many are on their way. Its read index has to
 // be asked for after this.
 func (g *Granter) Round(now time.Duration) (id uint64, ok bool) {
-	for len(g.rounds) > 0 && now-g.rounds[0].began > Length {
+	for len(g.rounds) > 0 && now-g.rounds[0].began > g.terms.Length {
 		g.rounds = g.rounds[1:]
 	}
 	if len(g.waiting) == 0 || len(g.rounds) == maxRounds {
@@ -109,7 +113,7 @@
 		b := &s.Boxes[i]
 		r, ok := newest[b.Name]
 		if ok && s.Lives(b.Name, r.Life) && !g.known[b.Name].over {
-			grants = append(grants, Grant{r.Box, r.Life, r.Seq, Length})
+			grants = append(grants, Grant{r.Box, r.Life, r.Seq, g.terms.Length})
 		}
 	}
 	return grants
@@ -122,7 +126,7 @@
 	if g.term == 0 {
 		return nil
 	}
-	slept := now-g.looked > Length/2
+	slept := now-g.looked > g.terms.Length/2
 	g.looked = now
 	for i := range s.Boxes {
 		b := &s.Boxes[i]
@@ -133,7 +137,7 @@
 		if slept {
 			k.heard = now
 		}
-		if !k.over && now-k.heard >= Patience {
+		if !k.over && now-k.heard >= g.terms.Patience() {
 			k.over = true
 			lost = append(lost, Entry{Kind: Lost, Box: b.Name, Life: b.Life})
 		}
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -17,22 +17,22 @@
 	For  time.Duration // from the moment at which that renewal was sent
 }
 
-// kept is how many renewals a grant may still be for: more than fit into a lease.
-const kept = int(Length/Every) + 3
-
 // Holder is a box's own side: it asks, and knows until when it holds. Times are of its own process's clock. Between two
 // calls nothing has to happen for a lease to end: a process that was stopped finds it over at its next look.
 type Holder struct {
 	box   string
+	terms Terms
 	life  uint64 // 0 = none, or lost
 	seq   uint64
 	next  time.Duration // when it asks next
 	until time.Duration
-	sent  [kept]time.Duration // by seq
+	sent  []time.Duration // by seq
 }
 
 // NewHolder is the side of a box that has no life yet.
-func NewHolder(box string) *Holder { return &Holder{box: box} }
+func NewHolder(box string, terms Terms) *Holder {
+	return &Holder{box: box, terms: terms, sent: make([]time.Duration, terms.kept())}
+}
 
 // Life is the life it holds or asks for; 0 = none: it has to propose that it lives.
 func (h *Holder) Life() uint64 { return h.life }
@@ -53,18 +53,18 @@
 		return Renewal{}, false
 	}
 	h.seq++
-	h.sent[h.seq%uint64(kept)] = now
-	h.next = now + Every
+	h.sent[h.seq%h.terms.kept()] = now
+	h.next = now + h.terms.Every
 	return Renewal{h.box, h.life, h.seq}, true
 }
 
 // Granted takes a grant. One that is late, comes twice, is for another life or for what was never asked changes nothing
 // for the worse: a lease ends at the latest end that was granted.
 func (h *Holder) Granted(g Grant) {
-	if g.Box != h.box || g.Life != h.life || g.Life == 0 || g.Seq == 0 || g.Seq > h.seq || h.seq-g.Seq >= uint64(kept) {
+	if g.Box != h.box || g.Life != h.life || g.Life == 0 || g.Seq == 0 || g.Seq > h.seq || h.seq-g.Seq >= h.terms.kept() {
 		return
 	}
-	h.until = max(h.until, h.sent[g.Seq%uint64(kept)]+min(g.For, Length))
+	h.until = max(h.until, h.sent[g.Seq%h.terms.kept()]+min(g.For, h.terms.Length))
 }
 
 // Holds tells that it holds at a time. What rests on it has to carry the life as well, for a process may stop between
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -72,27 +72,27 @@
 
 // A lease runs from the sending of what was granted, whatever comes late, twice, out of order or is of another life.
 func TestHolder(t *testing.T) {
-	h := NewHolder("a1")
+	h := NewHolder("a1", MeshTerms)
 	if _, ok := h.Ask(0); ok || h.Holds(0) {
 		t.Error("asks or holds without a life")
 	}
 	h.Live(7, ms(100))
 	one, _ := h.Ask(ms(100))
-	if _, ok := h.Ask(ms(100) + Every - 1); ok {
+	if _, ok := h.Ask(ms(100) + MeshTerms.Every - 1); ok {
 		t.Error("asks too early")
 	}
-	two, ok := h.Ask(ms(100) + Every)
+	two, ok := h.Ask(ms(100) + MeshTerms.Every)
 	if !ok || one.Seq >= two.Seq {
 		t.Error(one, two, ok)
 	}
-	end := ms(100) + Every + Length
-	grant := func(r Renewal) Grant { return Grant{r.Box, r.Life, r.Seq, Length} }
+	end := ms(100) + MeshTerms.Every + MeshTerms.Length
+	grant := func(r Renewal) Grant { return Grant{r.Box, r.Life, r.Seq, MeshTerms.Length} }
 	for _, k := range []struct {
 		g     Grant
 		until time.Duration
 	}{
-		{Grant{"a2", 7, two.Seq, Length}, 0}, {Grant{"a1", 6, two.Seq, Length}, 0}, {Grant{"a1", 7, two.Seq + 1, Length}, 0}, {Grant{"a1", 7, 0, Length}, 0},
-		{grant(one), ms(100) + Length}, {grant(two), end}, {grant(one), end}, {Grant{"a1", 7, two.Seq, time.Hour}, end},
+		{Grant{"a2", 7, two.Seq, MeshTerms.Length}, 0}, {Grant{"a1", 6, two.Seq, MeshTerms.Length}, 0}, {Grant{"a1", 7, two.Seq + 1, MeshTerms.Length}, 0}, {Grant{"a1", 7, 0, MeshTerms.Length}, 0},
+		{grant(one), ms(100) + MeshTerms.Length}, {grant(two), end}, {grant(one), end}, {Grant{"a1", 7, two.Seq, time.Hour}, end},
 	} {
 		if h.Granted(k.g); h.Until() != k.until {
 			t.Errorf("%+v: until %v", k.g, h.Until())
@@ -101,13 +101,13 @@
 	if !h.Holds(end-1) || h.Holds(end) {
 		t.Errorf("the end is not at %v", end)
 	}
-	for now := end; now < end+2*Length; now += Every {
+	for now := end; now < end+2*MeshTerms.Length; now += MeshTerms.Every {
 		h.Ask(now)
 	}
 	if h.Granted(grant(one)); h.Until() != end {
 		t.Error("a grant of long ago counts for another renewal")
 	}
-	h.Live(7, end+2*Length)
+	h.Live(7, end+2*MeshTerms.Length)
 	if h.Until() == 0 {
 		t.Error("the same life again ended its lease")
 	}
@@ -123,7 +123,7 @@
 
 func TestGranter(t *testing.T) {
 	s := live(t, "a1")
-	g := &Granter{}
+	g := NewGranter(MeshTerms)
 	r := Renewal{"a1", 1, 1}
 	if err := g.Asked(s, r, 0); !errors.Is(err, ErrFollows) {
 		t.Error(err)
@@ -150,19 +150,19 @@
 	}
 	first := ask(1, 1100)
 	second := ask(2, 1500)
-	if got := g.Confirmed(s, second); !cmp.Equal(got, []Grant{{"a1", 1, 2, Length}}) {
+	if got := g.Confirmed(s, second); !cmp.Equal(got, []Grant{{"a1", 1, 2, MeshTerms.Length}}) {
 		t.Error(got)
 	}
 	if got := g.Confirmed(s, first); got != nil {
 		t.Error("granted twice", got)
 	}
 	late := ask(3, 1600)
-	for now := 1700; ms(now) < ms(1600)+Patience; now += 100 {
+	for now := 1700; ms(now) < ms(1600)+MeshTerms.Patience(); now += 100 {
 		if e := g.Over(s, ms(now)); e != nil {
 			t.Fatal("over at", now)
 		}
 	}
-	now := ms(1600) + Patience
+	now := ms(1600) + MeshTerms.Patience()
 	if e := g.Over(s, now); !cmp.Equal(e, []Entry{{Kind: Lost, Box: "a1", Life: 1}}) || !e[0].InTerm() {
 		t.Fatal(e)
 	}
@@ -179,10 +179,10 @@
 		ask(uint64(5+i), int(now/time.Millisecond)+i)
 	}
 	g.Asked(s, Renewal{"a1", 1, 99}, now)
-	if _, ok := g.Round(now + Length); ok {
+	if _, ok := g.Round(now + MeshTerms.Length); ok {
 		t.Error("rounds without a bound")
 	}
-	five, ok := g.Round(now + Length + 1)
+	five, ok := g.Round(now + MeshTerms.Length + 1)
 	if !ok {
 		t.Error("a round that is too old holds up the others")
 	}
@@ -190,11 +190,11 @@
 	if err := s.Apply(2, &Entry{Kind: Lost, Box: "a1", Life: 1}); err != nil || g.Confirmed(s, five) != nil {
 		t.Error("granted to one who is lost", err)
 	}
-	if g.Lead(7, now); g.Over(s, now) != nil || g.Over(s, now+Length/2) != nil || g.Over(s, now+Length) != nil || g.Over(s, now+Length*3/2) != nil {
+	if g.Lead(7, now); g.Over(s, now) != nil || g.Over(s, now+MeshTerms.Length/2) != nil || g.Over(s, now+MeshTerms.Length) != nil || g.Over(s, now+MeshTerms.Length*3/2) != nil {
 		t.Error("lost again")
 	}
 	// A leader that was stopped gives everybody a new start.
-	if err := s.Apply(3, &Entry{Kind: Live, Box: "a1", Incarnation: 3}); err != nil || g.Over(s, now+2*Length) != nil || g.Over(s, now+4*Length) != nil {
+	if err := s.Apply(3, &Entry{Kind: Live, Box: "a1", Incarnation: 3}); err != nil || g.Over(s, now+2*MeshTerms.Length) != nil || g.Over(s, now+4*MeshTerms.Length) != nil {
 		t.Error("lost while the leader was stopped", err)
 	}
 }
--- a/internal/fleet/lease/sim_test.go
+++ b/internal/fleet/lease/sim_test.go
@@ -69,7 +69,7 @@
 	tick, spoke  time.Duration
 	leader       int // who led last as far as it knows
 	holder       *Holder
-	granter      Granter
+	granter      *Granter
 	reads        []raft.ReadState
 	inbox, later []packet
 }
@@ -119,7 +119,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	*b = simBox{i: b.i, name: b.name, rate: b.rate, store: b.store, inc: b.inc + 1, start: time.Duration(w.now) * step, up: true, raw: raw, holder: NewHolder(b.name), leader: b.i, spoke: -time.Hour}
+	*b = simBox{i: b.i, name: b.name, rate: b.rate, store: b.store, inc: b.inc + 1, start: time.Duration(w.now) * step, up: true, raw: raw, holder: NewHolder(b.name, MeshTerms), granter: NewGranter(MeshTerms), leader: b.i, spoke: -time.Hour}
 }
 
 // clock is what a box's process reads.
@@ -167,7 +167,7 @@
 			}
 		default:
 			if w.bad.receipt {
-				b.holder.sent[p.grant.Seq%uint64(kept)] = w.clock(b)
+				b.holder.sent[p.grant.Seq%MeshTerms.kept()] = w.clock(b)
 			}
 			b.holder.Granted(*p.grant)
 		}
@@ -213,7 +213,7 @@
 	}
 	now := w.clock(b)
 	if w.bad.noDrift {
-		now += Patience - Length
+		now += MeshTerms.Patience() - MeshTerms.Length
 		b.granter.looked = now
 	}
 	for _, e := range b.granter.Over(&b.state, now) {
@@ -433,7 +433,7 @@
 		}
 		worst = max(worst, time.Duration(w.now-died)*step)
 	}
-	if t.Logf("%v at most", worst); worst < Length-Every || worst > Patience+100*time.Millisecond {
+	if t.Logf("%v at most", worst); worst < MeshTerms.Length-MeshTerms.Every || worst > MeshTerms.Patience()+100*time.Millisecond {
 		t.Errorf("%v", worst)
 	}
 }
--- a/internal/fleet/lease/state.go
+++ b/internal/fleet/lease/state.go
@@ -14,25 +14,15 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
-)
 
-// The terms of a lease.
-const (
-	Length = 3 * time.Second        // from the moment at which its renewal was sent, by the holder's clock
-	Every  = 300 * time.Millisecond // between two renewals of a box
-	Drift  = 100                    // a clock gains or loses at most one part in so many
-	Margin = 100 * time.Millisecond // on top, for what rounds and timers lose
-	// Patience is how long the leader waits by its own clock after it was last asked: the lease by a clock that is slow
-	// against one that is fast, and the margin. 3.16 s.
-	Patience = Length + 2*Length/Drift + Margin
+	"larchscale/internal/fleet/limits"
 )
 
 // Bounds of what is agreed.
 const (
-	MaxBoxes = 300
-	maxName  = 64  // bytes, of a box or zone
-	maxPool  = 256 // bytes
+	MaxBoxes = limits.MaxServers
+	maxName  = limits.MaxName // bytes, of a box or zone
+	maxPool  = 256            // bytes
 )
 
 // Box is what is agreed of one box.
