Bounds on the size of a fleet come from package limits

What was 300 in takeout is the bound of a fleet with a control tier; in link, place, forecast, sequential and for admission to raft (agree) it stays that of a mesh, 300.

--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/agree/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"larchscale/internal/fleet/limits"
 	"larchscale/internal/fleet/takeout"
 )
 
@@ -121,8 +122,8 @@
 		}
 		return &Change{Remove, *was}, nil // the new id is let in at its next knock
 	}
-	if len(s.Members) >= takeout.MaxBoxes {
-		return nil, fmt.Errorf("%d boxes are the most: %w", takeout.MaxBoxes, ErrMember)
+	if len(s.Members) >= limits.MaxMeshServers {
+		return nil, fmt.Errorf("%d boxes are the most: %w", limits.MaxMeshServers, ErrMember)
 	}
 	return &Change{Admit, m}, nil
 }
--- a/internal/fleet/forecast/sketch.go
+++ b/internal/fleet/forecast/sketch.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"larchscale/internal/fleet/limits"
 )
 
 // Bounds of sketches on their way.
@@ -15,7 +17,7 @@
 	Version  = 1
 	MaxPart  = 16 << 10 // bytes of one part
 	MaxParts = 24
-	MaxBoxes = 300
+	MaxBoxes = limits.MaxMeshServers
 )
 
 // Errors of Add. A part that meets one changes nothing.
--- a/internal/fleet/place/state.go
+++ b/internal/fleet/place/state.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"larchscale/internal/fleet/limits"
 )
 
 // Slices is how many parts the hash has. It is a power of two, and never changes in a fleet.
@@ -20,7 +22,7 @@
 // Bounds of what is agreed.
 const (
 	sliceBits = 10
-	MaxBoxes  = 300
+	MaxBoxes  = limits.MaxMeshServers
 	maxName   = 64  // bytes, of a box
 	maxWhy    = 256 // bytes
 )
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -10,14 +10,16 @@
 	"errors"
 	"fmt"
 	"slices"
+
+	"larchscale/internal/fleet/limits"
 )
 
 // Bounds of what an operator may ask for.
 const (
-	MaxBoxes  = 300 // of a fleet
-	MaxPlans  = 64  // kept, over ones included
-	maxReason = 256 // bytes
-	maxName   = 64  // bytes, of a box, zone, plan or operator
+	MaxBoxes  = limits.MaxServers // of a fleet
+	MaxPlans  = 64                // kept, over ones included
+	maxReason = 256               // bytes
+	maxName   = 64                // bytes, of a box, zone, plan or operator
 )
 
 // Phase is where a box stands.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/limits"
 )
 
 // Options say where a box listens for others, and which there are.
@@ -36,7 +37,7 @@
 }
 
 const (
-	maxBoxes  = 300
+	maxBoxes  = limits.MaxMeshServers
 	spare     = 8       // connections of others than the boxes: operators
 	MaxAnswer = 1 << 20 // bytes that are read of one
 	maxHead   = 8 << 10
--- a/internal/sequential/sequential.go
+++ b/internal/sequential/sequential.go
@@ -15,6 +15,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"larchscale/internal/fleet/limits"
 )
 
 // ErrPlan is met by a plan that cannot be.
@@ -23,8 +25,8 @@
 // Bounds of a plan.
 const (
 	MaxGuards  = 4
-	MaxBoxes   = 300 // that the budget of Void is shared by
-	maxName    = 64  // bytes
+	MaxBoxes   = limits.MaxMeshServers // that the budget of Void is shared by
+	maxName    = 64                    // bytes
 	leastRatio = 0.02
 )
 
