--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -130,6 +130,9 @@
 // State is what this box has applied; it is the node's own.
 func (n *Node) State() *State { return &n.state }
 
+// Applied returns the index of the last entry that this box has applied.
+func (n *Node) Applied() uint64 { return n.applied }
+
 // Digest is a sum over the state with all its parts: boxes that have applied the same entries have the same.
 func (n *Node) Digest() (uint64, error) {
 	b, err := n.save()
--- /dev/null
+++ b/internal/fleet/controlnode/leases.go
@@ -0,0 +1,128 @@
+package controlnode
+
+import (
+	"fmt"
+	"time"
+
+	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/boottime"
+	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/lease"
+)
+
+// leases is the module with the leases of all app servers. The leader renews them: what the nodes sent waits for a round
+// of raft's read index, and the grants go back to the node that the renewal came from.
+type leases struct {
+	*agree.Agreed[lease.State, lease.Entry, *lease.State]
+	baseModule
+	node    *Node
+	host    *driver.Host
+	granter *lease.Granter
+	rounds  map[uint64]uint64 // reads that are not confirmed, to the granter's rounds
+}
+
+// Begin implements driver.Module.
+func (l *leases) Begin(h *driver.Host) { l.host = h }
+
+// ready reports whether entries of the part may be proposed: all nodes know it.
+func (l *leases) ready() bool { return l.Began() || l.host.Ready() }
+
+// Load implements agree.Part.
+func (l *leases) Load(state []byte) error {
+	err := l.Agreed.Load(state)
+	l.node.sessions.restored = true
+	return err
+}
+
+// Tick implements driver.Module.
+func (l *leases) Tick(time.Time) {
+	term, leads := l.host.Leads()
+	if !leads {
+		l.granter.Follow()
+		clear(l.rounds)
+		return
+	}
+	l.round(term, boottime.Now())
+}
+
+// renew takes renewals that came from a node.
+func (l *leases) renew(renewals []lease.Renewal, at time.Duration) {
+	term, leads := l.host.Leads()
+	if !leads || !l.Began() {
+		return
+	}
+	l.granter.Lead(term, at)
+	for _, renewal := range renewals {
+		if err := l.granter.Asked(&l.State, renewal, at); err != nil {
+			l.host.Log().Debug("fleet", "do", "renew", "err", err)
+		}
+	}
+}
+
+// round has a majority asked for the renewals that wait.
+func (l *leases) round(term uint64, at time.Duration) {
+	l.granter.Lead(term, at)
+	round, ok := l.granter.Round(at)
+	if !ok {
+		return
+	}
+	read, err := l.host.Read()
+	if err != nil {
+		l.host.Log().Debug("fleet", "do", "round", "err", err)
+		return
+	}
+	l.rounds[read] = round
+}
+
+// Read implements driver.Module: a round is confirmed, and with it all before it.
+func (l *leases) Read(id uint64, _ time.Time) {
+	round, ok := l.rounds[id]
+	if !ok {
+		return
+	}
+	for read := range l.rounds {
+		if read <= id {
+			delete(l.rounds, read)
+		}
+	}
+	l.node.sessions.sendGrants(l.granter.Confirmed(&l.State, round))
+}
+
+// Lead implements driver.Module: the leader declares those lost whose lease is over by every clock.
+func (l *leases) Lead(time.Time) {
+	if !l.Began() {
+		return
+	}
+	term, _ := l.host.Leads()
+	at := boottime.Now()
+	l.granter.Lead(term, at)
+	for _, entry := range l.granter.Over(&l.State, at) {
+		l.host.Log().Warn("fleet", "do", "lost", "server", entry.Box, "token", entry.Life)
+		if err := l.host.Propose(entry, entry.InTerm()); err != nil {
+			l.granter.Refused(entry.Box, entry.Life)
+		}
+	}
+	work := l.host.Work()
+	for i := range l.State.Boxes {
+		if b := &l.State.Boxes[i]; b.Lost && work.Box(b.Name) == nil {
+			l.propose(lease.Entry{Kind: lease.Gone, Box: b.Name}, true)
+		}
+	}
+}
+
+func (l *leases) propose(entry lease.Entry, derived bool) {
+	if err := l.host.Propose(entry, derived); err != nil {
+		l.host.Log().Debug("fleet", "do", "lease", "err", err)
+	}
+}
+
+// Lines implements driver.Module.
+func (l *leases) Lines(time.Time) []byte {
+	lives := 0
+	for i := range l.State.Boxes {
+		if !l.State.Boxes[i].Lost {
+			lives++
+		}
+	}
+	return fmt.Appendf(nil, "fleet.lives=%d\n", lives)
+}
--- a/internal/fleet/driver/members.go
+++ b/internal/fleet/driver/members.go
@@ -56,6 +56,9 @@
 	if _, leads := d.node.Leads(); !leads {
 		return agree.ErrNoLeader
 	}
+	if !d.opt.mayJoin(m.Name) {
+		return fmt.Errorf("%.70q is none of the nodes that the fleet is made of: %w", m.Name, agree.ErrMember)
+	}
 	now := time.Now()
 	c, err := s.Knock(m, func(id uint64) bool { return d.heard(s, id, now) })
 	if err != nil {
--- a/internal/fleet/driver/modules.go
+++ b/internal/fleet/driver/modules.go
@@ -127,6 +127,31 @@
 	return h.d.token, nil
 }
 
+// Index returns the index of the last entry that this box has applied.
+func (h *Host) Index() uint64 { return h.d.node.Applied() }
+
+// Work returns the agreed state of plans; it is not to be changed.
+func (h *Host) Work() *takeout.State { return &h.d.node.State().Work }
+
+// ProposeWork asks for an entry of the agreed state of plans. What becomes of it shows in that state.
+func (h *Host) ProposeWork(entry takeout.Entry) { h.d.propose(&entry, nil) }
+
+// SetReports takes the newest reports of servers that are no members of raft. Those of servers that the agreed state of
+// plans does not have any longer are dropped.
+func (h *Host) SetReports(reports map[string]takeout.Report) {
+	work := h.Work()
+	for name, report := range reports {
+		if work.Box(name) != nil {
+			h.d.reports[name] = report
+		}
+	}
+	for name := range h.d.reports {
+		if work.Box(name) == nil && name != h.d.self.Name {
+			delete(h.d.reports, name)
+		}
+	}
+}
+
 // Enter has f run on the loop; false = there is no room, or the loop has ended. It is safe from any goroutine.
 func (h *Host) Enter(f func()) bool { return h.d.enter(f) }
 
--- a/internal/fleet/driver/options.go
+++ b/internal/fleet/driver/options.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // maxTrialCalls bounds the addresses of trials: each may have as many connections as the index has.
@@ -19,6 +20,13 @@
 	TakeOver bool `toml:"take_over"`
 	// TrialCalls are addresses like the platform's index that calls below may go to in a trial.
 	TrialCalls []string `toml:"trial_calls"`
+	// Members are the names of those that may be members of raft; none = any that knocks.
+	Members []string `toml:"-"`
+}
+
+// mayJoin tells whether a member of that name may be let in.
+func (o *Options) mayJoin(name string) bool {
+	return len(o.Members) == 0 || slices.Contains(o.Members, name)
 }
 
 // Defaults are the options that a file need not name.
--- a/internal/fleet/ground/ground.go
+++ b/internal/fleet/ground/ground.go
@@ -4,14 +4,12 @@
 package ground
 
 import (
-	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/boottime"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/lease"
 	"larchscale/internal/fleet/place"
@@ -43,7 +41,7 @@
 type Ground struct {
 	opt   Options
 	log   *slog.Logger
-	until atomic.Int64  // when the lease ends, by now; 0 = there is none
+	until atomic.Int64  // when the lease ends, by boottime.Now; 0 = there is none
 	life  atomic.Uint64 // whose lease it is; 0 = nobody's
 	view  atomic.Pointer[View]
 	addrs atomic.Pointer[map[string]string]
@@ -55,19 +53,10 @@
 	return &Ground{opt: opt, log: log, told: told}
 }
 
-// now is the clock of leases: it goes on while the machine is suspended, and nobody sets it.
-func now() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(fmt.Sprintf("the clock of leases: %v", err)) // it has been there since Linux 2.6.39
-	}
-	return time.Duration(t.Nano())
-}
-
 // Holds tells that this process's lease runs now. What is done by it has to carry the life of View as well.
 func (g *Ground) Holds() bool {
 	until := g.until.Load()
-	return until != 0 && int64(now()) < until
+	return until != 0 && int64(boottime.Now()) < until
 }
 
 // Life is the life that a lease is asked for; 0 = none.
@@ -77,7 +66,7 @@
 func (g *Ground) Until() time.Duration { return time.Duration(g.until.Load()) }
 
 // Now is the clock that Until is of.
-func (g *Ground) Now() time.Duration { return now() }
+func (g *Ground) Now() time.Duration { return boottime.Now() }
 
 // View is what this box acts under; nil = it is not let in yet, or nothing is agreed.
 func (g *Ground) View() *View { return g.view.Load() }
--- a/internal/fleet/ground/leases.go
+++ b/internal/fleet/ground/leases.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/boottime"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/lease"
 )
@@ -82,7 +83,7 @@
 func (l *leases) changed(broken bool) {
 	b := l.State.Box(l.host.Self().Name)
 	if b != nil && b.Incarnation == l.host.Incarnation() && !b.Lost {
-		l.holder.Live(b.Life, now())
+		l.holder.Live(b.Life, boottime.Now())
 	} else {
 		l.holder.Lost()
 	}
@@ -101,7 +102,7 @@
 
 // Tick implements driver.Module.
 func (l *leases) Tick(time.Time) {
-	at := now()
+	at := boottime.Now()
 	if _, leads := l.host.Leads(); !leads {
 		l.grants.Follow()
 		clear(l.rounds)
@@ -130,7 +131,7 @@
 
 // Lead implements driver.Module. The first entry of all is the leader's own life, once every member knows the part.
 func (l *leases) Lead(time.Time) {
-	at := now()
+	at := boottime.Now()
 	if !l.Began() {
 		if l.host.Ready() && at-l.spoke >= liveEach {
 			l.live(at)
@@ -216,7 +217,7 @@
 		if !leads || !l.Began() {
 			return
 		}
-		at := now()
+		at := boottime.Now()
 		l.grants.Lead(term, at)
 		if err := l.grants.Asked(&l.State, *m.Renewal, at); err != nil {
 			l.host.Log().Debug("fleet", "do", "lease", "from", from.Name, "err", err)
@@ -247,6 +248,6 @@
 			lives++
 		}
 	}
-	left := max(0, l.holder.Until()-now())
+	left := max(0, l.holder.Until()-boottime.Now())
 	return fmt.Appendf(nil, "fleet.lives=%d\nfleet.life=%d\nfleet.lease_ms=%d\n", lives, l.holder.Life(), left.Milliseconds())
 }
--- a/internal/fleet/ground/places.go
+++ b/internal/fleet/ground/places.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/boottime"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/place"
 )
@@ -62,7 +63,7 @@
 
 // Lead implements driver.Module.
 func (p *places) Lead(at time.Time) {
-	now := now()
+	now := boottime.Now()
 	if !p.leases.Began() || now-p.looked < moveEach || p.State.Homes == nil && !p.gathered(now) {
 		return
 	}
