Sessions: the decisions of client, table and collector

The state machines of docs/design/control-tier.md. Session numbers and counts of heartbeats in what a node tells of its sessions make the leader's sum independent of the order in which digests come.

--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -49,7 +49,16 @@
 
 // Ask gives the renewal to send at once, if it is time for one. now must be read before it is sent.
 func (h *Holder) Ask(now time.Duration) (Renewal, bool) {
-	if h.life == 0 || now < h.next {
+	if now < h.next {
+		return Renewal{}, false
+	}
+	return h.AskNow(now)
+}
+
+// AskNow returns a renewal to send at once, whenever the last one was sent; false = there is no life to renew. now must be read
+// before it is sent.
+func (h *Holder) AskNow(now time.Duration) (Renewal, bool) {
+	if h.life == 0 {
 		return Renewal{}, false
 	}
 	h.seq++
--- a/internal/fleet/session/messages.go
+++ b/internal/fleet/session/messages.go
@@ -1,7 +1,8 @@
 // Package session has the decisions of the sessions between app servers and control nodes. An app server keeps one
 // session to one control node: heartbeats go up (renewal of the lease, what changed in the report, the configuration in
 // force), acknowledgements with lease grants and batches of a watch come down. Client is the app server's side, Table a
-// control node's, Aggregator what a node has to tell the leader of its sessions and Collector the leader's sum of it.
+// control node's, Digest what a node tells the leader of its
+// sessions and Collector the leader's sum of it.
 //
 // All of them are state machines: input and time in, output out. They do no I/O, read no clock, and are not safe for
 // concurrent use. Times are monotonic durations of the process that reads them, on the clock of package lease.
@@ -43,12 +44,13 @@
 	Incarnation uint64 `cbor:"4,keyasint"` // grows with each process of the server
 	Pool        string `cbor:"5,keyasint,omitempty"`
 	Revision    uint64 `cbor:"6,keyasint"` // the server has all updates up to it; 0 = none
+	Session     uint64 `cbor:"7,keyasint"` // number of the session at its server; grows over all that a process opens
 }
 
 // Heartbeat is what a server tells, at least every lease.Terms.Every.
 type Heartbeat struct {
-	Sequence     uint64          `cbor:"1,keyasint"`           // of the renewal; grows over all that a process sends
-	FencingToken uint64          `cbor:"2,keyasint,omitempty"` // of the lease to renew; 0 = it has none
+	Sequence     uint64          `cbor:"1,keyasint"`           // of the renewal; grows over all that a process sends; 0 = it renews nothing
+	FencingToken uint64          `cbor:"2,keyasint,omitempty"` // of the lease to renew; 0 = it renews nothing
 	Applied      uint64          `cbor:"3,keyasint"`           // revision of the configuration in force at the server
 	Report       *takeout.Report `cbor:"4,keyasint,omitempty"` // if it changed, and in the first of a session
 	Proposals    []Proposal      `cbor:"5,keyasint,omitempty"`
@@ -115,12 +117,22 @@
 type Digest struct {
 	Renewals []lease.Renewal `cbor:"1,keyasint,omitempty"`
 	Servers  []ServerStatus  `cbor:"2,keyasint,omitempty"`
-	Closed   []string        `cbor:"3,keyasint,omitempty"` // servers whose session ended and did not come back here
+	Closed   []ClosedSession `cbor:"3,keyasint,omitempty"` // sessions that ended here
 }
 
-// ServerStatus is the newest that a server told.
+// ClosedSession names a session that ended at its node. The server may have a newer one, there or elsewhere.
+type ClosedSession struct {
+	Server      string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Session     uint64 `cbor:"3,keyasint"`
+}
+
+// ServerStatus is the newest that a server told in a session. Of two the one with the greater Report.Incarnation, Session and
+// Heartbeat is newer, in this order, whichever came first.
 type ServerStatus struct {
-	Server  string         `cbor:"1,keyasint"`
-	Applied uint64         `cbor:"2,keyasint"`
-	Report  takeout.Report `cbor:"3,keyasint"`
+	Server    string         `cbor:"1,keyasint"`
+	Applied   uint64         `cbor:"2,keyasint"`
+	Report    takeout.Report `cbor:"3,keyasint"`
+	Session   uint64         `cbor:"4,keyasint"`
+	Heartbeat uint64         `cbor:"5,keyasint"` // how many heartbeats of the session the node had
 }
