--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -11,6 +11,7 @@
 
 	"larchscale/internal/core"
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/keep"
 	"larchscale/internal/keeper"
@@ -71,7 +72,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults(), keep.Defaults()}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults(), keep.Defaults(), controlclient.Defaults()}
 		if path != "" {
 			want.UWSGI.Listen, want.UWSGI.Below, want.Ledger.Peers.Boxes = "127.0.0.4:6566", []string{}, []string{}
 		}
@@ -80,40 +81,53 @@
 		}
 	}
 	for name, text := range map[string]string{
-		"no TOML":      "[uwsgi",
-		"unknown key":  "[uwsgi]\nlisten_on = ':1'",
-		"wrong type":   "[uwsgi]\nmax_body = 'x'",
-		"bad address":  "[uwsgi]\nlisten = 'here'",
-		"bad prefix":   "[uwsgi]\nprefix = 'x'",
-		"body":         "[uwsgi]\nmax_body = 0",
-		"connections":  "[uwsgi]\nmax_conns = 9999",
-		"calls":        "[uwsgi]\nmax_calls = 0",
-		"time to read": "[uwsgi]\nread_ms = 0",
-		"memory":       "[uwsgi]\nheld_kb = -1",
-		"timeout":      "[store]\ntimeout_ms = 0",
-		"ledger mode":  "[ledger]\ndir = 'x'\nmode = 'lax'",
-		"failure":      "[ledger]\ndir = 'x'\non_failure = 'wait'",
-		"period":       "[ledger]\ndir = 'x'\nperiod = 'year'",
-		"zone":         "[ledger]\ndir = 'x'\ntime_zone = 'Bengal'",
-		"disk":         "[ledger]\ndir = 'x'\ndisk_kb = 4096",
-		"grace":        "[ledger]\ndir = 'x'\ngrace_s = 0",
-		"no directory": "[ledger.collector]\nurl = 'http://127.0.0.1:1/'",
-		"no URL":       "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = '127.0.0.1:1'",
-		"plain URL":    "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'http://10.0.0.1/'",
-		"no CA":        "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\nca = '/nowhere'",
-		"peer's name":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['127.0.0.1:2']",
-		"peers plain":  "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['n2=10.0.0.2:2']",
-		"no listener":  "[ledger]\ndir = 'x'\n[ledger.peers]\nboxes = ['n2=127.0.0.1:2']",
-		"voters":       "[fleet]\nvoters = 2",
-		"silence":      "[fleet]\nsilent_ms = 10",
-		"no zone":      "[fleet]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
-		"no way":       "[fleet]\ndir = 'x'\nzone = 'a'",
-		"one place":    "[fleet]\ndir = 'x'\nzone = 'a'\n[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
-		"half a pair":  "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
-		"kept unknown": "[kept]\nbytes = 100000\nclasses = { \"nothing\" = 5 }",
-		"kept keyed":   "[kept]\nbytes = 100000\nclasses = { \"book\" = 5 }",
-		"kept, off":    "[kept]\nclasses = { \"book\" = 5 }",
-		"below":        "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
+		"no TOML":          "[uwsgi",
+		"unknown key":      "[uwsgi]\nlisten_on = ':1'",
+		"wrong type":       "[uwsgi]\nmax_body = 'x'",
+		"bad address":      "[uwsgi]\nlisten = 'here'",
+		"bad prefix":       "[uwsgi]\nprefix = 'x'",
+		"body":             "[uwsgi]\nmax_body = 0",
+		"connections":      "[uwsgi]\nmax_conns = 9999",
+		"calls":            "[uwsgi]\nmax_calls = 0",
+		"time to read":     "[uwsgi]\nread_ms = 0",
+		"memory":           "[uwsgi]\nheld_kb = -1",
+		"timeout":          "[store]\ntimeout_ms = 0",
+		"ledger mode":      "[ledger]\ndir = 'x'\nmode = 'lax'",
+		"failure":          "[ledger]\ndir = 'x'\non_failure = 'wait'",
+		"period":           "[ledger]\ndir = 'x'\nperiod = 'year'",
+		"zone":             "[ledger]\ndir = 'x'\ntime_zone = 'Bengal'",
+		"disk":             "[ledger]\ndir = 'x'\ndisk_kb = 4096",
+		"grace":            "[ledger]\ndir = 'x'\ngrace_s = 0",
+		"no directory":     "[ledger.collector]\nurl = 'http://127.0.0.1:1/'",
+		"no URL":           "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = '127.0.0.1:1'",
+		"plain URL":        "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'http://10.0.0.1/'",
+		"no CA":            "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\nca = '/nowhere'",
+		"peer's name":      "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['127.0.0.1:2']",
+		"peers plain":      "[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'\nboxes = ['n2=10.0.0.2:2']",
+		"no listener":      "[ledger]\ndir = 'x'\n[ledger.peers]\nboxes = ['n2=127.0.0.1:2']",
+		"voters":           "[fleet]\nvoters = 2",
+		"control address":  "[control]\nnodes = ['c1=here']\nzone = 'a'",
+		"control twice":    "[control]\nnodes = ['c1=127.0.0.1:1', 'c2=127.0.0.1:1']\nzone = 'a'",
+		"control name":     "[control]\nnodes = ['c1=127.0.0.1:1', 'c1=127.0.0.1:2']\nzone = 'a'",
+		"control zone":     "[control]\nnodes = ['c1=127.0.0.1:1']",
+		"control drain":    "[control]\nnodes = ['c1=127.0.0.1:1']\nzone = 'a'\ndrain_ms = -1",
+		"control alone":    "[control]\nzone = 'a'",
+		"control plain":    "[control]\nnodes = ['c1=10.0.0.1:1']\nzone = 'a'",
+		"control no CA":    "[control]\nnodes = ['c1=10.0.0.1:1']\nzone = 'a'\nca = '/nowhere'\ncert = '/nowhere'\nkey = '/nowhere'",
+		"control half TLS": "[control]\nnodes = ['c1=127.0.0.1:1']\nzone = 'a'\nca = '/nowhere'",
+		"control 8":        "[control]\nnodes = ['1=127.0.0.1:1', '2=127.0.0.1:2', '3=127.0.0.1:3', '4=127.0.0.1:4', '5=127.0.0.1:5', '6=127.0.0.1:6', '7=127.0.0.1:7', '8=127.0.0.1:8']\nzone = 'a'",
+		"control member":   "[control]\nnodes = ['c1=127.0.0.1:1']\nzone = 'a'\n[fleet]\ndir = 'x'\nzone = 'a'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
+		"control takeover": "[control]\nnodes = ['c1=127.0.0.1:1']\nzone = 'a'\n[fleet]\ntake_over = true",
+		"control trials":   "[control]\nnodes = ['c1=127.0.0.1:1']\nzone = 'a'\n[fleet]\ntrial_calls = ['127.0.0.1:2']",
+		"silence":          "[fleet]\nsilent_ms = 10",
+		"no zone":          "[fleet]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
+		"no way":           "[fleet]\ndir = 'x'\nzone = 'a'",
+		"one place":        "[fleet]\ndir = 'x'\nzone = 'a'\n[ledger]\ndir = 'x'\n[ledger.peers]\nlisten = '127.0.0.1:1'",
+		"half a pair":      "[ledger]\ndir = 'x'\n[ledger.collector]\nurl = 'https://10.0.0.1/'\ncert = 'x'",
+		"kept unknown":     "[kept]\nbytes = 100000\nclasses = { \"nothing\" = 5 }",
+		"kept keyed":       "[kept]\nbytes = 100000\nclasses = { \"book\" = 5 }",
+		"kept, off":        "[kept]\nclasses = { \"book\" = 5 }",
+		"below":            "[uwsgi]\nbelow = ['127.0.0.1:1']\n[uwsgi.vars]\ntoken = ''",
 	} {
 		path := filepath.Join(t.TempDir(), "o.toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,6 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/keep"
 	"larchscale/internal/keeper"
@@ -26,6 +27,8 @@
 	Ledger Ledger         `toml:"ledger"`
 	Fleet  driver.Options `toml:"fleet"`
 	Kept   keep.Options   `toml:"kept"`
+	// Control is the session of this server in a fleet with a control tier.
+	Control controlclient.Options `toml:"control"`
 }
 
 // Ledger is the table of that name.
@@ -38,7 +41,7 @@
 // LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
 // it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults(), Kept: keep.Defaults()}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults(), Kept: keep.Defaults(), Control: controlclient.Defaults()}
 	if path == "" {
 		return o, nil
 	}
@@ -104,7 +107,10 @@
 			return err
 		}
 	}
-	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check(), o.Kept.Check(&platform.Site, platform.Limits.KeptBytes())); err != nil {
+	if err := o.checkControl(); err != nil {
+		return err
+	}
+	if err := cmp.Or(o.Ledger.Check(), o.Ledger.Collector.Check(), o.Ledger.Peers.Check(), o.Fleet.Check(), o.Control.Check(), o.Kept.Check(&platform.Site, platform.Limits.KeptBytes())); err != nil {
 		return err
 	}
 	if o.Fleet.TakeOver { // what keys are claimed by does not wait behind what the fleet settles
@@ -145,3 +151,20 @@
 	}
 	return nil
 }
+
+// checkControl finds what cannot be beside control nodes: their servers are no members of raft, and what rests on that is
+// not carried by them.
+func (o *Operator) checkControl() error {
+	if !o.Control.On() {
+		return nil
+	}
+	switch {
+	case o.Fleet.Dir != "":
+		return errors.New("control.nodes and fleet.dir: a server of a fleet with control nodes is no member itself: set one")
+	case o.Fleet.TakeOver:
+		return errors.New("control.nodes and fleet.take_over: a fleet with control nodes does not take over work yet: set one")
+	case len(o.Fleet.TrialCalls) > 0:
+		return errors.New("control.nodes and fleet.trial_calls: a fleet with control nodes has no trials yet: set one")
+	}
+	return nil
+}
--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -27,6 +27,7 @@
 // Options configure a node.
 type Options struct {
 	Name           string
+	Region         string   // for people
 	Members        []string // names of all control nodes
 	MaxSessions    int
 	OpensPerSecond int
