Control tier: three nodes and five servers in one process

Sessions open, leases are granted through followers, a plan takes a server out and its next process comes back under a newer fencing token, the leader ends and its servers move with no lease lost; without TLS and with mutual TLS. The test found that a stream's goroutine that receives must end before its handler returns: net/http panics otherwise.

--- a/internal/fleet/controlnode/peer.go
+++ b/internal/fleet/controlnode/peer.go
@@ -23,7 +23,7 @@
 	refusal chan session.Refusal  // the last message
 	taken   chan struct{}         // the loop has taken what was read: the next may be
 	gone    chan struct{}         // closed when nothing more comes of the peer
-	ended   chan struct{}         // closed when the session is over
+	ended   chan struct{}         // closed when nothing more is written
 
 	// Of the loop.
 	joinedAt   time.Duration // when its server was last proposed as a member
@@ -60,10 +60,12 @@
 		taken: make(chan struct{}, 1), gone: make(chan struct{}), ended: make(chan struct{})}
 	s.connections.Add(1)
 	defer s.connections.Add(-1)
-	defer close(p.ended)
 	s.deliver(arrival{peer: p, opens: true})
 	go p.read(s)
 	p.write(s)
+	close(p.ended)
+	opened.CloseRead()
+	<-p.gone
 	s.deliver(arrival{peer: p, closed: true})
 }
 
--- /dev/null
+++ b/internal/fleet/controlnode/tier_test.go
@@ -0,0 +1,392 @@
+package controlnode_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"larchscale/internal/fleet/controlclient"
+	"larchscale/internal/fleet/controlnode"
+	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/session"
+	"larchscale/internal/fleet/stream"
+	"larchscale/internal/fleet/takeout"
+	"larchscale/internal/fleet/watch"
+	"larchscale/internal/link"
+	"larchscale/internal/scenario/certs"
+	"larchscale/internal/standin"
+)
+
+// within is how long a test waits for what has to come; it is reached only by a test that fails.
+const within = 60 * time.Second
+
+// nodeBody is a control node as a server that is taken out.
+type nodeBody struct{}
+
+func (nodeBody) Look() takeout.Report { return takeout.Report{Warm: true} }
+func (nodeBody) Hold(bool)            {}
+
+// testNode is one control node on a directory and addresses that outlive its processes.
+type testNode struct {
+	name, dir, addr, sessions string
+	tier                      *tier
+	link                      *link.Link
+	driver                    *driver.Driver
+	node                      *controlnode.Node
+	stop                      func() // nil = it does not run
+}
+
+// testServer is one app server.
+type testServer struct {
+	name    string
+	client  *controlclient.Client
+	held    atomic.Bool
+	applied atomic.Uint64
+	lost    atomic.Int64 // times at which it held no lease after it had one
+	holds   atomic.Bool
+	stop    func()
+}
+
+// Look implements driver.Body.
+func (s *testServer) Look() takeout.Report {
+	return takeout.Report{Warm: true, Capacity: 100, Load: 30}
+}
+
+// Hold implements driver.Body.
+func (s *testServer) Hold(on bool) { s.held.Store(on) }
+
+// tier is a control tier with servers, all in one process.
+type tier struct {
+	t       *testing.T
+	log     *slog.Logger
+	certs   string // directory; "" = without TLS
+	nodes   []*testNode
+	servers []*testServer
+}
+
+// newTier starts nodes and servers, and has the first node found the fleet.
+func newTier(t *testing.T, nodes, servers int, tls bool) *tier {
+	t.Helper()
+	f := &tier{t: t, log: slog.New(slog.DiscardHandler)}
+	if tls {
+		f.certs = t.TempDir()
+		_, _, ca := certs.New(t, f.certs, "ca", nil)
+		for i := range nodes {
+			certs.New(t, f.certs, fmt.Sprint("c", i+1), ca)
+		}
+		for i := range servers {
+			certs.New(t, f.certs, fmt.Sprint("app-", i+1), ca)
+		}
+	}
+	for i := range nodes {
+		f.nodes = append(f.nodes, &testNode{name: fmt.Sprint("c", i+1), dir: t.TempDir(), addr: f.addr(), sessions: f.addr(), tier: f})
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	t.Cleanup(f.close)
+	f.until("the fleet is founded", func() bool { return f.nodes[0].say(driver.Word{Found: true}) == nil })
+	for i := range servers {
+		f.serve(fmt.Sprint("app-", i+1))
+	}
+	return f
+}
+
+func (f *tier) addr() string {
+	f.t.Helper()
+	addr, err := standin.FreeAddr()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return addr
+}
+
+// way returns the options of links and sessions for a certificate's name.
+func (f *tier) way(name string) link.Options {
+	if f.certs == "" {
+		return link.Options{}
+	}
+	file := func(suffix string) string { return f.certs + "/" + suffix }
+	return link.Options{CA: file("ca.crt"), Cert: file(name + ".crt"), Key: file(name + ".key")}
+}
+
+func (f *tier) close() {
+	for _, s := range f.servers {
+		s.stop()
+	}
+	for _, n := range f.nodes {
+		if n.stop != nil {
+			n.stop()
+		}
+	}
+}
+
+// until waits for what has to come.
+func (f *tier) until(what string, is func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(within); !is(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("not so: %s\n%s", what, f.describe())
+		}
+	}
+}
+
+func (f *tier) describe() string {
+	var out strings.Builder
+	for _, n := range f.nodes {
+		status, err := n.state()
+		fmt.Fprintf(&out, "%s: leader %q, index %d, %v, waits %v, boxes %v\n", n.name, status.Leader, status.Index, err, status.Waits, status.Boxes)
+	}
+	for _, s := range f.servers {
+		fmt.Fprintf(&out, "%s: %s\n", s.name, strings.ReplaceAll(string(s.client.Metrics()), "\n", " "))
+	}
+	return out.String()
+}
+
+// start is a new process of the node.
+func (n *testNode) start() {
+	t := n.tier.t
+	t.Helper()
+	options := n.tier.way(n.name)
+	options.Listen = n.addr
+	var names []string
+	for _, other := range n.tier.nodes {
+		names = append(names, other.name)
+		if other != n {
+			options.Boxes = append(options.Boxes, other.name+"="+other.addr)
+		}
+	}
+	var err error
+	if n.link, err = link.New(options, n.tier.log); err != nil {
+		t.Fatal(err)
+	}
+	n.node = controlnode.New(controlnode.Options{Name: n.name, Members: names, MaxSessions: 64, OpensPerSecond: 100, OpensBurst: 100, MaxSnapshots: 4, DrainPerSecond: 100}, n.tier.log)
+	part := driver.Defaults()
+	part.Dir, part.Zone, part.Voters, part.Members, part.DrainMs = n.dir, "z-"+n.name, len(names), names, 100
+	if n.driver, err = driver.New(part, n.name, n.addr, options.Others(), n.link, nodeBody{}, n.tier.log, n.node.Modules()...); err != nil {
+		t.Fatal(err)
+	}
+	between, err := n.link.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	servers, err := net.Listen("tcp", n.sessions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := options.TLS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept := &stream.Server{TLS: config, Silence: session.Expiry, MaxSessions: 64, Meter: &stream.Meter{}, Log: n.tier.log, Accept: n.node.Accept}
+	ctx, end := context.WithCancel(context.Background())
+	var running []chan struct{}
+	for _, run := range []func(){
+		func() { n.link.Serve(ctx, between, controlnode.Guard(names, n.driver.Handler())) },
+		func() { accept.Serve(ctx, servers) },
+		func() { n.driver.Run(ctx) },
+	} {
+		done := make(chan struct{})
+		running = append(running, done)
+		go func() {
+			defer close(done)
+			run()
+		}()
+	}
+	n.stop = func() {
+		end()
+		for _, done := range running {
+			<-done
+		}
+		n.stop = nil
+	}
+}
+
+func (n *testNode) state() (driver.Status, error) {
+	client := n.link.Dial(n.name, n.addr)
+	defer client.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+	defer stop()
+	return driver.State(ctx, client)
+}
+
+func (n *testNode) say(word driver.Word) error {
+	client := n.link.Dial(n.name, n.addr)
+	defer client.Close()
+	return driver.Say(n.tier.t.Context(), client, word)
+}
+
+// metric returns a metric of the node; -1 = it is not there.
+func (n *testNode) metric(name string) int {
+	if n.stop == nil {
+		return -1
+	}
+	return metric(n.driver.Lines(), name)
+}
+
+func metric(lines []byte, name string) int {
+	for line := range strings.SplitSeq(string(lines), "\n") {
+		if key, value, _ := strings.Cut(line, "="); key == name {
+			if number, err := strconv.Atoi(value); err == nil {
+				return number
+			}
+		}
+	}
+	return -1
+}
+
+// leader returns the node that leads as the nodes that run see it.
+func (f *tier) leader() *testNode {
+	for _, n := range f.nodes {
+		if n.metric("fleet.leader") == 1 {
+			return n
+		}
+	}
+	return nil
+}
+
+// serve starts an app server.
+func (f *tier) serve(name string) {
+	f.t.Helper()
+	s := &testServer{name: name}
+	options := controlclient.Defaults()
+	options.Zone, options.DrainMs = "a", 100
+	way := f.way(name)
+	options.CA, options.Cert, options.Key = way.CA, way.Cert, way.Key
+	for _, n := range f.nodes {
+		options.Nodes = append(options.Nodes, n.name+"="+n.sessions)
+	}
+	var err error
+	s.client, err = controlclient.New(options, controlclient.Server{Name: name, Body: s, Applied: s.applied.Load,
+		Configure: func(revision uint64, _ []watch.Update) { s.applied.Store(revision) }}, f.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.client.Run(ctx)
+	}()
+	go s.watchLease(ctx)
+	s.stop = func() {
+		end()
+		<-done
+	}
+	f.servers = append(f.servers, s)
+}
+
+// watchLease counts the times at which the server's lease ended.
+func (s *testServer) watchLease(ctx context.Context) {
+	clock := time.NewTicker(20 * time.Millisecond)
+	defer clock.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-clock.C:
+		}
+		holds := s.metric("fleet.lease_ms") > 0
+		if s.holds.Swap(holds) && !holds {
+			s.lost.Add(1)
+		}
+	}
+}
+
+func (s *testServer) metric(name string) int { return metric(s.client.Metrics(), name) }
+
+// all reports whether something is so for all servers.
+func (f *tier) all(is func(*testServer) bool) bool {
+	for _, s := range f.servers {
+		if !is(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func leased(s *testServer) bool {
+	return s.metric("fleet.session") == int(session.Open) && s.metric("fleet.lease_ms") > 0 && s.metric("fleet.phase") == int(takeout.In)
+}
+
+// settled reports whether all nodes vote, and all servers have a session and a lease and are in.
+func (f *tier) settled() bool {
+	return f.all(leased) && f.leader() != nil && f.leader().metric("fleet.voters") == len(f.nodes) && f.leader().metric("fleet.servers") == len(f.servers)
+}
+
+// Three control nodes and five servers: all sessions open and all servers hold leases; one is taken out and comes back; a
+// node that ends has its servers move, and no lease ends.
+func TestATierOfThreeNodes(t *testing.T) {
+	for name, tls := range map[string]bool{"without TLS": false, "mutual TLS": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTier(t, 3, 5, tls)
+			f.until("all servers have leases", f.settled)
+			f.takeOut("app-2")
+			f.loseNode()
+			for _, s := range f.servers {
+				if lost := s.lost.Load(); lost != 0 {
+					t.Errorf("%s lost its lease %d times", s.name, lost)
+				}
+			}
+		})
+	}
+}
+
+// takeOut has a plan take out a server, which is another process afterwards.
+func (f *tier) takeOut(name string) {
+	f.t.Helper()
+	var server *testServer
+	for _, s := range f.servers {
+		if s.name == name {
+			server = s
+		}
+	}
+	plan := takeout.Plan{ID: "disks", By: "staff", Reason: "new disks", Boxes: []string{name}, Most: 1, Floor: 0.1}
+	f.until("the plan is taken", func() bool {
+		return f.nodes[1].say(driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: plan}}) == nil
+	})
+	f.until(name+" is out", func() bool { return server.metric("fleet.phase") == int(takeout.Out) && server.held.Load() })
+	server.stop()
+	was := server.metric("fleet.life")
+	for i, s := range f.servers {
+		if s == server {
+			f.servers = append(f.servers[:i], f.servers[i+1:]...)
+			break
+		}
+	}
+	f.serve(name)
+	f.until("the plan is done and all are in", func() bool {
+		status, err := f.nodes[0].state()
+		plan := status.State.Plan("disks")
+		return err == nil && plan != nil && plan.State == takeout.Done && f.settled()
+	})
+	if now := f.servers[len(f.servers)-1].metric("fleet.life"); now <= was {
+		f.t.Errorf("the new process of %s has token %d, the old one had %d", name, now, was)
+	}
+}
+
+// loseNode ends the node that leads; it comes back later.
+func (f *tier) loseNode() {
+	f.t.Helper()
+	leader := f.leader()
+	moved := leader.metric("fleet.sessions")
+	leader.stop()
+	f.until("all servers are at the other nodes", func() bool {
+		sessions := 0
+		for _, n := range f.nodes {
+			if n.stop != nil {
+				sessions += n.metric("fleet.sessions")
+			}
+		}
+		return sessions == len(f.servers) && f.all(leased) && f.leader() != nil && f.leader().metric("fleet.servers") == len(f.servers)
+	})
+	f.t.Logf("%d of %d sessions moved", moved, len(f.servers))
+	leader.start()
+	f.until("the node follows again", func() bool { return leader.metric("fleet.known") == 1 && leader.metric("fleet.revision") > 0 })
+}
--- a/internal/fleet/stream/server.go
+++ b/internal/fleet/stream/server.go
@@ -94,6 +94,10 @@
 	return message, nil
 }
 
+// CloseRead ends a Receive that waits, and has further ones fail. Whoever accepted the session calls it and waits for the
+// goroutine that receives before it returns: a stream must not be used afterwards.
+func (s *Session) CloseRead() { s.control.SetReadDeadline(time.Unix(1, 0)) }
+
 // Send writes a message, for as long as a write may last.
 func (s *Session) Send(message *session.FromNode) error {
 	data, err := encode(message)
