larchscale: a session to the control tier, off by default

With [control] nodes in the operator's file the server keeps a session to one control node: its lease, its copy of the configuration and its phase when it is taken out. Without the table nothing is started.

internal/core and cmd/larchscale pass.

--- a/cmd/larchscale/server.go
+++ b/cmd/larchscale/server.go
@@ -12,6 +12,7 @@
 	"larchscale/internal/config"
 	"larchscale/internal/core"
 	"larchscale/internal/directory"
+	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/desk"
 	"larchscale/internal/fleet/ground"
 	"larchscale/internal/fleet/keep"
@@ -103,6 +104,9 @@
 	if err := s.joinFleet(ctx); err != nil {
 		return err
 	}
+	if err := s.joinControlTier(ctx); err != nil {
+		return err
+	}
 	s.startReplyCache(ctx)
 	if err := s.serveFronts(); err != nil {
 		return err
@@ -160,6 +164,9 @@
 	if s.adminListener != nil {
 		others += admin.MaxConns
 	}
+	if s.operator.Control.On() {
+		others += controlclient.Sockets
+	}
 	conns, lowered := s.operator.Fit(limits, others)
 	if lowered {
 		s.log.Warn("few descriptors", "sockets", limits.Sockets, "max_conns", s.operator.UWSGI.MaxConns, "max_calls", s.operator.UWSGI.MaxCalls)
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -340,6 +340,9 @@
 // Kill, counted from the event.
 type Handoff struct{ Kill time.Duration }
 
+// Configured tells that the server's configuration documents are those as of a revision.
+type Configured struct{ Revision uint64 }
+
 func (Opened) event()       {}
 func (Closed) event()       {}
 func (Arrive) event()       {}
@@ -361,3 +364,4 @@
 func (Drain) event()        {}
 func (Handoff) event()      {}
 func (Hold) event()         {}
+func (Configured) event()   {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -354,6 +354,8 @@
 	case Hold:
 		c.held = e.On
 		c.reported()
+	case Configured:
+		c.configured(e.Revision)
 	}
 }
 
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -22,6 +22,7 @@
 	Use            float64   // share of the worker pool's cores in use, as it last said; negative = unknown
 	WarmAt         time.Time // the worker pool is warm from then on; zero = it is not up
 	KeyedUntil     time.Time // until then a repeat may ask for a result that this process has
+	Configured     uint64    // revision of the configuration documents in force; 0 = there are none yet
 	Serves         bool      // the worker pool is up and no notice to leave has come
 }
 
@@ -66,6 +67,12 @@
 	c.changed()
 }
 
+// configured notes that the configuration as of a revision is in force.
+func (c *Core) configured(revision uint64) {
+	c.figs.counts.Configured = revision
+	c.changed()
+}
+
 // changed has the figures published within publishEach.
 func (c *Core) changed() {
 	if c.figs.publish.pos == 0 {
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -58,3 +58,20 @@
 		}
 	})
 }
+
+// The revision of the configuration in force is told to readers outside the loop, beside whatever else goes on.
+func TestTheConfigurationInForceIsTold(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		if revision := figuresOf(w).Configured; revision != 0 {
+			t.Fatalf("revision %d before there is any configuration", revision)
+		}
+		w.Send(core.Configured{Revision: 7})
+		w.Send(w.Ask("a", "quote", ""))
+		w.Expect(ms, "run a quote body")
+		w.Send(core.Configured{Revision: 9})
+		time.Sleep(100 * ms)
+		if revision := figuresOf(w).Configured; revision != 9 {
+			t.Fatalf("revision %d, 9 is in force", revision)
+		}
+	})
+}
