--- a/cmd/larchctl/fleet.go
+++ b/cmd/larchctl/fleet.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"larchscale/internal/config"
 	"larchscale/internal/fleet/agree"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/takeout"
@@ -31,37 +32,70 @@
 	Replan   replanCmd   `cmd:"" help:"Derive a plan's order anew."`
 	Cancel   cancelCmd   `cmd:"" help:"End a plan: who drains comes back, who is out stays counted until it is back."`
 	Back     backCmd     `cmd:"" help:"This box's work is done, and its process went on."`
+	Config   documentCmd `cmd:"" help:"Configuration documents of a fleet with control nodes."`
 	Trial    trialCmd    `cmd:"" help:"Trials of two addresses for calls below."`
 	WriteOff writeOffCmd `cmd:"" help:"Count a box no longer that will not come back."`
 }
 
-// atFleet names the box that is asked.
+// atFleet names the server or control node that is asked.
 type atFleet struct {
-	Operator string `help:"The box's operator's file." required:"" placeholder:"FILE"`
-	Box      string `help:"The box's name, as its certificate has it; needed off this machine."`
+	Operator string `help:"The box's operator's file." required:"" xor:"at" placeholder:"FILE"`
+	Control  string `help:"The control node's file, in a fleet that has such." required:"" xor:"at" placeholder:"FILE"`
+	Box      string `help:"The box's name, as its certificate has it; needed off this machine. A control node's is in its file."`
+}
+
+// target is who is asked.
+type target struct {
+	way  link.Options
+	name string // as its certificate has it
+	addr string
+}
+
+// target reads the file that names who is asked.
+func (a *atFleet) target() (target, error) {
+	if a.Control != "" {
+		c, err := config.LoadControl(a.Control)
+		if err != nil {
+			return target{}, badInput{err}
+		}
+		return target{c.Link(), c.Name, c.Listen}, nil
+	}
+	o, err := operator(a.Operator, "")
+	if err != nil {
+		return target{}, err
+	}
+	if o.Fleet.Dir == "" {
+		err := fmt.Errorf("%s: fleet.dir is not set", a.Operator)
+		if o.Control.On() {
+			err = fmt.Errorf("%s: a server with control nodes answers for no fleet; name a node's file with --control", a.Operator)
+		}
+		return target{}, badInput{err}
+	}
+	return target{o.Ledger.Peers.Options, a.Box, o.Ledger.Peers.Listen}, nil
 }
 
 const asksFor = 15 * time.Second
 
 // ask has f talk to the box.
 func (a *atFleet) ask(f func(context.Context, *link.Client) error) error {
-	o, err := operator(a.Operator, "")
+	t, err := a.target()
 	if err != nil {
 		return err
 	}
-	if o.Fleet.Dir == "" {
-		return badInput{fmt.Errorf("%s: fleet.dir is not set", a.Operator)}
-	}
-	l, err := link.New(o.Ledger.Peers.Options, slog.New(slog.DiscardHandler))
+	return t.ask(f)
+}
+
+func (t *target) ask(f func(context.Context, *link.Client) error) error {
+	l, err := link.New(t.way, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return badInput{err}
 	}
-	c := l.Dial(a.Box, o.Ledger.Peers.Listen)
+	c := l.Dial(t.name, t.addr)
 	defer c.Close()
 	ctx, stop := context.WithTimeout(context.Background(), asksFor)
 	defer stop()
 	if err := f(ctx, c); err != nil {
-		return fmt.Errorf("the box at %s: %w", o.Ledger.Peers.Listen, err)
+		return fmt.Errorf("the box at %s: %w", t.addr, err)
 	}
 	return nil
 }
@@ -346,7 +380,18 @@
 	if err != nil {
 		return err
 	}
-	return con.whole(s.Leader != "", s, func(w io.Writer) { fleetStatus(w, s, time.Now()) })
+	if c.Control == "" {
+		return con.whole(s.Leader != "", s, func(w io.Writer) { fleetStatus(w, s, time.Now()) })
+	}
+	sessions, err := c.sessions()
+	if err != nil {
+		return err
+	}
+	both := controlStatus{Fleet: s, Sessions: sessions}
+	return con.whole(s.Leader != "", both, func(w io.Writer) {
+		fleetStatus(w, s, time.Now())
+		sessionStatus(w, sessions)
+	})
 }
 
 // ago tells how long ago a box was heard of.
--- a/internal/fleet/controlnode/documents.go
+++ b/internal/fleet/controlnode/documents.go
@@ -1,25 +1,137 @@
 package controlnode
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
 	"larchscale/internal/fleet/agree"
+	"larchscale/internal/fleet/configuration"
 	"larchscale/internal/fleet/driver"
+	"larchscale/internal/fleet/session"
 )
 
-// documents is the module with the agreed configuration.
+// documents is the module with the agreed configuration. Every change of a document goes into the history in the order of
+// the log.
 type documents struct {
-	*agree.Agreed[identity, identityEntry, *identity]
+	*agree.Agreed[configuration.State, configuration.Entry, *configuration.State]
 	baseModule
 	node *Node
 	host *driver.Host
+	last uint64 // revision of the newest change that this node knows of
 }
 
 func newDocuments(n *Node) *documents {
-	return &documents{Agreed: agree.NewAgreed[identity, identityEntry](configurationPart), node: n}
+	return &documents{Agreed: agree.NewAgreed[configuration.State, configuration.Entry](configurationPart), node: n}
 }
 
 // Begin implements driver.Module.
 func (d *documents) Begin(h *driver.Host) { d.host = h }
 
-func (d *documents) each(func(key string, revision uint64, value []byte)) {}
+// Apply implements agree.Part.
+func (d *documents) Apply(index uint64, entry []byte) error {
+	err := d.Agreed.Apply(index, entry)
+	changed, ok := d.State.Changed()
+	if !ok {
+		return err
+	}
+	d.last = changed.Revision
+	if d.node.sessions.restored { // the history is made anew of the whole state
+		return err
+	}
+	key := session.ConfigurationPrefix + changed.Key
+	if changed.Deleted {
+		d.node.sessions.history.Delete(changed.Revision, key)
+	} else {
+		d.node.sessions.history.Put(changed.Revision, key, changed.Value)
+	}
+	return err
+}
+
+// Load implements agree.Part.
+func (d *documents) Load(state []byte) error {
+	err := d.Agreed.Load(state)
+	for i := range d.State.Documents {
+		d.last = max(d.last, d.State.Documents[i].Revision)
+	}
+	d.node.sessions.restored = true
+	return err
+}
+
+// each calls a function with each document as the watch has it.
+func (d *documents) each(put func(key string, revision uint64, value []byte)) {
+	for i := range d.State.Documents {
+		document := &d.State.Documents[i]
+		put(session.ConfigurationPrefix+document.Key, document.Revision, document.Value)
+	}
+}
+
+// newest returns the revision of the newest change of a document; 0 = there was none. After a snapshot of raft deletions
+// before it are not known.
+func (d *documents) newest() uint64 { return d.last }
+
+// Command is an operator's word on a document, as JSON.
+type Command struct {
+	Delete bool `json:",omitempty"`
+	Key    string
+	Value  []byte `json:",omitempty"`
+	By     string
+	Expect uint64 `json:",omitempty"` // revision that the document has to have; 0 = any, or none
+}
+
+// errNotReady is a fleet whose nodes do not all run a program that knows documents.
+var errNotReady = errors.New("not all control nodes are heard of, or run a program that knows configuration documents")
 
-func (d *documents) newest() uint64 { return 0 }
+// Order implements driver.Ordered.
+func (d *documents) Order(word []byte) (any, error) {
+	var command Command
+	if err := json.Unmarshal(word, &command); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	entry := &configuration.Entry{Kind: configuration.Put, Key: command.Key, Value: command.Value, By: command.By, Expect: command.Expect, At: time.Now().UnixMilli()}
+	if command.Delete {
+		entry.Kind = configuration.Delete
+	}
+	if err := entry.Validate(); err != nil {
+		return nil, err
+	}
+	if !d.Began() && !d.host.Ready() {
+		return nil, errNotReady
+	}
+	return entry, nil
+}
+
+// DocumentStatus describes a document. Value is set only where a single one is asked for.
+type DocumentStatus struct {
+	Key      string
+	Bytes    int
+	Revision uint64
+	By       string
+	At       int64  // when, in milliseconds since 1970 by the proposer's clock
+	Value    []byte `json:",omitempty"`
+}
+
+func newDocumentStatus(document *configuration.Document) DocumentStatus {
+	return DocumentStatus{Key: document.Key, Bytes: len(document.Value), Revision: document.Revision, By: document.By, At: document.At}
+}
+
+// Stands implements driver.Ordered: all documents without their values.
+func (d *documents) Stands() any {
+	out := make([]DocumentStatus, len(d.State.Documents))
+	for i := range d.State.Documents {
+		out[i] = newDocumentStatus(&d.State.Documents[i])
+	}
+	return out
+}
+
+// Item implements driver.Itemized: one document with its value; nil = there is none.
+func (d *documents) Item(key string) any {
+	document := d.State.Document(key)
+	if document == nil {
+		return nil
+	}
+	out := newDocumentStatus(document)
+	out.Value = document.Value // never changed
+	return out
+}
--- a/internal/fleet/controlnode/sessions.go
+++ b/internal/fleet/controlnode/sessions.go
@@ -93,6 +93,7 @@
 type nodeReport struct {
 	Sessions int    `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
+	Region   string `cbor:"3,keyasint"`
 }
 
 func newSessions(n *Node) *sessions {
@@ -533,7 +534,7 @@
 }
 
 func (s *sessions) nodeReport() nodeReport {
-	out := nodeReport{Revision: s.history.Revision()}
+	out := nodeReport{Revision: s.history.Revision(), Region: s.node.options.Region}
 	if s.table != nil {
 		out.Sessions = s.table.Sessions()
 	}
--- a/internal/fleet/driver/client.go
+++ b/internal/fleet/driver/client.go
@@ -30,6 +30,18 @@
 	return err
 }
 
+// Item asks a box for one item of a module's part, into s; false = there is none.
+func Item(ctx context.Context, c *link.Client, part, key string, s any) (found bool, err error) {
+	text, err := c.Get(ctx, "/fleet/state", url.Values{"part": {part}, "key": {key}})
+	if errors.Is(err, link.ErrNotFound) {
+		return false, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, s)
+	}
+	return err == nil, err
+}
+
 // Say gives a box an operator's word. An error tells what became of it, or that the box did not answer.
 func Say(ctx context.Context, c *link.Client, w Word) error {
 	body, err := json.Marshal(w)
--- a/internal/fleet/driver/http.go
+++ b/internal/fleet/driver/http.go
@@ -17,9 +17,12 @@
 // maxBody bounds what another box or an operator sends at once.
 const maxBody = agree.MaxFrame + 1<<10
 
-// maxNote bounds a report, a knock and a command.
+// maxNote bounds a report and a knock.
 const maxNote = 64 << 10
 
+// maxCommand bounds an operator's command: a document of 64 KB, as JSON has it, and some more.
+const maxCommand = 128 << 10
+
 // noPart is what a box says whose part in the fleet has ended, or not begun.
 const noPart = "this box takes no part in the fleet now"
 
@@ -43,7 +46,7 @@
 //	POST /fleet/report    how a box stands
 //	POST /fleet/knock     a box that wants to be let in
 //	POST /fleet/passed    the same, at a box that may lead, by one that does not
-//	GET  /fleet/state     Status as JSON; with ?part= how that module's part stands
+//	GET  /fleet/state     Status as JSON; with ?part= how that module's part stands; with &key= one item of it
 //	POST /fleet/command   a Word as JSON; the answer comes once it is agreed, or after 10 s
 func (d *Driver) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -90,12 +93,16 @@
 	mux.HandleFunc("POST /fleet/passed", noted(d, d.letIn))
 	mux.HandleFunc("GET /fleet/state", func(w http.ResponseWriter, r *http.Request) {
 		got := make(chan any, 1)
-		part := r.URL.Query().Get("part")
-		if d.enter(func() { got <- d.stands(part) }) {
+		part, key := r.URL.Query().Get("part"), r.URL.Query().Get("key")
+		ask := func() { got <- d.stands(part) }
+		if key != "" {
+			ask = func() { got <- d.item(part, key) }
+		}
+		if d.enter(ask) {
 			select {
 			case s := <-got:
 				if s == nil {
-					http.Error(w, fmt.Sprintf("this box has no part %q", part), http.StatusNotFound)
+					http.Error(w, fmt.Sprintf("this box has no part %q, or nothing of key %q in it", part, key), http.StatusNotFound)
 					return
 				}
 				json.NewEncoder(w).Encode(s)
@@ -141,7 +148,7 @@
 
 func (d *Driver) commanded(w http.ResponseWriter, r *http.Request) {
 	var word Word
-	in := json.NewDecoder(io.LimitReader(r.Body, maxNote))
+	in := json.NewDecoder(io.LimitReader(r.Body, maxCommand))
 	in.DisallowUnknownFields()
 	if err := in.Decode(&word); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/fleet/driver/modules.go
+++ b/internal/fleet/driver/modules.go
@@ -47,6 +47,12 @@
 	Stands() any
 }
 
+// Itemized is a module whose part has items that can be asked for by key.
+type Itemized interface {
+	// Item returns an item, as JSON will have it; nil = there is none. It shares nothing with what the module changes.
+	Item(key string) any
+}
+
 // maxWord bounds one message of a module, and its part of a report.
 const maxWord = 48 << 10
 
@@ -193,6 +199,14 @@
 	return nil
 }
 
+// item returns an item of a module's part; nil = there is none.
+func (d *Driver) item(part, key string) any {
+	if m, ok := d.module(part).(Itemized); ok {
+		return m.Item(key)
+	}
+	return nil
+}
+
 // reading is a read that a module waits for.
 type reading struct {
 	part  string
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -48,6 +48,9 @@
 // ErrAnswer is a box that answers with something else than asked for.
 var ErrAnswer = errors.New("not an answer")
 
+// ErrNotFound is a box that has nothing of what was asked for.
+var ErrNotFound = fmt.Errorf("not found: %w", ErrAnswer)
+
 // Box is another box, and how it is reached.
 type Box struct{ Name, Addr string }
 
@@ -257,6 +260,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.StatusCode == http.StatusNotFound {
+		return nil, fmt.Errorf("%s: %w", path, ErrNotFound)
+	}
 	if len(text) > MaxAnswer || res.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s: status %d, %d bytes: %w", path, res.StatusCode, len(text), ErrAnswer)
 	}
