--- a/internal/fleet/watch/history.go
+++ b/internal/fleet/watch/history.go
@@ -16,8 +16,8 @@
 //
 // Readers may move between histories of the same state, one at each node, that were fed at different moments. A revision
 // therefore has to mean the same at all of them: Advance(r) says that every change of the state up to r has been given. In
-// between a feeder may leave out all but the newest value of a key, and give it at a revision up to the next r. Readers
-// stand at revisions that were advanced to, never between.
+// between a feeder may leave out all but the newest change of a key, and give that one late: at a revision between the
+// change's own and the next r. Readers stand at revisions that were advanced to, never between.
 //
 // A key of which values are left out must not come back to an earlier value within what is left out: the Put would be
 // taken for no update, and a reader that came from another history in between would keep what it saw there. A value that
@@ -58,11 +58,9 @@
 	h.take(&Update{Revision: revision, Key: key, Value: value})
 }
 
-// Delete removes a key from a revision on, as Put does. Deleting an unknown key is no update.
+// Delete removes a key from a revision on, as Put does. It is an update also where the key is unknown: a reader may come
+// from a history that was given a value in between.
 func (h *History) Delete(revision uint64, key string) {
-	if h.newest.get(key) == nil {
-		return
-	}
 	h.take(&Update{Revision: revision, Key: key, Deleted: true})
 }
 
@@ -106,5 +104,5 @@
 
 // NewReader makes a reader for a view that has all updates up to a revision; 0 = none. It costs the history nothing.
 func (h *History) NewReader(interest Interest, after uint64) *Reader {
-	return &Reader{history: h, interest: interest, position: after}
+	return &Reader{history: h, interest: interest, position: after, sent: after}
 }
--- a/internal/fleet/watch/reader.go
+++ b/internal/fleet/watch/reader.go
@@ -1,12 +1,13 @@
 package watch
 
-// Reader is the position of one watcher in a History. Beside its interest it holds a revision and, while it is in a
+// Reader is the position of one watcher in a History. Beside its interest it holds two revisions and, while it is in a
 // snapshot, one reference for each key that is still to be sent.
 type Reader struct {
 	history  *History
 	interest Interest
-	position uint64
-	snapshot *snapshot
+	position uint64    // it has looked at all updates up to here
+	sent     uint64    // where the last batch led to: the revision of the view
+	snapshot *snapshot // nil = it is in none
 }
 
 // snapshot is what a reader has yet to send of the keys as of its position.
@@ -16,7 +17,8 @@
 }
 
 // Next gives the next batch; false = nothing for now. A reader that is ahead of the history gets nothing until the history
-// has passed it. Updates that the reader is not interested in are passed over without a batch.
+// has passed it. Updates that the reader is not interested in are passed over without a batch; but before the history drops
+// what follows the last batch an empty one tells the view how far it is, lest it need a snapshot when it comes back.
 //
 // A batch has at most maxBytes of updates, with two exceptions. An update that is larger by itself comes alone. What was
 // given between two calls of Advance is not divided: it comes alone, by half of maxBytes larger at most; where it is larger
@@ -47,7 +49,7 @@
 
 // updatesBatch gives the updates after the position.
 func (r *Reader) updatesBatch(maxBytes int) (Batch, bool) {
-	batch := Batch{From: r.position, To: r.position}
+	batch := Batch{From: r.sent, To: r.position}
 	size := 0
 	for rest := r.history.recent.between(r.position, r.history.revision); len(rest) > 0; {
 		var step []recentUpdate
@@ -56,8 +58,7 @@
 		batch.Updates, size = r.appendWanted(batch.Updates, size, step)
 		if size > maxBytes && before > 0 {
 			batch.Updates = batch.Updates[:before]
-			r.position = batch.To
-			return batch, true
+			return r.send(batch), true
 		}
 		if size > maxBytes+maxBytes/2 && len(batch.Updates) > 1 {
 			return r.beginSnapshot(maxBytes)
@@ -65,8 +66,17 @@
 		batch.To = step[len(step)-1].advanced
 	}
 	batch.To = r.history.revision
-	r.position = batch.To
-	return batch, len(batch.Updates) > 0
+	if len(batch.Updates) == 0 && !r.history.recent.halfGone(r.sent) {
+		r.position = batch.To
+		return Batch{}, false
+	}
+	return r.send(batch), true
+}
+
+// send takes the reader to where a batch leads.
+func (r *Reader) send(batch Batch) Batch {
+	r.position, r.sent = batch.To, batch.To
+	return batch
 }
 
 // cutStep divides updates behind the first that History.Advance was called after.
@@ -120,6 +130,7 @@
 	s.sent += uint64(n)
 	if batch.Last {
 		r.snapshot = nil
+		r.sent = batch.To
 	}
 	return batch
 }
