Watch: a reader looks only at updates of its own keys

A reader looked once at each recent update of all servers, a cost that grows with the fleet. The recent updates are now indexed by key and by group (a key up to its first slash).

TestViewsEndEqual with -rapid.checks=20000 passes (trial); go test -race passes.

--- a/internal/fleet/watch/batch.go
+++ b/internal/fleet/watch/batch.go
@@ -42,7 +42,7 @@
 // size is what an update counts for against a bound in bytes.
 func (u *Update) size() int { return len(u.Key) + len(u.Value) + UpdateOverhead }
 
-// Interest tells which keys a reader receives.
+// Interest tells which keys a reader receives. It is made by the reader's owner, and short.
 type Interest struct {
 	_        struct{} `cbor:",toarray"`
 	Keys     []string // whole keys
--- a/internal/fleet/watch/history.go
+++ b/internal/fleet/watch/history.go
@@ -6,7 +6,8 @@
 )
 
 // Limits bounds the recent updates that a History keeps, whatever its readers do. A reader that is further behind receives
-// a snapshot.
+// a snapshot. Beside Bytes each update takes pointers and entries of an index, which Updates bounds. The newest values
+// are bounded by the state that they come from.
 type Limits struct {
 	Bytes   int // of keys and values, and UpdateOverhead for each update
 	Updates int
@@ -33,7 +34,7 @@
 
 // NewHistory makes an empty history at revision 0.
 func NewHistory(limits Limits) *History {
-	return &History{recent: recentUpdates{limits: limits}}
+	return &History{recent: newRecentUpdates(limits)}
 }
 
 // Reset drops everything: the state was replaced by a snapshot of raft as of a revision. The caller then calls Put for
--- a/internal/fleet/watch/property_test.go
+++ b/internal/fleet/watch/property_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -121,6 +122,7 @@
 		everything,
 		{Keys: []string{"server/1"}, Prefixes: []string{"configuration/"}},
 		{Keys: []string{"server/2", "server/3"}},
+		{Keys: []string{"server/1", "configuration/a"}, Prefixes: []string{"server/", "server/2", "configuration/b"}},
 	} {
 		watcher := &watcher{interest: interest, view: NewView()}
 		w.watchers = append(w.watchers, watcher)
@@ -495,6 +497,9 @@
 		if size != recent.bytes || size > w.limits.Bytes || len(recent.updates) > w.limits.Updates {
 			return fmt.Errorf("history keeps %d updates of %d bytes, counts %d, at most %v", len(recent.updates), size, recent.bytes, w.limits)
 		}
+		if err := checkIndex(recent); err != nil {
+			return err
+		}
 		if cap(recent.updates) > 4*(w.limits.Updates+4) {
 			return fmt.Errorf("room for %d updates, at most %d are kept", cap(recent.updates), w.limits.Updates)
 		}
@@ -510,6 +515,20 @@
 	return nil
 }
 
+// checkIndex tells whether the index has each recent update once by its key and once by its group, and nothing else.
+func checkIndex(recent *recentUpdates) error {
+	byKey, byGroup := map[string][]uint64{}, map[string][]uint64{}
+	for i, u := range recent.updates {
+		number := recent.first + uint64(i)
+		byKey[u.Key] = append(byKey[u.Key], number)
+		byGroup[group(u.Key)] = append(byGroup[group(u.Key)], number)
+	}
+	if !maps.EqualFunc(byKey, recent.byKey, slices.Equal) || !maps.EqualFunc(byGroup, recent.byGroup, slices.Equal) {
+		return fmt.Errorf("index %v and %v, want %v and %v", recent.byKey, recent.byGroup, byKey, byGroup)
+	}
+	return nil
+}
+
 // checkTable tells whether a table is in order and counted right.
 func checkTable(t *table) error {
 	size := 0
--- a/internal/fleet/watch/reader.go
+++ b/internal/fleet/watch/reader.go
@@ -24,9 +24,9 @@
 // given between two calls of Advance is not divided: it comes alone, by half of maxBytes larger at most; where it is larger
 // still, a snapshot takes its place.
 //
-// Next costs O(1) at the head of the history, and otherwise O(log n) for n recent updates and a comparison with the
-// interest for each update behind it: a reader looks once at each update. The first call of a snapshot costs O(k log k) for
-// its k keys.
+// Next costs O(1) at the head of the history, and otherwise O(log n) for n recent updates, and again for each that is sent or
+// has the same prefix up to a slash as one of interest: updates of other keys cost a reader nothing. An interest in a prefix
+// without a slash has the reader look at all, each once. The first call of a snapshot costs O(k log k) for its k keys.
 func (r *Reader) Next(maxBytes int) (Batch, bool) {
 	switch {
 	case r.snapshot != nil:
@@ -49,24 +49,31 @@
 
 // updatesBatch gives the updates after the position.
 func (r *Reader) updatesBatch(maxBytes int) (Batch, bool) {
-	batch := Batch{From: r.sent, To: r.position}
+	recent := &r.history.recent
+	batch := Batch{From: r.sent}
 	size := 0
-	for rest := r.history.recent.between(r.position, r.history.revision); len(rest) > 0; {
-		var step []recentUpdate
-		step, rest = cutStep(rest)
-		before := len(batch.Updates)
-		batch.Updates, size = r.appendWanted(batch.Updates, size, step)
-		if size > maxBytes && before > 0 {
-			batch.Updates = batch.Updates[:before]
+	var current *step
+	stepBegin := 0 // of the current step, in the batch
+	from, end := recent.numbers(r.position, r.history.revision)
+	for u, number, ok := recent.wanted(&r.interest, from, end); ok; u, number, ok = recent.wanted(&r.interest, number+1, end) {
+		if u.step != current {
+			if current != nil {
+				batch.To = current.advanced
+			}
+			current, stepBegin = u.step, len(batch.Updates)
+		}
+		size += u.size()
+		if size > maxBytes && stepBegin > 0 {
+			batch.Updates = batch.Updates[:stepBegin]
 			return r.send(batch), true
 		}
+		batch.Updates = append(batch.Updates, *u.Update)
 		if size > maxBytes+maxBytes/2 && len(batch.Updates) > 1 {
 			return r.beginSnapshot(maxBytes)
 		}
-		batch.To = step[len(step)-1].advanced
 	}
 	batch.To = r.history.revision
-	if len(batch.Updates) == 0 && !r.history.recent.halfGone(r.sent) {
+	if len(batch.Updates) == 0 && !recent.halfGone(r.sent) {
 		r.position = batch.To
 		return Batch{}, false
 	}
@@ -79,27 +86,6 @@
 	return batch
 }
 
-// cutStep divides updates behind the first that History.Advance was called after.
-func cutStep(updates []recentUpdate) (step, rest []recentUpdate) {
-	for i := range updates {
-		if updates[i].advanced != 0 {
-			return updates[:i+1], updates[i+1:]
-		}
-	}
-	return updates, nil
-}
-
-// appendWanted appends the updates of a step that the reader is interested in to those of a batch of a size.
-func (r *Reader) appendWanted(updates []Update, size int, step []recentUpdate) ([]Update, int) {
-	for i := range step {
-		if r.interest.includes(step[i].Key) {
-			updates = append(updates, *step[i].Update)
-			size += step[i].size()
-		}
-	}
-	return updates, size
-}
-
 // beginSnapshot takes a snapshot, if the newest values are whole, and gives its first batch.
 func (r *Reader) beginSnapshot(maxBytes int) (Batch, bool) {
 	if !r.history.whole() {
--- a/internal/fleet/watch/recent.go
+++ b/internal/fleet/watch/recent.go
@@ -1,55 +1,93 @@
 package watch
 
-import "sort"
+import (
+	"slices"
+	"sort"
+	"strings"
+)
+
+// step is what was given between two calls of History.Advance.
+type step struct {
+	advanced uint64 // the revision of the second call; 0 = it has not come
+}
 
 // recentUpdate is an update in the order in which it came.
 type recentUpdate struct {
 	*Update
+	step   *step
 	before uint64 // sum of the sizes of all updates that ever came before it
-	// advanced is set on the last update before a call of History.Advance: the revision it was called with.
-	advanced uint64
 }
 
-// recentUpdates keeps the newest updates within limits, in ascending order of revisions.
+// recentUpdates keeps the newest updates within limits, in ascending order of revisions. Updates are numbered in the order
+// in which they came; an index gives the numbers by key and by group, which is a key up to its first slash.
 type recentUpdates struct {
 	limits  Limits
 	updates []recentUpdate
+	first   uint64              // number of the first that is kept
+	byKey   map[string][]uint64 // numbers ascend
+	byGroup map[string][]uint64
+	open    *step  // of updates that were not advanced to; nil = there are none
 	bytes   int    // sum of their sizes
 	total   uint64 // sum of the sizes of all that ever came
 }
 
+func newRecentUpdates(limits Limits) recentUpdates {
+	return recentUpdates{limits: limits, byKey: map[string][]uint64{}, byGroup: map[string][]uint64{}}
+}
+
+// group gives a key or a prefix up to its first slash; "" = it has none.
+func group(key string) string { return key[:strings.IndexByte(key, '/')+1] }
+
 // add appends an update and drops the oldest past the limits, all of a revision together. It gives the revision of the
 // newest that was dropped; 0 = none was.
 func (r *recentUpdates) add(u *Update) (dropped uint64) {
-	r.updates = append(r.updates, recentUpdate{Update: u, before: r.total})
+	if r.open == nil {
+		r.open = &step{}
+	}
+	number := r.first + uint64(len(r.updates))
+	r.byKey[u.Key] = append(r.byKey[u.Key], number)
+	r.byGroup[group(u.Key)] = append(r.byGroup[group(u.Key)], number)
+	r.updates = append(r.updates, recentUpdate{Update: u, step: r.open, before: r.total})
 	r.bytes += u.size()
 	r.total += uint64(u.size())
-	n := 0
-	for n < len(r.updates) && (r.over(n) || r.updates[n].Revision == dropped) {
-		dropped = r.updates[n].Revision
-		r.bytes -= r.updates[n].size()
-		n++
+	for len(r.updates) > 0 && (r.overLimits() || r.updates[0].Revision == dropped) {
+		dropped = r.updates[0].Revision
+		r.dropFirst()
 	}
-	clear(r.updates[:n]) // the array lives on for a while
-	r.updates = r.updates[n:]
 	return dropped
 }
 
-// over tells that the updates are past the limits with the first n dropped.
-func (r *recentUpdates) over(n int) bool {
-	return len(r.updates)-n > r.limits.Updates || r.bytes > r.limits.Bytes
+func (r *recentUpdates) overLimits() bool {
+	return len(r.updates) > r.limits.Updates || r.bytes > r.limits.Bytes
+}
+
+func (r *recentUpdates) dropFirst() {
+	u := r.updates[0]
+	dropNumber(r.byKey, u.Key)
+	dropNumber(r.byGroup, group(u.Key))
+	r.bytes -= u.size()
+	r.updates[0] = recentUpdate{} // the array lives on for a while
+	r.updates = r.updates[1:]
+	r.first++
+}
+
+// dropNumber takes the first number of a name out of an index.
+func dropNumber(index map[string][]uint64, name string) {
+	if len(index[name]) == 1 {
+		delete(index, name)
+		return
+	}
+	index[name] = index[name][1:]
 }
 
 // reset drops all.
-func (r *recentUpdates) reset() { r.updates, r.bytes = nil, 0 }
+func (r *recentUpdates) reset() { *r = newRecentUpdates(r.limits) }
 
 // advance tells that all updates up to a revision are here.
 func (r *recentUpdates) advance(revision uint64) {
-	if len(r.updates) == 0 {
-		return
-	}
-	if last := &r.updates[len(r.updates)-1]; last.advanced == 0 {
-		last.advanced = revision
+	if r.open != nil {
+		r.open.advanced = revision
+		r.open = nil
 	}
 }
 
@@ -69,7 +107,47 @@
 	return sort.Search(len(r.updates), func(i int) bool { return r.updates[i].Revision > after })
 }
 
-// between gives the updates after one revision up to another: a part of the array, not to be kept.
-func (r *recentUpdates) between(after, upTo uint64) []recentUpdate {
-	return r.updates[r.search(after):r.search(upTo)]
+// numbers gives the first number of the updates after a revision, and the one behind those up to another.
+func (r *recentUpdates) numbers(after, upTo uint64) (begin, end uint64) {
+	return r.first + uint64(r.search(after)), r.first + uint64(r.search(upTo))
+}
+
+// wanted gives the first update of an interest that has a number from one on and below another, and its number.
+func (r *recentUpdates) wanted(interest *Interest, from, end uint64) (u *recentUpdate, number uint64, ok bool) {
+	for number = from; number < end; number++ {
+		number = r.candidate(interest, number, end)
+		if number >= end {
+			break
+		}
+		if u = &r.updates[number-r.first]; interest.includes(u.Key) {
+			return u, number, true
+		}
+	}
+	return nil, end, false
+}
+
+// candidate gives the lowest number, from one on, that the index has for the keys and groups of an interest; the end if it
+// has none. A prefix without a slash has no group: any update may be of interest.
+func (r *recentUpdates) candidate(interest *Interest, from, end uint64) uint64 {
+	lowest := end
+	for _, key := range interest.Keys {
+		lowest = min(lowest, firstFrom(r.byKey[key], from, end))
+	}
+	for _, prefix := range interest.Prefixes {
+		name := group(prefix)
+		if name == "" {
+			return from
+		}
+		lowest = min(lowest, firstFrom(r.byGroup[name], from, end))
+	}
+	return lowest
+}
+
+// firstFrom gives the lowest of ascending numbers from one on; the end if there is none.
+func firstFrom(numbers []uint64, from, end uint64) uint64 {
+	i, _ := slices.BinarySearch(numbers, from)
+	if i == len(numbers) {
+		return end
+	}
+	return numbers[i]
 }
