--- a/internal/fleet/watch/history.go
+++ b/internal/fleet/watch/history.go
@@ -6,7 +6,8 @@
 )
 
 // Limits bounds the recent updates that a History keeps, whatever its readers do. A reader that is further behind receives
-// a snapshot.
+// a snapshot. Beside Bytes each update takes pointers and entries of an index, which Updates bounds. The newest values
+// are bounded by the state that they come from.
 type Limits struct {
 	Bytes   int // of keys and values, and UpdateOverhead for each update
 	Updates int
@@ -16,8 +17,8 @@
 //
 // Readers may move between histories of the same state, one at each node, that were fed at different moments. A revision
 // therefore has to mean the same at all of them: Advance(r) says that every change of the state up to r has been given. In
-// between a feeder may leave out all but the newest value of a key, and give it at a revision up to the next r. Readers
-// stand at revisions that were advanced to, never between.
+// between a feeder may leave out all but the newest change of a key, and give that one late: at a revision between the
+// change's own and the next r. Readers stand at revisions that were advanced to, never between.
 //
 // A key of which values are left out must not come back to an earlier value within what is left out: the Put would be
 // taken for no update, and a reader that came from another history in between would keep what it saw there. A value that
@@ -33,7 +34,7 @@
 
 // NewHistory makes an empty history at revision 0.
 func NewHistory(limits Limits) *History {
-	return &History{recent: recentUpdates{limits: limits}}
+	return &History{recent: newRecentUpdates(limits)}
 }
 
 // Reset drops everything: the state was replaced by a snapshot of raft as of a revision. The caller then calls Put for
@@ -58,11 +59,9 @@
 	h.take(&Update{Revision: revision, Key: key, Value: value})
 }
 
-// Delete removes a key from a revision on, as Put does. Deleting an unknown key is no update.
+// Delete removes a key from a revision on, as Put does. It is an update also where the key is unknown: a reader may come
+// from a history that was given a value in between.
 func (h *History) Delete(revision uint64, key string) {
-	if h.newest.get(key) == nil {
-		return
-	}
 	h.take(&Update{Revision: revision, Key: key, Deleted: true})
 }
 
@@ -106,5 +105,5 @@
 
 // NewReader makes a reader for a view that has all updates up to a revision; 0 = none. It costs the history nothing.
 func (h *History) NewReader(interest Interest, after uint64) *Reader {
-	return &Reader{history: h, interest: interest, position: after}
+	return &Reader{history: h, interest: interest, position: after, sent: after}
 }
--- a/internal/fleet/watch/reader.go
+++ b/internal/fleet/watch/reader.go
@@ -1,12 +1,13 @@
 package watch
 
-// Reader is the position of one watcher in a History. Beside its interest it holds a revision and, while it is in a
+// Reader is the position of one watcher in a History. Beside its interest it holds two revisions and, while it is in a
 // snapshot, one reference for each key that is still to be sent.
 type Reader struct {
 	history  *History
 	interest Interest
-	position uint64
-	snapshot *snapshot
+	position uint64    // it has looked at all updates up to here
+	sent     uint64    // where the last batch led to: the revision of the view
+	snapshot *snapshot // nil = it is in none
 }
 
 // snapshot is what a reader has yet to send of the keys as of its position.
@@ -16,15 +17,16 @@
 }
 
 // Next gives the next batch; false = nothing for now. A reader that is ahead of the history gets nothing until the history
-// has passed it. Updates that the reader is not interested in are passed over without a batch.
+// has passed it. Updates that the reader is not interested in are passed over without a batch; but before the history drops
+// what follows the last batch an empty one tells the view how far it is, lest it need a snapshot when it comes back.
 //
 // A batch has at most maxBytes of updates, with two exceptions. An update that is larger by itself comes alone. What was
 // given between two calls of Advance is not divided: it comes alone, by half of maxBytes larger at most; where it is larger
 // still, a snapshot takes its place.
 //
-// Next costs O(1) at the head of the history, and otherwise O(log n) for n recent updates and a comparison with the
-// interest for each update behind it: a reader looks once at each update. The first call of a snapshot costs O(k log k) for
-// its k keys.
+// Next costs O(1) at the head of the history, and otherwise O(log n) for n recent updates, and again for each that is sent or
+// has the same prefix up to a slash as one of interest: updates of other keys cost a reader nothing. An interest in a prefix
+// without a slash has the reader look at all, each once. The first call of a snapshot costs O(k log k) for its k keys.
 func (r *Reader) Next(maxBytes int) (Batch, bool) {
 	switch {
 	case r.snapshot != nil:
@@ -47,47 +49,41 @@
 
 // updatesBatch gives the updates after the position.
 func (r *Reader) updatesBatch(maxBytes int) (Batch, bool) {
-	batch := Batch{From: r.position, To: r.position}
+	recent := &r.history.recent
+	batch := Batch{From: r.sent}
 	size := 0
-	for rest := r.history.recent.between(r.position, r.history.revision); len(rest) > 0; {
-		var step []recentUpdate
-		step, rest = cutStep(rest)
-		before := len(batch.Updates)
-		batch.Updates, size = r.appendWanted(batch.Updates, size, step)
-		if size > maxBytes && before > 0 {
-			batch.Updates = batch.Updates[:before]
-			r.position = batch.To
-			return batch, true
+	var current *step
+	stepBegin := 0 // of the current step, in the batch
+	from, end := recent.numbers(r.position, r.history.revision)
+	for u, number, ok := recent.wanted(&r.interest, from, end); ok; u, number, ok = recent.wanted(&r.interest, number+1, end) {
+		if u.step != current {
+			if current != nil {
+				batch.To = current.advanced
+			}
+			current, stepBegin = u.step, len(batch.Updates)
 		}
+		size += u.size()
+		if size > maxBytes && stepBegin > 0 {
+			batch.Updates = batch.Updates[:stepBegin]
+			return r.send(batch), true
+		}
+		batch.Updates = append(batch.Updates, *u.Update)
 		if size > maxBytes+maxBytes/2 && len(batch.Updates) > 1 {
 			return r.beginSnapshot(maxBytes)
 		}
-		batch.To = step[len(step)-1].advanced
 	}
 	batch.To = r.history.revision
-	r.position = batch.To
-	return batch, len(batch.Updates) > 0
-}
-
-// cutStep divides updates behind the first that History.Advance was called after.
-func cutStep(updates []recentUpdate) (step, rest []recentUpdate) {
-	for i := range updates {
-		if updates[i].advanced != 0 {
-			return updates[:i+1], updates[i+1:]
-		}
+	if len(batch.Updates) == 0 && !recent.halfGone(r.sent) {
+		r.position = batch.To
+		return Batch{}, false
 	}
-	return updates, nil
+	return r.send(batch), true
 }
 
-// appendWanted appends the updates of a step that the reader is interested in to those of a batch of a size.
-func (r *Reader) appendWanted(updates []Update, size int, step []recentUpdate) ([]Update, int) {
-	for i := range step {
-		if r.interest.includes(step[i].Key) {
-			updates = append(updates, *step[i].Update)
-			size += step[i].size()
-		}
-	}
-	return updates, size
+// send takes the reader to where a batch leads.
+func (r *Reader) send(batch Batch) Batch {
+	r.position, r.sent = batch.To, batch.To
+	return batch
 }
 
 // beginSnapshot takes a snapshot, if the newest values are whole, and gives its first batch.
@@ -120,6 +116,7 @@
 	s.sent += uint64(n)
 	if batch.Last {
 		r.snapshot = nil
+		r.sent = batch.To
 	}
 	return batch
 }
