Control tier: documents reach all servers of three nodes, and are acknowledged

The test of three nodes gives documents values, one of 60 KB, and deletes one: in force at all five servers, acknowledged to the leader, and there after the leader has changed.

--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,7 +50,9 @@
 	client  *controlclient.Client
 	held    atomic.Bool
 	applied atomic.Uint64
-	lost    atomic.Int64 // times at which it held no lease after it had one
+	mu      sync.Mutex
+	values  map[string][]byte // documents in force, by key
+	lost    atomic.Int64      // times at which it held no lease after it had one
 	holds   atomic.Bool
 	stop    func()
 }
@@ -254,7 +258,7 @@
 // serve starts an app server.
 func (f *tier) serve(name string) {
 	f.t.Helper()
-	s := &testServer{name: name}
+	s := &testServer{name: name, values: map[string][]byte{}}
 	options := controlclient.Defaults()
 	options.Zone, options.DrainMs = "a", 100
 	way := f.way(name)
@@ -264,7 +268,7 @@
 	}
 	var err error
 	s.client, err = controlclient.New(options, controlclient.Server{Name: name, Body: s, Applied: s.applied.Load,
-		Configure: func(revision uint64, _ []watch.Update) { s.applied.Store(revision) }}, f.log)
+		Configure: s.configure}, f.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -282,6 +286,34 @@
 	f.servers = append(f.servers, s)
 }
 
+// configure puts documents in force.
+func (s *testServer) configure(revision uint64, changed []watch.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, update := range changed {
+		key := strings.TrimPrefix(update.Key, session.ConfigurationPrefix)
+		if update.Deleted {
+			delete(s.values, key)
+		} else {
+			s.values[key] = update.Value
+		}
+	}
+	s.applied.Store(revision)
+}
+
+// document returns the value of a document in force; nil = there is none.
+func (s *testServer) document(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+func (s *testServer) documents() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.values)
+}
+
 // watchLease counts the times at which the server's lease ended.
 func (s *testServer) watchLease(ctx context.Context) {
 	clock := time.NewTicker(20 * time.Millisecond)
@@ -320,15 +352,19 @@
 	return f.all(leased) && f.leader() != nil && f.leader().metric("fleet.voters") == len(f.nodes) && f.leader().metric("fleet.servers") == len(f.servers)
 }
 
-// Three control nodes and five servers: all sessions open and all servers hold leases; one is taken out and comes back; a
-// node that ends has its servers move, and no lease ends.
+// Three control nodes and five servers: all sessions open and all servers hold leases; documents are in force at all and
+// acknowledged; one server is taken out and comes back; a node that ends has its servers move, and no lease ends.
 func TestATierOfThreeNodes(t *testing.T) {
 	for name, tls := range map[string]bool{"without TLS": false, "mutual TLS": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newTier(t, 3, 5, tls)
 			f.until("all servers have leases", f.settled)
+			f.configure("flags/lanes", "two", 1)
+			f.configure("flags/lanes", "three", 1)
 			f.takeOut("app-2")
 			f.loseNode()
+			f.configure("routes/north", strings.Repeat("r", 60<<10), 2)
+			f.forget("flags/lanes", 1)
 			for _, s := range f.servers {
 				if lost := s.lost.Load(); lost != 0 {
 					t.Errorf("%s lost its lease %d times", s.name, lost)
@@ -338,6 +374,72 @@
 	}
 }
 
+// configure gives a document a value, and waits until it is in force at all servers, each of which then has so many.
+func (f *tier) configure(key, value string, documents int) {
+	f.t.Helper()
+	f.command(controlnode.Command{Key: key, Value: []byte(value), By: "staff"})
+	f.until("document "+key+" is in force at all servers", func() bool {
+		return f.all(func(s *testServer) bool { return string(s.document(key)) == value && s.documents() == documents }) && f.acknowledged()
+	})
+	var asked controlnode.DocumentStatus
+	found, err := f.item(key, &asked)
+	if err != nil || !found || string(asked.Value) != value || asked.By != "staff" || asked.Revision == 0 {
+		f.t.Errorf("document %s is %+v, %v, %v", key, asked, found, err)
+	}
+}
+
+// forget deletes a document, and waits until it is gone at all servers, each of which then has so many.
+func (f *tier) forget(key string, documents int) {
+	f.t.Helper()
+	f.command(controlnode.Command{Key: key, Delete: true, By: "staff"})
+	f.until("document "+key+" is gone at all servers", func() bool {
+		return f.all(func(s *testServer) bool { return s.document(key) == nil && s.documents() == documents }) && f.acknowledged()
+	})
+	if found, err := f.item(key, &controlnode.DocumentStatus{}); found || err != nil {
+		f.t.Errorf("document %s is there after its end: %v", key, err)
+	}
+}
+
+// command has an operator say a word on a document, until it is agreed. A word that was agreed and not answered has no
+// second effect.
+func (f *tier) command(command controlnode.Command) {
+	f.t.Helper()
+	data, err := json.Marshal(command)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.until("the command is agreed", func() bool {
+		err := f.nodes[2].say(driver.Word{Part: controlnode.ConfigurationPart, Data: data})
+		return err == nil || command.Delete && strings.Contains(err.Error(), "unknown document")
+	})
+}
+
+// acknowledged reports whether the leader knows that all servers have the newest configuration in force.
+func (f *tier) acknowledged() bool {
+	leader := f.leader()
+	if leader == nil {
+		return false
+	}
+	client := leader.link.Dial(leader.name, leader.addr)
+	defer client.Close()
+	var status controlnode.Status
+	if err := driver.Stands(f.t.Context(), client, controlnode.SessionPart, &status); err != nil {
+		return false
+	}
+	sessions := 0
+	for _, n := range status.Nodes {
+		sessions += n.Sessions
+	}
+	return status.Leads && status.Servers == len(f.servers) && status.Behind == 0 && status.Configuration > 0 && sessions == len(f.servers)
+}
+
+// item asks the first node for a document.
+func (f *tier) item(key string, into *controlnode.DocumentStatus) (bool, error) {
+	client := f.nodes[0].link.Dial(f.nodes[0].name, f.nodes[0].addr)
+	defer client.Close()
+	return driver.Item(f.t.Context(), client, controlnode.ConfigurationPart, key, into)
+}
+
 // takeOut has a plan take out a server, which is another process afterwards.
 func (f *tier) takeOut(name string) {
 	f.t.Helper()
