--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"larchscale/internal/export"
+	"larchscale/internal/fleet/limits"
 )
 
 // Options say where a box listens for others, and which there are.
@@ -36,7 +37,7 @@
 }
 
 const (
-	maxBoxes  = 300
+	maxBoxes  = limits.MaxMeshServers
 	spare     = 8       // connections of others than the boxes: operators
 	MaxAnswer = 1 << 20 // bytes that are read of one
 	maxHead   = 8 << 10
@@ -47,6 +48,9 @@
 // ErrAnswer is a box that answers with something else than asked for.
 var ErrAnswer = errors.New("not an answer")
 
+// ErrNotFound is a box that has nothing of what was asked for.
+var ErrNotFound = fmt.Errorf("not found: %w", ErrAnswer)
+
 // Box is another box, and how it is reached.
 type Box struct{ Name, Addr string }
 
@@ -109,15 +113,15 @@
 	case !set && bare < len(addrs):
 		return fmt.Errorf("%s: only mutual TLS leaves the machine: set ca, cert and key", table)
 	case set:
-		if _, err := o.tls(); err != nil {
+		if _, err := o.TLS(); err != nil {
 			return fmt.Errorf("%s.%w", table, err)
 		}
 	}
 	return nil
 }
 
-// tls gives the configuration of both sides; nil = without.
-func (o *Options) tls() (*tls.Config, error) {
+// TLS returns the configuration of both sides, which show and ask for certificates; nil = without.
+func (o *Options) TLS() (*tls.Config, error) {
 	if o.CA == "" {
 		return nil, nil
 	}
@@ -156,7 +160,7 @@
 
 // New makes a link.
 func New(opt Options, log *slog.Logger) (*Link, error) {
-	c, err := opt.tls()
+	c, err := opt.TLS()
 	if err != nil {
 		return nil, err
 	}
@@ -183,7 +187,12 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(&limited{Listener: in, free: make(chan struct{}, l.opt.conns())})
+	s.Serve(Limit(in, l.opt.conns()))
+}
+
+// Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
+func Limit(in net.Listener, most int) net.Listener {
+	return &limited{Listener: in, free: make(chan struct{}, most)}
 }
 
 // observedListener wraps the connections that it accepts.
@@ -294,6 +303,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.StatusCode == http.StatusNotFound {
+		return nil, fmt.Errorf("%s: %w", path, ErrNotFound)
+	}
 	if len(text) > MaxAnswer || res.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s: status %d, %d bytes: %w", path, res.StatusCode, len(text), ErrAnswer)
 	}
