--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -432,9 +432,12 @@
 }
 
 // Figures are those of its door's /stats, by name; nil = it does not answer.
-func (m *Member) Figures() map[string]float64 {
+func (m *Member) Figures() map[string]float64 { return Stats(m.Admin) }
+
+// Stats are the metrics of an admin endpoint, by name; nil = it does not answer.
+func Stats(addr string) map[string]float64 {
 	c := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Get("http://" + m.Admin + "/stats")
+	res, err := c.Get("http://" + addr + "/stats")
 	if err != nil {
 		return nil
 	}
