--- a/internal/fleet/watch/reader.go
+++ b/internal/fleet/watch/reader.go
@@ -31,7 +31,7 @@
 	switch {
 	case r.snapshot != nil:
 		return r.snapshotBatch(maxBytes), true
-	case r.position >= r.history.revision || r.history.loading:
+	case r.position >= r.history.revision:
 		return Batch{}, false
 	case r.position < r.history.compacted:
 		return r.beginSnapshot(maxBytes)
--- a/internal/fleet/watch/recent.go
+++ b/internal/fleet/watch/recent.go
@@ -38,8 +38,8 @@
 // group gives a key or a prefix up to its first slash; "" = it has none.
 func group(key string) string { return key[:strings.IndexByte(key, '/')+1] }
 
-// add appends an update and drops the oldest past the limits, all of a revision together. It gives the revision of the
-// newest that was dropped; 0 = none was.
+// add appends an update and drops the oldest past the limits. It gives the revision of the newest that was dropped; 0 = none
+// was. Others of that revision may be left, but nobody is served from before it.
 func (r *recentUpdates) add(u *Update) (dropped uint64) {
 	if r.open == nil {
 		r.open = &step{}
@@ -50,7 +50,7 @@
 	r.updates = append(r.updates, recentUpdate{Update: u, step: r.open, before: r.total})
 	r.bytes += u.size()
 	r.total += uint64(u.size())
-	for len(r.updates) > 0 && (r.overLimits() || r.updates[0].Revision == dropped) {
+	for r.overLimits() {
 		dropped = r.updates[0].Revision
 		r.dropFirst()
 	}
@@ -58,6 +58,9 @@
 }
 
 func (r *recentUpdates) overLimits() bool {
+	if len(r.updates) == 0 {
+		return false
+	}
 	return len(r.updates) > r.limits.Updates || r.bytes > r.limits.Bytes
 }
 
--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -196,7 +196,7 @@
 	}{
 		{"by updates", Limits{Bytes: 1 << 20, Updates: 4}, 2},
 		{"by bytes", Limits{Bytes: 4 * one, Updates: 100}, 2},
-		{"the whole of a revision", Limits{Bytes: 1 << 20, Updates: 3}, 4},
+		{"one of two of a revision", Limits{Bytes: 1 << 20, Updates: 3}, 4},
 		{"all", Limits{}, 6},
 		{"none", roomy, 0},
 	}
