--- a/internal/fleet/session/client.go
+++ b/internal/fleet/session/client.go
@@ -127,12 +127,18 @@
 	Changed []watch.Update // of the view, in order
 }
 
+// timeouts end an open session.
+type timeouts struct {
+	silence time.Duration // Silence
+	grant   time.Duration // GrantPatience
+}
+
 // Client is an app server's side of its session to the control tier.
 type Client struct {
 	options     ClientOptions
 	nodes       []string // by rank
 	random      *rand.Rand
-	silence     time.Duration // Silence
+	timeouts    timeouts
 	holder      *lease.Holder
 	view        *watch.View
 	fleet       uint64
@@ -174,7 +180,7 @@
 		options:     o,
 		nodes:       rank(o.Server, o.Nodes),
 		random:      rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String(o.Server))),
-		silence:     Silence,
+		timeouts:    timeouts{silence: Silence, grant: GrantPatience},
 		holder:      lease.NewHolder(o.Server, o.Terms),
 		view:        watch.NewView(),
 		incarnation: o.Incarnation,
@@ -206,8 +212,8 @@
 
 func (c *Client) tickOpen(now time.Duration) []Action {
 	switch {
-	case now-c.open.heard >= c.silence:
-		return c.lose(fmt.Sprintf("nothing heard for %v", c.silence), now)
+	case now-c.open.heard >= c.timeouts.silence:
+		return c.lose(fmt.Sprintf("nothing heard for %v", c.timeouts.silence), now)
 	case c.shouldMove(now):
 		return c.move(now)
 	case c.position != 0 && now >= c.returnAt && c.holder.Holds(now):
--- a/internal/fleet/session/heartbeat.go
+++ b/internal/fleet/session/heartbeat.go
@@ -136,15 +136,16 @@
 func (c *Client) shouldMove(now time.Duration) bool {
 	s := &c.open
 	withoutGrant := now - max(s.since, c.lastGrant)
+	patience := c.timeouts.grant
 	switch {
 	case c.fruitless >= len(c.nodes)-1: // all were tried
 		return len(c.nodes) > 1 && withoutGrant >= c.stay
 	case c.holder.Life() == 0: // what is to be agreed first takes its time
-		return withoutGrant >= 2*GrantPatience
-	case s.leaderless && c.fruitless > 0 && c.grantedBefore && now-c.lastGrant >= GrantPatience+FirstBackoff:
+		return withoutGrant >= 2*patience
+	case s.leaderless && c.fruitless > 0 && c.grantedBefore && now-c.lastGrant >= patience+FirstBackoff:
 		return true // it says itself that it is no better than the last one
 	}
-	return withoutGrant >= GrantPatience
+	return withoutGrant >= patience
 }
 
 // move goes to the next node after a session without grants.
