Sessions: messages by kind and bytes between nodes on /stats, an observer for measurements

The size of a fleet is to be measured: messages a second at control nodes and servers were not counted, nor the bytes between control nodes. The meter of a stream counts messages by kind at both ends; larchcontrol counts its link; controlclient.Observe shows what the view took and when leases began and ended; the status of sessions has the digest of all documents.

internal/fleet/stream and controlnode pass.

--- a/cmd/larchcontrol/serve.go
+++ b/cmd/larchcontrol/serve.go
@@ -42,7 +42,8 @@
 	way      *link.Link
 	node     *controlnode.Node
 	driver   *driver.Driver
-	meter    stream.Meter
+	meter    stream.Meter // of sessions
+	between  linkMeter    // of the way to other nodes and operators
 }
 
 // serve runs the node until a signal, and until its sessions have moved to other nodes.
@@ -91,7 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &controlNode{settings: settings, log: log, way: way, node: node, driver: d}, nil
+	n := &controlNode{settings: settings, log: log, way: way, node: node, driver: d}
+	way.Observe(n.between.observer())
+	return n, nil
 }
 
 // listen opens all ports and serves them until the context ends.
@@ -130,6 +133,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		w.Write(n.driver.Lines())
 		w.Write(n.meter.Metrics())
+		w.Write(n.between.metrics())
 	})
 	mux.HandleFunc("GET /healthcheck", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminWithin, ReadTimeout: adminWithin, WriteTimeout: adminWithin, IdleTimeout: adminWithin,
--- a/internal/fleet/controlclient/client.go
+++ b/internal/fleet/controlclient/client.go
@@ -53,6 +53,8 @@
 	feed    *feed
 	metrics atomic.Pointer[metrics]
 
+	observer Observer // set before Run
+
 	// Of the loop.
 	client     *session.Client
 	connection *connection // nil = none was made yet
@@ -146,6 +148,9 @@
 	}
 	c.do(ctx, received.Actions)
 	if batch := e.message.Batch; batch != nil && err == nil {
+		if c.observer.Changed != nil {
+			c.observer.Changed(c.client.View().Revision(), batch.Snapshot, received.Changed)
+		}
 		c.configure(received.Changed, batch.Snapshot && batch.Last)
 	}
 }
@@ -233,6 +238,9 @@
 // tell logs what happened to the session.
 func (c *Client) tell() {
 	for _, e := range c.client.Events() {
+		if c.observer.Event != nil {
+			c.observer.Event(e, Lease{c.client.FencingToken(), c.client.Until()})
+		}
 		switch e.Kind {
 		case session.Opened:
 			c.log.Info("control", "do", "open", "node", e.Node)
--- a/internal/fleet/controlnode/status.go
+++ b/internal/fleet/controlnode/status.go
@@ -17,6 +17,7 @@
 	Leader        string
 	Fleet         uint64 // 0 = it is not agreed yet
 	Configuration uint64 // revision of the newest change of a document
+	Digest        uint64 // of all documents; equal at all nodes that have applied the same
 	Nodes         []NodeStatus
 
 	// Of the leader alone.
@@ -43,7 +44,7 @@
 func (s *sessions) Stands() any {
 	self := s.host.Self().Name
 	own := s.nodeReport()
-	out := Status{Node: self, Leader: s.host.Leader(), Fleet: s.State.Fleet, Configuration: s.node.documents.newest(), Nodes: []NodeStatus{own.status(self)}}
+	out := Status{Node: self, Leader: s.host.Leader(), Fleet: s.State.Fleet, Configuration: s.node.documents.newest(), Digest: s.node.documents.State.Digest(), Nodes: []NodeStatus{own.status(self)}}
 	for name, report := range s.nodes {
 		out.Nodes = append(out.Nodes, report.status(name))
 	}
--- a/internal/fleet/stream/client.go
+++ b/internal/fleet/stream/client.go
@@ -17,6 +17,8 @@
 type Dialer struct {
 	TLS   *tls.Config // nil = without, on loopback
 	Meter *Meter
+	// Wrap wraps each connection below TLS, for measurements; nil = not.
+	Wrap func(net.Conn) net.Conn
 }
 
 // ErrStatus is a node that does not accept a session.
@@ -28,6 +30,7 @@
 	in     messages
 	answer io.Closer
 	cancel context.CancelFunc
+	meter  *Meter
 	once   sync.Once
 
 	mu     sync.Mutex
@@ -40,7 +43,7 @@
 func (d *Dialer) Dial(ctx context.Context, node, addr string) (*Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	body, write := io.Pipe()
-	conn := &Conn{body: write, cancel: cancel}
+	conn := &Conn{body: write, cancel: cancel, meter: d.Meter}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url(addr), body)
 	if err != nil {
 		cancel()
@@ -81,7 +84,10 @@
 			if err != nil {
 				return nil, err
 			}
-			socket = meteredConn{socket, d.Meter}
+			if d.Wrap != nil {
+				socket = d.Wrap(socket)
+			}
+			socket = d.Meter.Conn(socket)
 			return socket, conn.own(socket)
 		}}
 	if d.TLS != nil {
@@ -109,8 +115,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.body.Write(data)
-	return err
+	if _, err = c.body.Write(data); err != nil {
+		return err
+	}
+	c.meter.fromServer(message)
+	return nil
 }
 
 // Receive waits for the next message.
@@ -119,6 +128,7 @@
 	if err := c.in.next(message); err != nil {
 		return nil, err
 	}
+	c.meter.fromNode(message)
 	return message, nil
 }
 
--- /dev/null
+++ b/internal/fleet/stream/meter.go
@@ -0,0 +1,104 @@
+package stream
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+
+	"larchscale/internal/fleet/session"
+)
+
+// Meter counts the bytes of all connections at the socket, those of TLS included, and the messages by kind. Safe for
+// concurrent use.
+type Meter struct {
+	in, out  atomic.Uint64
+	messages struct{ hellos, heartbeats, welcomes, refusals, acks, batches atomic.Uint64 }
+}
+
+// Messages are counts of messages by kind, whichever side sent them.
+type Messages struct{ Hellos, Heartbeats, Welcomes, Refusals, Acks, Batches uint64 }
+
+// In returns the bytes that came.
+func (m *Meter) In() uint64 { return m.in.Load() }
+
+// Out returns the bytes that were sent.
+func (m *Meter) Out() uint64 { return m.out.Load() }
+
+// Messages returns the messages that came or were sent.
+func (m *Meter) Messages() Messages {
+	n := &m.messages
+	return Messages{n.hellos.Load(), n.heartbeats.Load(), n.welcomes.Load(), n.refusals.Load(), n.acks.Load(), n.batches.Load()}
+}
+
+// Metrics returns the counts as lines of the admin endpoint.
+func (m *Meter) Metrics() []byte {
+	n := m.Messages()
+	return fmt.Appendf(nil, "fleet.session_bytes_in=%d\nfleet.session_bytes_out=%d\nfleet.session_hellos=%d\nfleet.session_heartbeats=%d\n"+
+		"fleet.session_welcomes=%d\nfleet.session_refusals=%d\nfleet.session_acks=%d\nfleet.session_batches=%d\n",
+		m.In(), m.Out(), n.Hellos, n.Heartbeats, n.Welcomes, n.Refusals, n.Acks, n.Batches)
+}
+
+// Conn returns a connection whose bytes are counted.
+func (m *Meter) Conn(inner net.Conn) net.Conn { return meteredConn{inner, m} }
+
+// fromServer counts a message of an app server.
+func (m *Meter) fromServer(message *session.FromServer) {
+	if m == nil {
+		return
+	}
+	switch {
+	case message.Hello != nil:
+		m.messages.hellos.Add(1)
+	case message.Heartbeat != nil:
+		m.messages.heartbeats.Add(1)
+	}
+}
+
+// fromNode counts a message of a control node.
+func (m *Meter) fromNode(message *session.FromNode) {
+	if m == nil {
+		return
+	}
+	switch {
+	case message.Welcome != nil:
+		m.messages.welcomes.Add(1)
+	case message.Refusal != nil:
+		m.messages.refusals.Add(1)
+	case message.Ack != nil:
+		m.messages.acks.Add(1)
+	case message.Batch != nil:
+		m.messages.batches.Add(1)
+	}
+}
+
+// meteredConn is a connection whose bytes are counted.
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+func (c meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.meter.in.Add(uint64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.meter.out.Add(uint64(n))
+	return n, err
+}
+
+// meteredListener counts the bytes of the connections that it accepts.
+type meteredListener struct {
+	net.Listener
+	meter *Meter
+}
+
+func (l meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.Conn(conn), nil
+}
--- a/internal/fleet/stream/server.go
+++ b/internal/fleet/stream/server.go
@@ -32,6 +32,7 @@
 	out      http.ResponseWriter
 	control  *http.ResponseController
 	silence  time.Duration
+	meter    *Meter
 	identity *x509.Certificate // of the peer; nil = no TLS
 }
 
@@ -58,7 +59,7 @@
 
 // handle accepts one stream.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	opened := &Session{request: r, in: newMessages(r.Body), out: w, control: http.NewResponseController(w), silence: s.Silence}
+	opened := &Session{request: r, in: newMessages(r.Body), out: w, control: http.NewResponseController(w), silence: s.Silence, meter: s.Meter}
 	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
 		opened.identity = r.TLS.PeerCertificates[0]
 	}
@@ -91,6 +92,7 @@
 	if err := s.in.next(message); err != nil {
 		return nil, err
 	}
+	s.meter.fromServer(message)
 	return message, nil
 }
 
@@ -110,5 +112,9 @@
 	if _, err := s.out.Write(data); err != nil {
 		return err
 	}
-	return s.control.Flush()
+	if err := s.control.Flush(); err != nil {
+		return err
+	}
+	s.meter.fromNode(message)
+	return nil
 }
--- a/internal/fleet/stream/stream.go
+++ b/internal/fleet/stream/stream.go
@@ -12,8 +12,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -88,49 +86,3 @@
 	}
 	return nil
 }
-
-// Meter counts the bytes of all connections at the socket, those of TLS included. Safe for concurrent use.
-type Meter struct{ in, out atomic.Uint64 }
-
-// In returns the bytes that came.
-func (m *Meter) In() uint64 { return m.in.Load() }
-
-// Out returns the bytes that were sent.
-func (m *Meter) Out() uint64 { return m.out.Load() }
-
-// Metrics returns the counts as lines of the admin endpoint.
-func (m *Meter) Metrics() []byte {
-	return fmt.Appendf(nil, "fleet.session_bytes_in=%d\nfleet.session_bytes_out=%d\n", m.In(), m.Out())
-}
-
-// meteredConn is a connection whose bytes are counted.
-type meteredConn struct {
-	net.Conn
-	meter *Meter
-}
-
-func (c meteredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.meter.in.Add(uint64(n))
-	return n, err
-}
-
-func (c meteredConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.meter.out.Add(uint64(n))
-	return n, err
-}
-
-// meteredListener counts the bytes of the connections that it accepts.
-type meteredListener struct {
-	net.Listener
-	meter *Meter
-}
-
-func (l meteredListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return meteredConn{conn, l.meter}, nil
-}
