--- a/internal/measure/worker/process.go
+++ b/internal/measure/worker/process.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -100,6 +101,21 @@
 	return bytes, err
 }
 
+// ID is the process's.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
+// Kill ends the worker at once.
+func (p *Process) Kill() {
+	p.command.Process.Kill()
+	p.command.Wait()
+}
+
+// Freeze stops the process where it is, and Thaw has it go on. Calls wait meanwhile.
+func (p *Process) Freeze() error { return p.command.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw is after Freeze.
+func (p *Process) Thaw() error { return p.command.Process.Signal(syscall.SIGCONT) }
+
 // Stop has the worker end, and ends it by its id if it does not.
 func (p *Process) Stop() {
 	p.input.Close()
--- a/internal/measure/worker/usage.go
+++ b/internal/measure/worker/usage.go
@@ -54,3 +54,41 @@
 	}
 	return 0, fmt.Errorf("usage: %s has no %s", path, name)
 }
+
+// clockTicks is the unit of /proc/*/stat: USER_HZ is 100 on every architecture that Go supports.
+const clockTicks = 100
+
+// ReadUsageOf reads that of another process, by its id. Goroutines are not known; CPU has a resolution of 10 ms.
+func ReadUsageOf(id int) (u Usage, err error) {
+	directory := fmt.Sprintf("/proc/%d/", id)
+	u.At = time.Now()
+	var cpuErr, diskErr error
+	u.CPU, cpuErr = processorTime(directory + "stat")
+	resident, residentErr := field(directory+"status", "VmRSS:")
+	u.Resident = resident << 10
+	u.DiskBytes, diskErr = field(directory+"io", "write_bytes:")
+	list, listErr := os.ReadDir(directory + "fd")
+	u.Descriptors = len(list)
+	return u, errors.Join(cpuErr, residentErr, diskErr, listErr)
+}
+
+// The places of user and system time in /proc/*/stat, after the name of the program.
+const (
+	userField   = 11
+	systemField = 12
+)
+
+// processorTime reads user and system time of all threads of a process.
+func processorTime(path string) (time.Duration, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, fmt.Errorf("usage: %w", err)
+	}
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:])) // a name may have spaces
+	if len(fields) <= systemField {
+		return 0, fmt.Errorf("usage: %s has %d fields", path, len(fields))
+	}
+	user, userErr := strconv.ParseInt(fields[userField], 10, 64)
+	system, systemErr := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks, errors.Join(userErr, systemErr)
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -228,6 +228,9 @@
 	<-b.ended
 }
 
+// Started tells that there is, or was, a process of the box.
+func (b *Box) Started() bool { return b.ended != nil }
+
 // Pid is the process's.
 func (b *Box) Pid() int { return b.cmd.Process.Pid }
 
