--- a/internal/measure/sessions/host.go
+++ b/internal/measure/sessions/host.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"larchscale/internal/fleet/lease"
 	"larchscale/internal/fleet/session"
 	"larchscale/internal/fleet/stream"
 	"larchscale/internal/measure/traffic"
@@ -33,6 +34,7 @@
 	Servers int
 	Open    int // whose session is open
 	Leased  int // who hold a lease
+	Renewed int // who hold a lease that was granted for a renewal after the time that was asked for
 	Applied Range
 }
 
@@ -47,17 +49,22 @@
 	if other.Servers == 0 {
 		return s
 	}
-	return Standing{s.Servers + other.Servers, s.Open + other.Open, s.Leased + other.Leased,
+	return Standing{s.Servers + other.Servers, s.Open + other.Open, s.Leased + other.Leased, s.Renewed + other.Renewed,
 		Range{min(s.Applied.Least, other.Applied.Least), max(s.Applied.Most, other.Applied.Most)}}
 }
 
-func standingOf(metrics map[string]uint64) Standing {
+// standingOf is how one server stands by its metrics, which were read just now.
+func standingOf(metrics map[string]uint64, since time.Time) Standing {
 	out := Standing{Servers: 1, Applied: Range{metrics["fleet.applied"], metrics["fleet.applied"]}}
 	if metrics["fleet.session"] == uint64(session.Open) {
 		out.Open = 1
 	}
 	if metrics["fleet.lease_ms"] > 0 {
 		out.Leased = 1
+		left := time.Duration(metrics["fleet.lease_ms"]) * time.Millisecond
+		if sent := time.Now().Add(left - lease.ControlTierTerms.Length); sent.After(since) {
+			out.Renewed = 1
+		}
 	}
 	return out
 }
@@ -146,7 +153,7 @@
 	return worker.Serve(input, output, map[string]worker.Method{
 		methodMake:     worker.Typed(h.make),
 		methodRun:      worker.Typed(func(struct{}) (struct{}, error) { return struct{}{}, h.run(ctx) }),
-		methodStanding: worker.Typed(func(struct{}) (Standing, error) { return h.standing(), nil }),
+		methodStanding: worker.Typed(func(since time.Time) (Standing, error) { return h.standing(since), nil }),
 		methodTotals:   worker.Typed(func(struct{}) (Totals, error) { return h.totals(), nil }),
 		methodMark:     worker.Typed(func(struct{}) (struct{}, error) { return struct{}{}, h.mark() }),
 		methodArrivals: worker.Typed(func(struct{}) (map[string]Arrival, error) { return h.arrivals(), nil }),
@@ -187,9 +194,9 @@
 	return nil
 }
 
-func (h *host) standing() (out Standing) {
+func (h *host) standing(since time.Time) (out Standing) {
 	for _, s := range h.servers {
-		out = out.Join(standingOf(s.metrics()))
+		out = out.Join(standingOf(s.metrics(), since))
 	}
 	return out
 }
--- a/internal/measure/sessions/standing.go
+++ b/internal/measure/sessions/standing.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // ErrLeader is a fleet that has no leader, or one that changed while it was read.
@@ -18,9 +19,15 @@
 	return nil, ErrLeader
 }
 
+// standing is how the servers of a worker stand. Leases count as renewed that were granted for renewals after a time.
+func standing(w *hollowWorker, since time.Time) (out Standing, err error) {
+	err = w.Call(methodStanding, since, &out)
+	return out, err
+}
+
 // Standing sums up how all servers of the fleet stand.
-func (f *Fleet) Standing() (out Standing, err error) {
-	list, err := each(f.workers, call[Standing](methodStanding))
+func (f *Fleet) Standing(since time.Time) (out Standing, err error) {
+	list, err := each(f.workers, func(w *hollowWorker) (Standing, error) { return standing(w, since) })
 	for _, s := range list {
 		out = out.Join(s)
 	}
@@ -29,20 +36,23 @@
 		for name, value := range s.stats() {
 			stats[name] = uint64(value)
 		}
-		out = out.Join(standingOf(stats))
+		out = out.Join(standingOf(stats, since))
 	}
 	return out, err
 }
 
-// Served tells that all servers have a session and hold a lease.
-func (f *Fleet) Served() (bool, string) {
-	standing, err := f.Standing()
-	if err != nil {
-		return false, err.Error()
+// ServedSince returns a function that tells that all servers have a session, and hold a lease that was granted for a renewal
+// after a time.
+func (f *Fleet) ServedSince(since time.Time) func() (bool, string) {
+	return func() (bool, string) {
+		s, err := f.Standing(since)
+		if err != nil {
+			return false, err.Error()
+		}
+		all := f.options.Servers
+		waits := fmt.Sprintf("of %d servers %d have a session, %d a lease, %d one that was renewed since", all, s.Open, s.Leased, s.Renewed)
+		return s.Open == all && s.Renewed == all, waits
 	}
-	all := f.options.Servers
-	waits := fmt.Sprintf("of %d servers %d have a session, %d a lease", all, standing.Open, standing.Leased)
-	return standing.Open == all && standing.Leased == all, waits
 }
 
 // Settled tells that besides all control nodes vote, and that the leader knows all servers.
@@ -57,5 +67,5 @@
 		return false, fmt.Sprintf("%s leads: %g of %d vote, %g silent, %g servers known and %g leases of %g",
 			leader.Name, stats["fleet.voters"], len(f.Nodes), stats["fleet.silent"], stats["fleet.servers"], stats["fleet.lives"], all)
 	}
-	return f.Served()
+	return f.ServedSince(time.Time{})()
 }
