--- a/cmd/measure/scale_sessions.go
+++ b/cmd/measure/scale_sessions.go
@@ -32,6 +32,7 @@
 	Real    int           `default:"10" help:"Of the servers, processes of the real program."`
 	Bare    int           `default:"10" help:"The same without a session, beside the fleet."`
 	Part    string        `enum:"steady,events,all" default:"all" help:"Fleets at rest, events, or both."`
+	Events  []string      `help:"Those that happen, by name; none = all."`
 	Short   bool          `help:"One size of 60 servers and 3 control nodes, a short reading, no events."`
 	Window  time.Duration `default:"10s" help:"Length of each reading of a fleet at rest."`
 	Repeats int           `default:"2" help:"Readings of a fleet at rest."`
--- a/cmd/measure/scale_sessions_events.go
+++ b/cmd/measure/scale_sessions_events.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"larchscale/internal/measure/sessions"
@@ -69,6 +70,9 @@
 		{"outage", e.outage},
 		{"release", e.release},
 	} {
+		if len(c.Events) > 0 && !slices.Contains(c.Events, event.name) {
+			continue
+		}
 		if err := e.event(ctx, event.name, event.run); err != nil {
 			progress("%s: failed: %v", event.name, err)
 			failed = errors.Join(failed, fmt.Errorf("%s: %w", event.name, err))
@@ -182,6 +186,8 @@
 		}
 		note := fmt.Sprintf("from asked for until in force at all servers, %d changes, 20 a second", changeCount)
 		e.add(name+".p50", "s", note+"; "+wallNote, many.Median().Seconds())
+		e.add(name+".agreed.p99", "s", "from asked for until the node that was asked said that it is agreed; "+wallNote, many.Agreed99().Seconds())
+		progress("%s: median %.2f s, agreed in %.2f s of 99 in 100", name, many.Median().Seconds(), many.Agreed99().Seconds())
 		e.took(name+".p99", note, many.Percentile99(), mostChange99)
 		e.took(name+".max", note, many.Most(), mostChange)
 		if node != nil {
--- a/internal/measure/sessions/changes.go
+++ b/internal/measure/sessions/changes.go
@@ -15,7 +15,7 @@
 
 const (
 	// putWithin is how long one node has to have a change agreed before another one is asked.
-	putWithin = 2 * time.Second
+	putWithin = time.Second
 	// inForceWithin is how long changes may take until they are in force everywhere, for the measurement to go on.
 	inForceWithin = 60 * time.Second
 	percentile99  = 99
@@ -33,9 +33,7 @@
 	word := driver.Word{Part: controlnode.ConfigurationPart, Data: data}
 	for end := time.Now().Add(inForceWithin); ; first++ {
 		node := f.Nodes[first%len(f.Nodes)]
-		attempt, cancel := context.WithTimeout(ctx, putWithin)
-		err := driver.Say(attempt, node.operator, word)
-		cancel()
+		err := node.order(ctx, word, first/len(f.Nodes))
 		switch {
 		case err == nil:
 			return nil
@@ -51,15 +49,31 @@
 	}
 }
 
+// order gives the node an operator's word on one of its connections.
+func (n *Node) order(ctx context.Context, word driver.Word, connection int) error {
+	ctx, cancel := context.WithTimeout(ctx, putWithin)
+	defer cancel()
+	return driver.Say(ctx, n.operators[connection%len(n.operators)], word)
+}
+
 // Changes are how long changes took until they were in force at all hollow servers, from when they were asked for.
-type Changes struct{ times []time.Duration }
+type Changes struct {
+	times  []time.Duration
+	agreed []time.Duration // until the node that was asked said that it is agreed
+}
+
+// Agreed99 is the 99th percentile of the times until changes were agreed.
+func (c *Changes) Agreed99() time.Duration { return percentile(c.agreed) }
 
 // Percentile99 is that of the changes.
-func (c *Changes) Percentile99() time.Duration {
-	if len(c.times) == 0 {
+func (c *Changes) Percentile99() time.Duration { return percentile(c.times) }
+
+// percentile is the 99th of sorted times; 0 = there are none.
+func percentile(times []time.Duration) time.Duration {
+	if len(times) == 0 {
 		return 0
 	}
-	return c.times[(len(c.times)*percentile99-1)/100]
+	return times[(len(times)*percentile99-1)/100]
 }
 
 // Most is the time of the slowest change.
@@ -72,13 +86,17 @@
 // own that begins with name.
 func (f *Fleet) Change(ctx context.Context, name string, count int, every time.Duration) (*Changes, error) {
 	asked := make([]time.Time, count)
+	agreed := make([]time.Duration, count)
 	errs := make([]error, count)
 	var all sync.WaitGroup
 	clock := time.NewTicker(every)
 	defer clock.Stop()
 	for i := range count {
 		asked[i] = time.Now()
-		all.Go(func() { errs[i] = f.Put(ctx, changeKey(name, i), i) })
+		all.Go(func() {
+			errs[i] = f.Put(ctx, changeKey(name, i), i)
+			agreed[i] = time.Since(asked[i])
+		})
 		if i < count-1 {
 			select {
 			case <-ctx.Done():
@@ -92,15 +110,18 @@
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
 	}
-	return f.inForce(ctx, name, asked)
+	times, err := f.inForce(ctx, name, asked)
+	slices.Sort(times)
+	slices.Sort(agreed)
+	return &Changes{times, agreed}, err
 }
 
 func changeKey(name string, i int) string { return fmt.Sprintf("%s/%04d", name, i) }
 
 // inForce waits until changes are in force at all hollow servers, and the real ones have told the leader so.
-func (f *Fleet) inForce(ctx context.Context, name string, asked []time.Time) (*Changes, error) {
+func (f *Fleet) inForce(ctx context.Context, name string, asked []time.Time) (times []time.Duration, err error) {
 	var arrivals map[string]Arrival
-	err := f.Await(ctx, inForceWithin, func() (bool, string) {
+	err = f.Await(ctx, inForceWithin, func() (bool, string) {
 		var err error
 		if arrivals, err = f.arrivals(); err != nil {
 			return false, err.Error()
@@ -115,12 +136,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrChanges, err)
 	}
-	out := &Changes{}
 	for i, at := range asked {
-		out.times = append(out.times, arrivals[changeKey(name, i)].Last.Sub(at))
+		times = append(times, arrivals[changeKey(name, i)].Last.Sub(at))
 	}
-	slices.Sort(out.times)
-	return out, nil
+	return times, nil
 }
 
 // arrivals are those of all hollow servers since the last record.
--- a/internal/measure/sessions/node.go
+++ b/internal/measure/sessions/node.go
@@ -24,8 +24,10 @@
 const (
 	startWithin = 30 * time.Second
 	lookEvery   = 50 * time.Millisecond
-	askWithin   = 12 * time.Second // longer than a node waits for what becomes of a command
-	endWithin   = 30 * time.Second
+	// operatorConnections is how many requests of operators a node is asked at a time; it has room for eight.
+	operatorConnections = 6
+	askWithin           = 12 * time.Second // longer than a node waits for what becomes of a command
+	endWithin           = 30 * time.Second
 )
 
 // Node is one control node: a process of the real program, on files that outlive it.
@@ -34,13 +36,13 @@
 	Zone   int
 	Region int
 
-	program  string
-	addr     string // for the other nodes and operators
-	sessions string
-	admin    string
-	file     string
-	logFile  string
-	operator *link.Client
+	program   string
+	addr      string // for the other nodes and operators
+	sessions  string
+	admin     string
+	file      string
+	logFile   string
+	operators []*link.Client // as operators ask: one request at a time on each
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -84,7 +86,9 @@
 	if err != nil {
 		return fmt.Errorf("control node %s: %w", n.Name, err)
 	}
-	n.operator = way.Dial(n.Name, n.addr)
+	for range operatorConnections {
+		n.operators = append(n.operators, way.Dial(n.Name, n.addr))
+	}
 	return nil
 }
 
@@ -184,14 +188,14 @@
 func (n *Node) Say(word driver.Word) error {
 	ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 	defer cancel()
-	return driver.Say(ctx, n.operator, word)
+	return driver.Say(ctx, n.operators[0], word)
 }
 
 // Sessions is how the sessions stand, as the node knows it.
 func (n *Node) Sessions() (status controlnode.Status, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 	defer cancel()
-	err = driver.Stands(ctx, n.operator, controlnode.SessionPart, &status)
+	err = driver.Stands(ctx, n.operators[0], controlnode.SessionPart, &status)
 	return status, err
 }
 
@@ -199,6 +203,6 @@
 func (n *Node) Documents() (list []controlnode.DocumentStatus, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askWithin)
 	defer cancel()
-	err = driver.Stands(ctx, n.operator, controlnode.ConfigurationPart, &list)
+	err = driver.Stands(ctx, n.operators[0], controlnode.ConfigurationPart, &list)
 	return list, err
 }
