Control nodes: a server's certificate speaks for no control node

On the way between control nodes only their own certificates are heard; every app server has one of the same authority. The test found that nothing held that up: link wrapped TLS in its limit, which hid the certificate from handlers. TLS is the outermost layer now.

--- a/internal/config/control.go
+++ b/internal/config/control.go
@@ -10,6 +10,7 @@
 
 	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/limits"
+	"larchscale/internal/fleet/stream"
 	"larchscale/internal/link"
 )
 
@@ -159,7 +160,7 @@
 // Sockets returns how many descriptors the node may take beside those of its runtime.
 func (c *Control) Sockets() int {
 	way := c.Link()
-	return way.Sockets() + c.MaxSessions + AdminConns + spareSockets
+	return way.Sockets() + c.MaxSessions + stream.SpareConns + AdminConns + spareSockets
 }
 
 // AdminConns is how many connections the admin endpoint of a control node has at a time.
--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/controlnode"
 	"larchscale/internal/fleet/driver"
@@ -87,6 +89,7 @@
 		for i := range servers {
 			certs.New(t, f.certs, fmt.Sprint("app-", i+1), ca)
 		}
+		certs.New(t, f.certs, "app-9", ca) // of a server that is not started
 	}
 	for i := range nodes {
 		f.nodes = append(f.nodes, &testNode{name: fmt.Sprint("c", i+1), dir: t.TempDir(), addr: f.addr(), sessions: f.addr(), tier: f})
@@ -120,10 +123,12 @@
 	return link.Options{CA: file("ca.crt"), Cert: file(name + ".crt"), Key: file(name + ".key")}
 }
 
+// close ends all processes. It may be called twice.
 func (f *tier) close() {
 	for _, s := range f.servers {
 		s.stop()
 	}
+	f.servers = nil
 	for _, n := range f.nodes {
 		if n.stop != nil {
 			n.stop()
@@ -357,7 +362,9 @@
 func TestATierOfThreeNodes(t *testing.T) {
 	for name, tls := range map[string]bool{"without TLS": false, "mutual TLS": true} {
 		t.Run(name, func(t *testing.T) {
+			defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 			f := newTier(t, 3, 5, tls)
+			defer f.close()
 			f.until("all servers have leases", f.settled)
 			f.configure("flags/lanes", "two", 1)
 			f.configure("flags/lanes", "three", 1)
--- a/internal/fleet/stream/server.go
+++ b/internal/fleet/stream/server.go
@@ -18,7 +18,7 @@
 type Server struct {
 	TLS         *tls.Config   // nil = without, on loopback
 	Silence     time.Duration // a session that sends nothing for so long ends
-	MaxSessions int           // connections at a time; further ones are closed at once
+	MaxSessions int           // at a time; connections beyond them and SpareConns are closed at once
 	Meter       *Meter
 	Log         *slog.Logger
 	// Accept carries out one session, on a goroutine of its own. The session ends when it returns.
@@ -47,7 +47,7 @@
 			MaxReceiveBufferPerConnection: receiveBuffer, WriteByteTimeout: WriteWithin},
 		ErrorLog: slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug)}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
-	in = meteredListener{link.Limit(in, s.MaxSessions), s.Meter}
+	in = meteredListener{link.Limit(in, s.MaxSessions+SpareConns), s.Meter}
 	if s.TLS == nil {
 		return server.Serve(in)
 	}
--- a/internal/fleet/stream/stream.go
+++ b/internal/fleet/stream/stream.go
@@ -28,6 +28,9 @@
 const (
 	// WriteWithin is how long one message may take to be written before its session ends.
 	WriteWithin = 5 * time.Second
+	// SpareConns are the connections beyond a node's sessions that it accepts, so that those which it has no room for are
+	// told where to go instead of being closed.
+	SpareConns = 32
 	// handshakeWithin bounds a TLS handshake, and the head of a request.
 	handshakeWithin = 2 * time.Second
 	// idleFor is how long a connection without a session stays open.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -158,21 +158,20 @@
 	return &Link{opt, c, log}, nil
 }
 
-// Listen opens the port on which other boxes ask.
-func (l *Link) Listen() (net.Listener, error) {
-	in, err := net.Listen("tcp", l.opt.Listen)
-	if err == nil && l.tls != nil {
-		in = tls.NewListener(in, l.tls)
-	}
-	return in, err
-}
+// Listen opens the port on which other boxes ask, for Serve.
+func (l *Link) Listen() (net.Listener, error) { return net.Listen("tcp", l.opt.Listen) }
 
-// Serve answers on in until ctx ends. The connections open at a time are bounded.
+// Serve answers on in until ctx ends. The connections open at a time are bounded. TLS is the outermost layer: a handler
+// finds the certificate of who asks in Request.TLS.
 func (l *Link) Serve(ctx context.Context, in net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(Limit(in, l.opt.conns()))
+	in = Limit(in, l.opt.conns())
+	if l.tls != nil {
+		in = tls.NewListener(in, l.tls)
+	}
+	s.Serve(in)
 }
 
 // Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
