--- a/internal/fleet/controlnode/sessions.go
+++ b/internal/fleet/controlnode/sessions.go
@@ -69,6 +69,7 @@
 
 	// Of the loop.
 	restored  bool // the agreed state was replaced by another node's snapshot
+	restores  int  // times at which it was
 	history   *watch.History
 	published map[string]standing // values of the servers' keys, by name
 	worked    uint64              // index of the plans' state that is published
@@ -131,6 +132,7 @@
 	s.begin()
 	index := s.host.Index()
 	if s.restored {
+		s.restores++
 		s.rebuild()
 	} else {
 		s.publish(index)
@@ -590,7 +592,7 @@
 // Lines implements driver.Module.
 func (s *sessions) Lines(time.Time) []byte {
 	own := s.nodeReport()
-	out := fmt.Appendf(nil, "fleet.sessions=%d\nfleet.revision=%d\nfleet.configuration=%d\n", own.Sessions, own.Revision, s.node.documents.newest())
+	out := fmt.Appendf(nil, "fleet.sessions=%d\nfleet.revision=%d\nfleet.configuration=%d\nfleet.restored=%d\n", own.Sessions, own.Revision, s.node.documents.newest(), s.restores)
 	if s.leads() {
 		behind, of := s.collector.Behind(s.node.documents.newest(), boottime.Now())
 		out = fmt.Appendf(out, "fleet.servers=%d\nfleet.behind=%d\n", of, len(behind))
--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -261,7 +261,7 @@
 }
 
 // serve starts an app server.
-func (f *tier) serve(name string) {
+func (f *tier) serve(name string) *testServer {
 	f.t.Helper()
 	s := &testServer{name: name, values: map[string][]byte{}}
 	options := controlclient.Defaults()
@@ -289,6 +289,7 @@
 		<-done
 	}
 	f.servers = append(f.servers, s)
+	return s
 }
 
 // configure puts documents in force.
