Control nodes: draining does not depend on room in the loop's queue; link's errors under one message

A node that is asked to drain while its loop's queue is full drained never, and waited 20 s. A server whose newer process has taken its place lets its health go. The link's net/http errors name a peer's port each: as messages of their own they were never held back, and each had its place in the log's table for good.

--- a/internal/fleet/controlclient/client.go
+++ b/internal/fleet/controlclient/client.go
@@ -189,6 +189,10 @@
 
 // reconcile does what is agreed of this server, and proposes its next phase.
 func (c *Client) reconcile(now int64) {
+	if c.client.State() == session.Ended { // a newer process of this server is the one that is taken out
+		c.hold(false, now)
+		return
+	}
 	report := c.server.Body.Look()
 	state := localState(c.client)
 	local := takeout.Local{Incarnation: c.client.Incarnation(), Warm: report.Warm, Open: report.Open, KeyedUntil: report.KeyedUntil, Held: c.heldSince, DrainFor: int64(c.options.DrainMs)}
--- a/internal/fleet/controlnode/sessions.go
+++ b/internal/fleet/controlnode/sessions.go
@@ -59,6 +59,7 @@
 
 	lastID      atomic.Uint64
 	connections atomic.Int64
+	draining    atomic.Bool
 	begun       chan struct{} // closed when connections may be accepted
 	over        chan struct{} // closed when the node takes no part any longer
 	drained     chan struct{}
@@ -76,7 +77,6 @@
 	leased    uint64              // index of the leases' state that is published
 	table     *session.Table      // nil = it is not agreed which fleet this is
 	peers     map[uint64]*peer
-	draining  bool
 	nodes     map[string]nodeReport // by name
 
 	leader string // who was told last, and of which term
@@ -375,6 +375,9 @@
 		s.found()
 		return
 	}
+	if s.draining.Load() {
+		s.table.Drain()
+	}
 	s.table.Leaderless(s.host.Leader() == "")
 	s.end(s.table.Tick(at))
 	s.report(at)
@@ -556,27 +559,20 @@
 	})
 }
 
-// drain begins to end all sessions.
+// drain has the sessions end from the next tick on. A node that takes no part has none.
 func (s *sessions) drain() <-chan struct{} {
+	s.draining.Store(true)
 	select {
 	case <-s.begun:
-	default: // the node has not begun
-		return s.over
-	}
-	if !s.host.Enter(func() {
-		s.draining = true
-		if s.table != nil {
-			s.table.Drain()
-		}
-	}) {
+		return s.drained
+	default:
 		return s.over
 	}
-	return s.drained
 }
 
 // leaving tells when a node that drains has no session left.
 func (s *sessions) leaving() {
-	if !s.draining || s.connections.Load() > 0 {
+	if !s.draining.Load() || s.connections.Load() > 0 {
 		return
 	}
 	select {
@@ -587,7 +583,14 @@
 }
 
 // End implements driver.Module: a node that takes no part any longer has no sessions.
-func (s *sessions) End() { close(s.over) }
+func (s *sessions) End() {
+	close(s.over)
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
+}
 
 // Lines implements driver.Module.
 func (s *sessions) Lines(time.Time) []byte {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -165,7 +166,7 @@
 // finds the certificate of who asks in Request.TLS.
 func (l *Link) Serve(ctx context.Context, in net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
+		MaxHeaderBytes: maxHead, ErrorLog: log.New(serverErrors{l.log}, "", 0)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
 	in = Limit(in, l.opt.conns())
 	if l.tls != nil {
@@ -174,6 +175,15 @@
 	s.Serve(in)
 }
 
+// serverErrors logs what net/http has to say under one message: it names the peer's address and port, and a message of
+// its own for each would never be held back as a repetition.
+type serverErrors struct{ log *slog.Logger }
+
+func (e serverErrors) Write(line []byte) (int, error) {
+	e.log.Warn("link", "do", "serve", "err", string(bytes.TrimSpace(line)))
+	return len(line), nil
+}
+
 // Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
 func Limit(in net.Listener, most int) net.Listener {
 	return &limited{Listener: in, free: make(chan struct{}, most)}
