--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	go test -timeout 900s -count=1 ./internal/keeper -run Faults -rapid.checks=700
 	go test -timeout 900s -count=1 ./internal/fleet/trial -run Fleets -seeds 300
 	go test -timeout 3600s -count=1 ./internal/fleet/agree -seeds 5000 -big 20
+	go test -timeout 3600s -count=1 ./internal/fleet/session -seeds 1000 -large 20
 	go test -timeout 3600s -count=1 ./internal/fleet/driver -run Script -scripts 200 -parallel 4
 	go test -v -timeout 3600s -count=1 ./internal/fleet/desk -run Kills -kills 200
 
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -73,6 +73,9 @@
 // A lease runs from the sending of what was granted, whatever comes late, twice, out of order or is of another life.
 func TestHolder(t *testing.T) {
 	h := NewHolder("a1", MeshTerms)
+	if _, ok := h.AskNow(0); ok {
+		t.Error("asks without a life")
+	}
 	if _, ok := h.Ask(0); ok || h.Holds(0) {
 		t.Error("asks or holds without a life")
 	}
@@ -85,6 +88,11 @@
 	if !ok || one.Seq >= two.Seq {
 		t.Error(one, two, ok)
 	}
+	if now, ok := h.AskNow(ms(100) + MeshTerms.Every); !ok || now.Seq <= two.Seq {
+		t.Error(now, ok)
+	} else {
+		two = now
+	}
 	end := ms(100) + MeshTerms.Every + MeshTerms.Length
 	grant := func(r Renewal) Grant { return Grant{r.Box, r.Life, r.Seq, MeshTerms.Length} }
 	for _, k := range []struct {
--- a/internal/fleet/session/scenarios_test.go
+++ b/internal/fleet/session/scenarios_test.go
@@ -139,6 +139,7 @@
 			for seed := *first; seed < *first+*seeds; seed++ {
 				w := scenario(t, seed, defects{})
 				w.check(t, name, seed)
+				w.logMeasured(t)
 			}
 		})
 	}
--- a/internal/fleet/session/sim_client_test.go
+++ b/internal/fleet/session/sim_client_test.go
@@ -60,6 +60,7 @@
 	c.local.Report = takeout.Report{Capacity: 100, Warm: true}
 	w.after(w.part(100*time.Millisecond), func() { c.do(c.tick) })
 	w.processes = append(w.processes, c)
+	w.ofServer[server] = append(w.ofServer[server], c)
 	return c
 }
 
@@ -139,6 +140,11 @@
 		}
 		return
 	}
+	for _, o := range c.world.ofServer[c.server] {
+		if o != c && o.holds() && o.client.FencingToken() == c.client.FencingToken() {
+			c.world.fail("processes %d and %d of server %d hold as %d", c.incarnation, o.incarnation, c.server, c.client.FencingToken())
+		}
+	}
 	if at, lost := c.world.lost[c.client.FencingToken()]; lost {
 		c.world.fail("server %d holds as %d, and was lost at %v", c.server, c.client.FencingToken(), at)
 	}
--- a/internal/fleet/session/sim_world_test.go
+++ b/internal/fleet/session/sim_world_test.go
@@ -59,6 +59,7 @@
 	nodes     []*simNode
 	clients   []*simClient // the newest process of each server
 	processes []*simClient // all
+	ofServer  [][]*simClient
 	zones     int
 	cut       [][]bool // by endpoints, from and to
 	maxDelay  time.Duration
@@ -110,6 +111,7 @@
 	if d.noAdmission {
 		w.table.OpensPerSecond, w.table.OpensBurst = 1<<20, 1<<20
 	}
+	w.ofServer = make([][]*simClient, servers)
 	w.cut = make([][]bool, controlNodes+servers)
 	for i := range w.cut {
 		w.cut[i] = make([]bool, controlNodes+servers)
--- a/internal/fleet/session/table.go
+++ b/internal/fleet/session/table.go
@@ -264,8 +264,12 @@
 		t.snapshots++
 	}
 	b, ok := s.reader.Next(MaxBatch)
-	if !s.reader.Snapshotting() {
+	switch {
+	case !s.reader.Snapshotting():
 		t.releaseSnapshot(s)
+	case !s.snapshots: // it began one by itself, over an update too large to be sent: the others wait longer
+		s.snapshots = true
+		t.snapshots++
 	}
 	if !ok {
 		s.idleAt = t.history.Revision()
