sock: Box is WriteQueue, the field's name for what it is

Box named a queue of bytes to write to one connection, and elsewhere an app server. The type, its constructor, its file and the fields that hold one (outbound) are renamed, docs with them; a mechanical change.

Measured: go test of sock, uwsgi, jsonrpc, pool, index: ok; make lint is clean.

--- a/internal/index/crossing_test.go
+++ b/internal/index/crossing_test.go
@@ -261,7 +261,7 @@
 	c := cross(t, 2)
 	p := c.warm("a")
 	c.locked(func() {
-		c.idle[0].box.Kill()
+		c.idle[0].outbound.Kill()
 		x := &call{handle: "b", number: c.next("b"), line: []byte("GET b 1000 0\r\n\r\n")}
 		c.calls["b"] = x
 		c.place(x)
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -57,12 +57,12 @@
 
 // link is one connection.
 type link struct {
-	box     *sock.Box
-	call    *call
-	again   bool            // it stood idle before its call
-	heard   bool            // something came since its call was made
-	carried map[string]bool // handles of its calls: a second copy of a reply must not pass for a later one's
-	used    time.Time
+	outbound *sock.WriteQueue
+	call     *call
+	again    bool            // it stood idle before its call
+	heard    bool            // something came since its call was made
+	carried  map[string]bool // handles of its calls: a second copy of a reply must not pass for a later one's
+	used     time.Time
 }
 
 // New makes a client of up to limit connections that tells sink how calls end.
@@ -79,7 +79,7 @@
 	}
 	c.addr = addr
 	for _, l := range c.idle {
-		l.box.Kill()
+		l.outbound.Kill()
 	}
 	c.idle = nil
 }
@@ -103,7 +103,7 @@
 		l := c.idle[i]
 		if time.Since(l.used) > stale || len(l.carried) >= maxCarried {
 			c.unlist(l)
-			l.box.Kill()
+			l.outbound.Kill()
 		} else if !l.carried[x.handle] {
 			c.unlist(l)
 			if c.send(l, x, true) {
@@ -119,7 +119,7 @@
 	}
 	c.queue = append(c.queue, x)
 	if len(c.idle) > 0 { // its end makes room for a new one
-		c.idle[0].box.Kill()
+		c.idle[0].outbound.Kill()
 		c.idle = c.idle[1:]
 	}
 }
@@ -135,7 +135,7 @@
 	x.link, x.sent = l, time.Now()
 	l.call, l.again, l.heard = x, again, false
 	l.carried[x.handle] = true
-	return l.box.Send(x.line)
+	return l.outbound.Send(x.line)
 }
 
 // Abandon gives a call up. Its connection goes with it: a reply that never came may still come.
@@ -156,8 +156,8 @@
 	}
 	if l := x.link; l != nil {
 		l.call = nil
-		l.box.Send([]byte("STOP " + handle + "\r\n"))
-		l.box.Close()
+		l.outbound.Send([]byte("STOP " + handle + "\r\n"))
+		l.outbound.Close()
 	}
 }
 
@@ -188,7 +188,7 @@
 		c.done(nil, x, control.Unreachable)
 		return
 	}
-	l := &link{box: sock.NewBox(conn), carried: map[string]bool{}}
+	l := &link{outbound: sock.NewWriteQueue(conn), carried: map[string]bool{}}
 	if c.calls[x.handle] == x {
 		c.send(l, x, false)
 	} else {
@@ -200,7 +200,7 @@
 	c.unlist(l) // from here on no call comes on it
 	x = l.call
 	c.mu.Unlock()
-	l.box.Kill() // before its place is given back
+	l.outbound.Kill() // before its place is given back
 	if x != nil || !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		c.log.Warn("link down", "to", "index", "err", err)
 	}
@@ -236,7 +236,7 @@
 func (c *Client) rest(l *link, addr string) {
 	l.call, l.used = nil, time.Now()
 	if addr != c.addr || len(c.queue) > 0 && c.queue[0].fresh {
-		l.box.Kill()
+		l.outbound.Kill()
 		return
 	}
 	c.idle = append(c.idle, l)
--- a/internal/jsonrpc/endings_test.go
+++ b/internal/jsonrpc/endings_test.go
@@ -33,11 +33,11 @@
 	var servers sock.Servers
 	w := scenario.NewWorld(t, site, false, func(w *scenario.World) {
 		f := jsonrpc.New(&site, w.Core, slog.New(slog.DiscardHandler))
-		servers = sock.Servers{sock.NewServer(l, 64, &sock.Budget{Peer: 1 << 18, All: 1 << 20}, func(c net.Conn, b *sock.Box) {
+		servers = sock.Servers{sock.NewServer(l, 64, &sock.Budget{Peer: 1 << 18, All: 1 << 20}, func(c net.Conn, q *sock.WriteQueue) {
 			if gate != nil {
 				<-gate
 			}
-			f.Handle(c, b)
+			f.Handle(c, q)
 		})}
 		w.Core.Listen(servers)
 	})
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -44,7 +44,7 @@
 // session is one connection. Its lock guards what follows it, and settles the crossing of what is read with the core's
 // wish to end the connection: the reader alone decides, at the moment in which nothing is there to be read.
 type session struct {
-	box       *sock.Box
+	outbound  *sock.WriteQueue
 	in        *bufio.Reader
 	src       *sock.Reader
 	asked     bool   // a request or a check came; of its reader, as is last
@@ -61,7 +61,7 @@
 
 // Drain says that nothing new should come on this connection.
 func (s *session) Drain(time.Duration) {
-	s.box.Send([]byte(`{"jsonrpc":"2.0","method":"draining"}` + "\n"))
+	s.outbound.Send([]byte(`{"jsonrpc":"2.0","method":"draining"}` + "\n"))
 }
 
 // Close implements core.Session.
@@ -84,7 +84,7 @@
 
 func (s *session) wake() {
 	if s.resting {
-		s.box.Wake()
+		s.outbound.Wake()
 	}
 }
 
@@ -95,7 +95,7 @@
 		s.mu.Lock()
 		s.resting = true
 		s.src.NoWait = s.retire || s.cut
-		s.box.Wait(until) // where it is woken after this, the wait ends at once
+		s.outbound.Wait(until) // where it is woken after this, the wait ends at once
 		s.mu.Unlock()
 		_, err := s.in.Peek(1)
 		s.mu.Lock()
@@ -128,7 +128,7 @@
 func (s *session) awaitAnswers(conn net.Conn) {
 	for look := firstLook; s.owes(); look = min(2*look, maxLook) {
 		select {
-		case <-s.box.Done():
+		case <-s.outbound.Done():
 			return
 		case <-s.answered:
 		case <-time.After(look):
@@ -172,7 +172,7 @@
 
 // send writes the answer to an id, which is owed no longer.
 func (s *session) send(id string, parts ...[]byte) {
-	s.box.Send(parts...)
+	s.outbound.Send(parts...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(id)
@@ -202,9 +202,9 @@
 }
 
 // Handle reads one connection until it ends.
-func (f *Front) Handle(conn net.Conn, box *sock.Box) {
+func (f *Front) Handle(conn net.Conn, outbound *sock.WriteQueue) {
 	src := &sock.Reader{Conn: conn}
-	s := &session{box: box, src: src, in: bufio.NewReaderSize(src, maxLine), open: map[string]string{}, owed: map[string]bool{}, answered: make(chan struct{}, 1)}
+	s := &session{outbound: outbound, src: src, in: bufio.NewReaderSize(src, maxLine), open: map[string]string{}, owed: map[string]bool{}, answered: make(chan struct{}, 1)}
 	f.core.Send(core.Opened{Session: s})
 	defer f.core.Send(core.Closed{Session: s})
 	first := time.Now().Add(firstWithin)
@@ -225,8 +225,8 @@
 				s.awaitAnswers(conn)
 			case errors.Is(err, sock.ErrLong):
 				f.log.Warn("bad message", "front", "jsonrpc", "err", err)
-			case box.Err() != nil:
-				f.log.Warn("connection cut", "front", "jsonrpc", "open", s.count(), "err", box.Err())
+			case outbound.Err() != nil:
+				f.log.Warn("connection cut", "front", "jsonrpc", "open", s.count(), "err", outbound.Err())
 			}
 			return
 		}
@@ -254,7 +254,7 @@
 		}
 		until = time.Now().Add(within)
 	}
-	s.box.Wait(until)
+	s.outbound.Wait(until)
 	return sock.Line(s.in)
 }
 
@@ -269,7 +269,7 @@
 	if bad != nil {
 		f.log.Warn("bad message", "front", "jsonrpc", "open", s.count(), "err", bad)
 		if m.id != "" {
-			s.box.Send(errorLine(m.id, bad.code, bad.text, nil))
+			s.outbound.Send(errorLine(m.id, bad.code, bad.text, nil))
 		}
 		return false
 	}
--- a/internal/pool/heir.go
+++ b/internal/pool/heir.go
@@ -38,11 +38,11 @@
 // reads how runs ended, and asks again for those that have shown nothing. A pool runs a handle once, however often it
 // is asked, so each ran once in the end, whether the lost process had asked for it or not.
 type Heir struct {
-	box  *sock.Box
-	left []Left // not asked for yet
-	mu   sync.Mutex
-	open map[string]bool // asked for, and not ended
-	done map[string]bool // ended before they were asked for
+	outbound *sock.WriteQueue
+	left     []Left // not asked for yet
+	mu       sync.Mutex
+	open     map[string]bool // asked for, and not ended
+	done     map[string]bool // ended before they were asked for
 }
 
 // Inherit binds to the pool at addr, from the last notice that the lost process is known to have read, and tells of
@@ -54,13 +54,13 @@
 	if err != nil {
 		return err
 	}
-	h := &Heir{box: sock.NewBox(conn), left: left, open: map[string]bool{}, done: map[string]bool{}}
-	defer h.box.Kill()
-	defer context.AfterFunc(ctx, h.box.Kill)()
+	h := &Heir{outbound: sock.NewWriteQueue(conn), left: left, open: map[string]bool{}, done: map[string]bool{}}
+	defer h.outbound.Kill()
+	defer context.AfterFunc(ctx, h.outbound.Kill)()
 	// A cursor of 0 is a process that has just started: its pool would forget what it has to tell.
 	cursor = max(cursor, 1)
-	h.box.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(cursor, 10) + "}\n"))
-	h.box.Send([]byte(`{"event":"poll","ticket":"` + replayed + "\"}\n"))
+	h.outbound.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(cursor, 10) + "}\n"))
+	h.outbound.Send([]byte(`{"event":"poll","ticket":"` + replayed + "\"}\n"))
 	begun(h)
 	mine := map[string]bool{}
 	for _, l := range left {
@@ -123,10 +123,10 @@
 		l := h.left[0]
 		if h.left = h.left[1:]; !l.Quiet && !h.done[l.Handle] {
 			h.open[l.Handle] = true
-			h.box.Send(spawn(l.Handle, l.Class, l.Body)...)
+			h.outbound.Send(spawn(l.Handle, l.Class, l.Body)...)
 		}
 	}
 }
 
 // Reply gives a run the reply that it waits for. It is safe from any goroutine.
-func (h *Heir) Reply(handle string, body []byte) { h.box.Send(supply(handle, body)...) }
+func (h *Heir) Reply(handle string, body []byte) { h.outbound.Send(supply(handle, body)...) }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,9 +45,9 @@
 	bound  time.Time // when that of the last link was made on which the pool spoke: it had begun by then
 	anew   bool      // the pool began since, and may number its notices from 1
 
-	mu   sync.Mutex
-	addr string
-	box  *sock.Box // nil = no link
+	mu       sync.Mutex
+	addr     string
+	outbound *sock.WriteQueue // nil = no link
 
 	supplied map[string]bool // handles of runs that were given a reply on this link and have told nothing since
 }
@@ -69,8 +69,8 @@
 	case l.moved <- struct{}{}:
 	default:
 	}
-	if l.box != nil {
-		l.box.Kill()
+	if l.outbound != nil {
+		l.outbound.Kill()
 	}
 }
 
@@ -122,15 +122,15 @@
 		return false, err
 	}
 	l.dialed = time.Now()
-	box := sock.NewBox(conn)
-	defer box.Kill()
-	defer context.AfterFunc(ctx, box.Kill)()
-	if !l.begin(box, addr) {
+	outbound := sock.NewWriteQueue(conn)
+	defer outbound.Kill()
+	defer context.AfterFunc(ctx, outbound.Kill)()
+	if !l.begin(outbound, addr) {
 		return false, errMoved
 	}
 	defer func() {
 		l.mu.Lock()
-		l.box = nil
+		l.outbound = nil
 		l.mu.Unlock()
 		l.sink(core.PoolLost{})
 	}()
@@ -151,24 +151,24 @@
 	}
 }
 
-// begin makes b the link, with its bind as the first line; false = it goes to an address that was left meanwhile, and
-// nothing was sent. Whoever sees the bind can rely on a Move to end the link.
-func (l *Link) begin(b *sock.Box, addr string) bool {
+// begin makes outbound the link, with its bind as the first line; false = it goes to an address that was left
+// meanwhile, and nothing was sent. Whoever sees the bind can rely on a Move to end the link.
+func (l *Link) begin(outbound *sock.WriteQueue, addr string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if addr != l.addr {
 		return false
 	}
-	b.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
-	l.box, l.supplied = b, map[string]bool{}
+	outbound.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.read.Load(), 10) + "}\n"))
+	l.outbound, l.supplied = outbound, map[string]bool{}
 	return true
 }
 
 func (l *Link) send(parts ...[]byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.box != nil {
-		l.box.Send(parts...)
+	if l.outbound != nil {
+		l.outbound.Send(parts...)
 	}
 }
 
@@ -302,9 +302,9 @@
 func (l *Link) Supply(handle string, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.box != nil && !l.supplied[handle] {
+	if l.outbound != nil && !l.supplied[handle] {
 		l.supplied[handle] = true
-		l.box.Send(supply(handle, body)...)
+		l.outbound.Send(supply(handle, body)...)
 	}
 }
 
--- a/internal/sock/ending_test.go
+++ b/internal/sock/ending_test.go
@@ -9,7 +9,7 @@
 )
 
 // serving is a server on a real address that is stopped with the test.
-func serving(t *testing.T, limit int, handle func(net.Conn, *Box)) (*Server, string) {
+func serving(t *testing.T, limit int, handle func(net.Conn, *WriteQueue)) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -35,23 +35,23 @@
 // and most of the answer is lost. The peer reads only when all has been written and the end has begun.
 func TestAnEndOverUnreadBytesKeepsTheAnswer(t *testing.T) {
 	answer := bytes.Repeat([]byte("x"), 400<<10)
-	sent, begun := make(chan struct{}), make(chan *Box, 1)
-	_, addr := serving(t, 4, func(c net.Conn, b *Box) {
+	sent, begun := make(chan struct{}), make(chan *WriteQueue, 1)
+	_, addr := serving(t, 4, func(c net.Conn, q *WriteQueue) {
 		c.(*net.TCPConn).SetWriteBuffer(1 << 20)
 		<-sent
 		io.ReadFull(c, make([]byte, 1)) // the rest stands unread
-		b.Send(answer)
-		b.Close()
-		<-b.flushed
-		begun <- b
+		q.Send(answer)
+		q.Close()
+		<-q.flushed
+		begun <- q
 	})
 	c := dialAll(t, addr, 1)[0]
 	c.(*net.TCPConn).SetReadBuffer(64 << 10)
 	c.Write(make([]byte, 10<<10))
 	close(sent)
-	b := <-begun
+	q := <-begun
 	select { // a plain close is done by now
-	case <-b.Done():
+	case <-q.Done():
 	case <-time.After(50 * time.Millisecond):
 	}
 	c.Write([]byte("what comes after the end"))
@@ -60,12 +60,12 @@
 		t.Errorf("%d of %d bytes, %v", len(got), len(answer), err)
 	}
 	c.Close()
-	<-b.Done()
+	<-q.Done()
 }
 
 // Peers that never close keep no place: they linger for lingerFor, and only an eighth of all at a time.
 func TestPeersThatNeverCloseKeepNoPlace(t *testing.T) {
-	s, addr := serving(t, 16, func(_ net.Conn, b *Box) { b.Close() })
+	s, addr := serving(t, 16, func(_ net.Conn, q *WriteQueue) { q.Close() })
 	start := time.Now()
 	conns := dialAll(t, addr, 10)
 	for _, c := range conns {
@@ -84,9 +84,9 @@
 // A newcomer that finds all places taken by those that linger does not wait for their time.
 func TestANewcomerTakesThePlaceOfOneThatLingers(t *testing.T) {
 	let := make(chan struct{}, 1)
-	s, addr := serving(t, 1, func(c net.Conn, b *Box) {
+	s, addr := serving(t, 1, func(c net.Conn, q *WriteQueue) {
 		<-let
-		b.Send([]byte("ok"))
+		q.Send([]byte("ok"))
 	})
 	start := time.Now()
 	for range 10 { // none of them closes
@@ -104,13 +104,13 @@
 // Where there is no room a connection waits for it, with what it brought, and is not closed unseen.
 func TestAFullServerKeepsNewcomersWaiting(t *testing.T) {
 	let := make(chan struct{})
-	s, addr := serving(t, 2, func(c net.Conn, b *Box) {
+	s, addr := serving(t, 2, func(c net.Conn, q *WriteQueue) {
 		line := make([]byte, 4)
 		if _, err := io.ReadFull(c, line); err != nil {
 			return
 		}
 		<-let
-		b.Send(line)
+		q.Send(line)
 	})
 	conns := dialAll(t, addr, 6)
 	for _, c := range conns {
@@ -133,7 +133,7 @@
 func TestAReaderThatDoesNotWait(t *testing.T) {
 	got := make(chan string, 3)
 	step := make(chan struct{})
-	_, addr := serving(t, 1, func(c net.Conn, _ *Box) {
+	_, addr := serving(t, 1, func(c net.Conn, _ *WriteQueue) {
 		r := Reader{Conn: c, NoWait: true}
 		for range 3 {
 			<-step
--- a/internal/sock/listen_test.go
+++ b/internal/sock/listen_test.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(old, 64, &Budget{Peer: 1 << 10, All: 1 << 20, Spare: 1 << 10}, func(c net.Conn, _ *Box) {
+	s := NewServer(old, 64, &Budget{Peer: 1 << 10, All: 1 << 20, Spare: 1 << 10}, func(c net.Conn, _ *WriteQueue) {
 		c.Write([]byte("ok"))
 	})
 	queued = dialAll(t, addr, 40) // nobody accepts on old: what the kernel gave it waits
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -32,18 +32,18 @@
 	room     chan struct{} // one for each connection, and for the next one that is accepted
 	open     atomic.Int64
 	budget   *Budget
-	handle   func(net.Conn, *Box)
+	handle   func(net.Conn, *WriteQueue)
 
 	mu        sync.Mutex
-	boxes     map[*Box]struct{}
-	lingering []*Box // the oldest first
-	wanted    bool   // a newcomer waits for room
+	queues    map[*WriteQueue]struct{}
+	lingering []*WriteQueue // the oldest first
+	wanted    bool          // a newcomer waits for room
 }
 
 // NewServer serves up to limit connections at a time by handle, which returns when its connection is over.
 // What waits to be written to them is bounded by budget.
-func NewServer(l net.Listener, limit int, budget *Budget, handle func(net.Conn, *Box)) *Server {
-	return &Server{listener: l, room: make(chan struct{}, limit), budget: budget, handle: handle, boxes: map[*Box]struct{}{}}
+func NewServer(l net.Listener, limit int, budget *Budget, handle func(net.Conn, *WriteQueue)) *Server {
+	return &Server{listener: l, room: make(chan struct{}, limit), budget: budget, handle: handle, queues: map[*WriteQueue]struct{}{}}
 }
 
 // Serve accepts until the listener is closed. Where there is no room, connections wait in the listener's queue: to
@@ -97,45 +97,45 @@
 func (s *Server) Conns() int { return int(s.open.Load()) }
 
 func (s *Server) serve(conn net.Conn) {
-	b := NewBox(conn)
-	b.limit, b.budget, b.lingers = s.budget.Peer, s.budget, true
+	q := NewWriteQueue(conn)
+	q.limit, q.budget, q.lingers = s.budget.Peer, s.budget, true
 	s.mu.Lock()
-	s.boxes[b] = struct{}{}
+	s.queues[q] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
-		s.linger(b)
+		s.linger(q)
 		s.mu.Lock()
-		delete(s.boxes, b)
+		delete(s.queues, q)
 		s.mu.Unlock()
 		s.open.Add(-1)
 		<-s.room
 	}()
-	s.handle(conn, b)
+	s.handle(conn, q)
 }
 
 // linger ends a connection that nobody reads any longer.
-func (s *Server) linger(b *Box) {
-	defer b.Kill()
-	b.Close()
-	<-b.flushed
-	if _, ok := b.conn.(halfCloser); !ok {
+func (s *Server) linger(q *WriteQueue) {
+	defer q.Kill()
+	q.Close()
+	<-q.flushed
+	if _, ok := q.conn.(halfCloser); !ok {
 		return
 	}
 	s.mu.Lock()
 	stays := !s.wanted && len(s.lingering) < max(1, cap(s.room)/8)
 	if stays {
-		s.lingering = append(s.lingering, b)
+		s.lingering = append(s.lingering, q)
 	}
 	s.mu.Unlock()
 	if !stays {
 		return
 	}
-	if b.conn.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
-		io.Copy(io.Discard, io.LimitReader(b.conn, lingerBytes))
+	if q.conn.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+		io.Copy(io.Discard, io.LimitReader(q.conn, lingerBytes))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lingering = slices.DeleteFunc(s.lingering, func(o *Box) bool { return o == b })
+	s.lingering = slices.DeleteFunc(s.lingering, func(other *WriteQueue) bool { return other == q })
 }
 
 // Shut takes what waits in the listener's queue, as far as there is room, and closes it at once after: Serve returns,
@@ -193,18 +193,18 @@
 func (s *Server) Stop(limit time.Duration) {
 	s.listener.Close()
 	s.mu.Lock()
-	boxes := make([]*Box, 0, len(s.boxes))
-	for b := range s.boxes {
-		boxes = append(boxes, b)
+	queues := make([]*WriteQueue, 0, len(s.queues))
+	for q := range s.queues {
+		queues = append(queues, q)
 	}
 	s.mu.Unlock()
 	end := time.After(limit)
-	for _, b := range boxes {
-		b.stopReading()
+	for _, q := range queues {
+		q.stopReading()
 	}
-	for _, b := range boxes {
+	for _, q := range queues {
 		select {
-		case <-b.Done():
+		case <-q.Done():
 		case <-end:
 			return
 		}
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -19,16 +19,16 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				mine, _ := net.Pipe()
-				b := NewBox(mine)
-				b.limit, b.budget = 1<<20, &Budget{All: c.all}
+				q := NewWriteQueue(mine)
+				q.limit, q.budget = 1<<20, &Budget{All: c.all}
 				start := time.Now()
-				b.Send(make([]byte, c.size))
-				<-b.Done()
-				if d := time.Since(start); d != c.after || b.Send(nil) || b.Err() == nil {
+				q.Send(make([]byte, c.size))
+				<-q.Done()
+				if d := time.Since(start); d != c.after || q.Send(nil) || q.Err() == nil {
 					t.Errorf("cut off after %v", d)
 				}
 				synctest.Wait()
-				if n := b.budget.used.Load(); n != 0 {
+				if n := q.budget.used.Load(); n != 0 {
 					t.Errorf("%d bytes still count", n)
 				}
 			})
@@ -40,20 +40,20 @@
 func TestThoseWhoDoNotReadCostOthersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		budget := &Budget{All: 100, Spare: 10}
-		box := func() (*Box, net.Conn) {
+		newQueue := func() (*WriteQueue, net.Conn) {
 			mine, theirs := net.Pipe()
-			b := NewBox(mine)
-			b.budget = budget
-			return b, theirs
+			q := NewWriteQueue(mine)
+			q.budget = budget
+			return q, theirs
 		}
-		deaf, _ := box()
+		deaf, _ := newQueue()
 		deaf.Send(make([]byte, 100))
-		b, theirs := box()
-		b.Send([]byte("a line\n"))
+		q, theirs := newQueue()
+		q.Send([]byte("a line\n"))
 		if line, err := Line(bufio.NewReader(theirs)); err != nil || string(line) != "a line" {
 			t.Errorf("%q, %v", line, err)
 		}
-		if b.Send(make([]byte, 11)) || deaf.Send([]byte("x")) {
+		if q.Send(make([]byte, 11)) || deaf.Send([]byte("x")) {
 			t.Error("who has much waiting goes on")
 		}
 		<-deaf.Done()
@@ -64,13 +64,13 @@
 func TestCloseWritesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, theirs := net.Pipe()
-		b := NewBox(mine)
-		b.Send([]byte("a "), []byte("line\r\n"))
-		b.Close()
+		q := NewWriteQueue(mine)
+		q.Send([]byte("a "), []byte("line\r\n"))
+		q.Close()
 		if line, err := Line(bufio.NewReader(theirs)); err != nil || string(line) != "a line" {
 			t.Errorf("%q, %v", line, err)
 		}
-		<-b.Done()
+		<-q.Done()
 	})
 }
 
--- a/internal/sock/box.go
+++ b/internal/sock/writequeue.go
@@ -25,9 +25,9 @@
 	used      atomic.Int64
 }
 
-// Box writes to one connection, in order, from a goroutine that exists only while there is something to
+// WriteQueue writes to one connection, in order, from a goroutine that exists only while there is something to
 // write. A peer that reads too slowly loses the connection: it must not slow anyone else.
-type Box struct {
+type WriteQueue struct {
 	conn    net.Conn
 	mu      sync.Mutex
 	waiting net.Buffers
@@ -45,123 +45,123 @@
 	done    chan struct{}
 }
 
-// NewBox makes the box of a connection, which is closed with it.
-func NewBox(conn net.Conn) *Box {
-	return &Box{conn: conn, limit: maxWaiting, flushed: make(chan struct{}), done: make(chan struct{})}
+// NewWriteQueue returns the queue of a connection, which is closed with it.
+func NewWriteQueue(conn net.Conn) *WriteQueue {
+	return &WriteQueue{conn: conn, limit: maxWaiting, flushed: make(chan struct{}), done: make(chan struct{})}
 }
 
-// Send queues parts to be written together; the box keeps them. False = the connection is gone.
-func (b *Box) Send(parts ...[]byte) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.dead || b.closing {
+// Send queues parts to be written together; the queue keeps them. False = the connection is gone.
+func (q *WriteQueue) Send(parts ...[]byte) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.dead || q.closing {
 		return false
 	}
 	more := 0
 	for _, p := range parts {
 		more += len(p)
 	}
-	if b.size+more > b.limit || b.over(b.size+more, more) {
-		b.why = ErrFull
-		b.kill()
+	if q.size+more > q.limit || q.over(q.size+more, more) {
+		q.why = ErrFull
+		q.kill()
 		return false
 	}
-	b.grow(more)
-	b.waiting = append(b.waiting, parts...)
-	if !b.writing {
-		b.writing = true
-		go b.write()
+	q.grow(more)
+	q.waiting = append(q.waiting, parts...)
+	if !q.writing {
+		q.writing = true
+		go q.write()
 	}
 	return true
 }
 
 // over tells whether more bytes, size with what waits already, are too many for all peers together. Guards
 // against many that do not read: they use up what is for all, and those who have little waiting stay.
-func (b *Box) over(size, more int) bool {
-	return b.budget != nil && size > b.budget.Spare && b.budget.used.Load()+int64(more) > int64(b.budget.All)
+func (q *WriteQueue) over(size, more int) bool {
+	return q.budget != nil && size > q.budget.Spare && q.budget.used.Load()+int64(more) > int64(q.budget.All)
 }
 
-func (b *Box) grow(by int) {
-	b.size += by
-	if b.budget != nil {
-		b.budget.used.Add(int64(by))
+func (q *WriteQueue) grow(by int) {
+	q.size += by
+	if q.budget != nil {
+		q.budget.used.Add(int64(by))
 	}
 }
 
-func (b *Box) write() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.waiting) > 0 && !b.dead {
-		out, size := b.waiting, b.size
-		b.waiting = nil
-		b.mu.Unlock()
-		err := b.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+func (q *WriteQueue) write() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.waiting) > 0 && !q.dead {
+		out, size := q.waiting, q.size
+		q.waiting = nil
+		q.mu.Unlock()
+		err := q.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if err == nil {
-			_, err = out.WriteTo(b.conn)
+			_, err = out.WriteTo(q.conn)
 		}
-		b.mu.Lock()
-		b.grow(-size) // until it is written it counts
+		q.mu.Lock()
+		q.grow(-size) // until it is written it counts
 		if err != nil {
-			if !b.dead {
-				b.why = err
+			if !q.dead {
+				q.why = err
 			}
-			b.kill()
+			q.kill()
 		}
 	}
-	b.writing = false
-	if b.closing {
-		b.end()
+	q.writing = false
+	if q.closing {
+		q.end()
 	}
 }
 
 // Close ends the connection once all that was queued is written. Of a server's connection that is the writing half:
 // reading is given up at once, and its goroutine closes it after a lingering close (see Server).
-func (b *Box) Close() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closing = true
-	if b.lingers {
-		b.conn.SetReadDeadline(past)
+func (q *WriteQueue) Close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closing = true
+	if q.lingers {
+		q.conn.SetReadDeadline(past)
 	}
-	if !b.writing {
-		b.end()
+	if !q.writing {
+		q.end()
 	}
 }
 
 // end is the end of the writing.
-func (b *Box) end() {
+func (q *WriteQueue) end() {
 	switch {
-	case !b.lingers:
-		b.kill()
-	case !b.ended && !b.dead:
-		b.ended = true
-		if h, ok := b.conn.(halfCloser); ok {
+	case !q.lingers:
+		q.kill()
+	case !q.ended && !q.dead:
+		q.ended = true
+		if h, ok := q.conn.(halfCloser); ok {
 			h.CloseWrite()
 		}
-		close(b.flushed)
+		close(q.flushed)
 	}
 }
 
 // Wait bounds how long the connection's reader waits for what comes next; the zero time is no bound. It does nothing
 // once the connection is to end: a reader is not to wait beyond that.
-func (b *Box) Wait(until time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.closing && !b.quit {
-		b.conn.SetReadDeadline(until)
+func (q *WriteQueue) Wait(until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.closing && !q.quit {
+		q.conn.SetReadDeadline(until)
 	}
 }
 
 // stopReading ends the wait of the connection's reader and all that follow. What it has read it still answers.
-func (b *Box) stopReading() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.quit = true
-	b.conn.SetReadDeadline(past)
+func (q *WriteQueue) stopReading() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.quit = true
+	q.conn.SetReadDeadline(past)
 }
 
 // Wake ends the wait of the connection's reader, which finds os.ErrDeadlineExceeded.
-func (b *Box) Wake() { b.Wait(past) }
+func (q *WriteQueue) Wake() { q.Wait(past) }
 
 // halfCloser is a connection of which one half can be closed.
 type halfCloser interface{ CloseWrite() error }
@@ -170,34 +170,34 @@
 var past = time.Unix(1, 0)
 
 // Kill closes the connection at once.
-func (b *Box) Kill() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.kill()
+func (q *WriteQueue) Kill() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.kill()
 }
 
-func (b *Box) kill() {
-	if !b.dead {
-		b.dead = true
-		for _, p := range b.waiting {
-			b.grow(-len(p))
+func (q *WriteQueue) kill() {
+	if !q.dead {
+		q.dead = true
+		for _, p := range q.waiting {
+			q.grow(-len(p))
 		}
-		b.waiting = nil
-		b.conn.Close()
-		if !b.ended {
-			b.ended = true
-			close(b.flushed)
+		q.waiting = nil
+		q.conn.Close()
+		if !q.ended {
+			q.ended = true
+			close(q.flushed)
 		}
-		close(b.done)
+		close(q.done)
 	}
 }
 
-// Err tells why the box closed the connection by itself; nil = it did not.
-func (b *Box) Err() error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.why
+// Err returns why the queue closed the connection by itself; nil = it did not.
+func (q *WriteQueue) Err() error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.why
 }
 
 // Done is closed when the connection is.
-func (b *Box) Done() <-chan struct{} { return b.done }
+func (q *WriteQueue) Done() <-chan struct{} { return q.done }
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -42,8 +42,8 @@
 
 // session is one connection, which carries one request.
 type session struct {
-	conn net.Conn
-	box  *sock.Box
+	conn     net.Conn
+	outbound *sock.WriteQueue
 
 	mu       sync.Mutex
 	reading  bool
@@ -59,7 +59,7 @@
 	s.draining = true
 	if t := time.Now().Add(left); s.reading && t.Before(s.until) {
 		s.until = t
-		s.box.Wait(t) // an error shows at the next read
+		s.outbound.Wait(t) // an error shows at the next read
 	}
 }
 
@@ -74,21 +74,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reading, s.until = true, time.Now().Add(limit)
-	s.box.Wait(s.until)
+	s.outbound.Wait(s.until)
 }
 
 func (s *session) end() (draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reading = false
-	s.box.Wait(time.Time{})
+	s.outbound.Wait(time.Time{})
 	return s.draining
 }
 
 // Handle reads the one request of a connection, and then whether its client hangs up.
-func (f *Front) Handle(conn net.Conn, box *sock.Box) {
+func (f *Front) Handle(conn net.Conn, outbound *sock.WriteQueue) {
 	arrived := time.Now()
-	s := &session{conn: conn, box: box}
+	s := &session{conn: conn, outbound: outbound}
 	s.begin(time.Duration(f.opt.ReadMs) * time.Millisecond)
 	f.core.Send(core.Opened{Session: s, Single: true})
 	defer f.core.Send(core.Closed{Session: s})
@@ -96,25 +96,25 @@
 	v, body, err := readPacket(in, f.opt.MaxBody)
 	draining := s.end()
 	if err != nil {
-		f.complain(box, err, draining)
+		f.complain(outbound, err, draining)
 		return
 	}
 	if path := v.get("PATH_INFO"); path == f.opt.Health && path != "" {
-		f.core.Send(core.Check{Session: s, Reply: reply{box}})
+		f.core.Send(core.Check{Session: s, Reply: reply{outbound}})
 		f.awaitEnd(s, in, "")
 		return
 	}
 	q, problem := f.opt.request(v, body, f.site, arrived)
 	switch {
 	case q.Class < 0:
-		box.Send(response(404, "unknown class", nil))
+		outbound.Send(response(404, "unknown class", nil))
 		return
 	case problem != "":
 		f.log.Warn("bad message", "front", "uwsgi", "err", problem)
-		box.Send(response(400, problem, nil))
+		outbound.Send(response(400, problem, nil))
 		return
 	}
-	f.core.Send(core.Arrive{Session: s, Reply: reply{box}, Req: q})
+	f.core.Send(core.Arrive{Session: s, Reply: reply{outbound}, Req: q})
 	f.awaitEnd(s, in, q.Handle)
 }
 
@@ -134,25 +134,25 @@
 }
 
 // complain answers a packet that is no request. A client that left without a byte gets nothing.
-func (f *Front) complain(box *sock.Box, err error, draining bool) {
+func (f *Front) complain(outbound *sock.WriteQueue, err error, draining bool) {
 	if errors.Is(err, io.EOF) && !errors.Is(err, ErrPacket) {
 		return
 	}
 	f.log.Warn("bad message", "front", "uwsgi", "err", err)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && draining:
-		box.Send(response(503, "leaving", []byte(headerNotRun+": 1\r\nRetry-After: 1\r\n")))
+		outbound.Send(response(503, "leaving", []byte(headerNotRun+": 1\r\nRetry-After: 1\r\n")))
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		box.Send(response(408, "the packet did not come in time", nil))
+		outbound.Send(response(408, "the packet did not come in time", nil))
 	case errors.Is(err, ErrLarge):
-		box.Send(response(413, "body too large", nil))
+		outbound.Send(response(413, "body too large", nil))
 	default:
-		box.Send(response(400, "malformed packet", nil))
+		outbound.Send(response(400, "malformed packet", nil))
 	}
 }
 
 // reply answers the one request of a connection and ends it.
-type reply struct{ box *sock.Box }
+type reply struct{ outbound *sock.WriteQueue }
 
 // Answer writes the response.
 func (r reply) Answer(a core.Answer) {
@@ -187,8 +187,8 @@
 	if a.Kind != core.Served {
 		out = []byte(body)
 	}
-	r.box.Send(responseHead(status, a.Hint, head, len(out)), out)
-	r.box.Close()
+	r.outbound.Send(responseHead(status, a.Hint, head, len(out)), out)
+	r.outbound.Close()
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
