--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -110,24 +110,18 @@
 	bad bool
 }
 
-func (r *reader) int() int64 {
-	x, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.b, r.bad = nil, true
-		return 0
-	}
-	r.b = r.b[n:]
-	return x
-}
+func (r *reader) int() int64   { return take(r, binary.Varint) }
+func (r *reader) uint() uint64 { return take(r, binary.Uvarint) }
 
-func (r *reader) uint() uint64 {
-	x, n := binary.Uvarint(r.b)
-	if n <= 0 {
+// take reads a number off the record by decode, which returns 0 or fewer bytes for what is no number.
+func take[T int64 | uint64](r *reader, decode func([]byte) (T, int)) T {
+	number, size := decode(r.b)
+	if size <= 0 {
 		r.b, r.bad = nil, true
 		return 0
 	}
-	r.b = r.b[n:]
-	return x
+	r.b = r.b[size:]
+	return number
 }
 
 // decodeEntries gives each entry of a group to do.
