--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -170,24 +171,35 @@
 // Observe has an observer see all that passes. It is called before Listen and Dial.
 func (l *Link) Observe(o Observer) { l.observer = o }
 
-// Listen opens the port on which other boxes ask.
+// Listen opens the port on which other boxes ask, for Serve.
 func (l *Link) Listen() (net.Listener, error) {
 	in, err := net.Listen("tcp", l.opt.Listen)
 	if err == nil && l.observer.Conn != nil {
 		in = &observedListener{in, l.observer.Conn}
 	}
-	if err == nil && l.tls != nil {
-		in = tls.NewListener(in, l.tls)
-	}
 	return in, err
 }
 
-// Serve answers on in until ctx ends. The connections open at a time are bounded.
+// Serve answers on in until ctx ends. The connections open at a time are bounded. TLS is the outermost layer: a handler
+// finds the certificate of who asks in Request.TLS.
 func (l *Link) Serve(ctx context.Context, in net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
+		MaxHeaderBytes: maxHead, ErrorLog: log.New(serverErrors{l.log}, "", 0)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(Limit(in, l.opt.conns()))
+	in = Limit(in, l.opt.conns())
+	if l.tls != nil {
+		in = tls.NewListener(in, l.tls)
+	}
+	s.Serve(in)
+}
+
+// serverErrors logs what net/http has to say under one message: it names the peer's address and port, and a message of
+// its own for each would never be held back as a repetition.
+type serverErrors struct{ log *slog.Logger }
+
+func (e serverErrors) Write(line []byte) (int, error) {
+	e.log.Warn("link", "do", "serve", "err", string(bytes.TrimSpace(line)))
+	return len(line), nil
 }
 
 // Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
