--- a/cmd/measure/scale_sessions.go
+++ b/cmd/measure/scale_sessions.go
@@ -192,10 +192,10 @@
 	return nil
 }
 
-// window takes a reading in which the leader stays the same.
+// window takes a reading in which the leader stays the same and the sessions stay where they are.
 func (c *scaleSessionsCmd) window(ctx context.Context, fleet *sessions.Fleet) (sample *sessions.Sample, err error) {
 	for range steadyAttempts {
-		if sample, err = fleet.Window(ctx, c.Window); !errors.Is(err, sessions.ErrLeader) {
+		if sample, err = fleet.Window(ctx, c.Window); !errors.Is(err, sessions.ErrLeader) && !errors.Is(err, sessions.ErrUnsteady) {
 			return sample, err
 		}
 		progress("taken anew: %v", err)
--- a/internal/measure/sessions/events.go
+++ b/internal/measure/sessions/events.go
@@ -80,7 +80,7 @@
 
 // FreezeZone stops all app servers of a zone where they are, until thaw is called.
 func (f *Fleet) FreezeZone(zone int) (thaw func() error, err error) {
-	each := func(worker func(*hollowWorker) error, server func(*appServer)) error {
+	both := func(worker func(*hollowWorker) error, server func(*appServer)) error {
 		var errs []error
 		for _, w := range f.workers {
 			if w.zone == zone {
@@ -95,9 +95,9 @@
 		return errors.Join(errs...)
 	}
 	thaw = func() error {
-		return each(func(w *hollowWorker) error { return w.Thaw() }, func(s *appServer) { s.Thaw() })
+		return both(func(w *hollowWorker) error { return w.Thaw() }, func(s *appServer) { s.Thaw() })
 	}
-	err = each(func(w *hollowWorker) error { return w.Freeze() }, func(s *appServer) { s.Freeze() })
+	err = both(func(w *hollowWorker) error { return w.Freeze() }, func(s *appServer) { s.Freeze() })
 	return thaw, err
 }
 
--- a/internal/measure/sessions/sample.go
+++ b/internal/measure/sessions/sample.go
@@ -56,6 +56,12 @@
 // ErrStats is a process that does not tell its metrics.
 var ErrStats = errors.New("no metrics")
 
+// ErrUnsteady is a window in which sessions were opened.
+var ErrUnsteady = errors.New("sessions were opened")
+
+// mostOpened is the part of all sessions that may be opened in a window at rest: those that return to their first choice.
+const mostOpened = 0.02
+
 // statsAttempts is how often the metrics of a process are asked for: one under load may be late.
 const statsAttempts = 10
 
@@ -116,7 +122,8 @@
 	return r, errors.Join(nodeErr, realErr, bareErr, workerErr)
 }
 
-// Window is a sample over a time in which nothing is asked of the fleet. One in which the leader changed is an error.
+// Window is a sample over a time in which nothing is asked of the fleet. One in which the leader changed, or sessions were
+// opened, is an error.
 func (f *Fleet) Window(ctx context.Context, length time.Duration) (*Sample, error) {
 	leader, err := f.Leader()
 	if err != nil {
@@ -138,7 +145,11 @@
 	if now, err := f.Leader(); err != nil || now != leader {
 		return nil, errors.Join(err, fmt.Errorf("another one than %s in a window: %w", leader.Name, ErrLeader))
 	}
-	return f.sample(leader, before, after), nil
+	sample := f.sample(leader, before, after)
+	if opened := sample.Rates[Hollow].Kinds.Hellos + sample.Rates[Server].Kinds.Hellos; float64(opened) > mostOpened*float64(f.options.Servers) {
+		return nil, fmt.Errorf("%d in a window: %w", opened, ErrUnsteady)
+	}
+	return sample, nil
 }
 
 // sample gives the means over the members of each role.
