--- a/cmd/measure/scale_sessions_record.go
+++ b/cmd/measure/scale_sessions_record.go
@@ -53,7 +53,6 @@
 	if server.Members > 0 && bare.Members > 0 {
 		note := fmt.Sprintf("mean of %d real servers less that of %d without a session, both idle", server.Members, bare.Members)
 		s.add("server.cpu", "cores", note, servers, server.CPU-bare.CPU)
-		s.add("server.whole.cpu", "cores", "a whole idle real server with a session", servers, server.CPU)
 		s.add("server.more.rss", "bytes", note, servers, sample.Sizes[sessions.Server].Resident-sample.Sizes[sessions.Bare].Resident)
 		s.add("server.descriptors", "descriptors", note, servers, sample.Sizes[sessions.Server].Descriptors-sample.Sizes[sessions.Bare].Descriptors)
 	}
--- a/internal/capacity/events.go
+++ b/internal/capacity/events.go
@@ -19,6 +19,7 @@
 		event("a rack or switch", "not stated: servers of a rack", nil, "rack"),
 		event("a control node", "sessions that move: servers / control nodes", func(s Size) float64 { return s.Servers / s.ControlNodes }, "failover.follower"),
 		event("the leader", "servers that wait for the next", servers, "failover.leader"),
+		event("all control nodes at once", "servers without leases", servers, "outage"),
 		event("a zone lost and returning", "servers at once", zone, "zone"),
 		event("regions apart for an hour, then together", "servers of the lesser region", func(s Size) float64 { return s.Servers / s.Regions }, "regions"),
 		event("a rolling release of all", "servers replaced", servers, "release"),
