--- a/cmd/measure/scale_sessions.go
+++ b/cmd/measure/scale_sessions.go
@@ -35,7 +35,7 @@
 	Events  []string      `help:"Those that happen, by name; none = all."`
 	Short   bool          `help:"One size of 60 servers and 3 control nodes, a short reading, no events."`
 	Window  time.Duration `default:"10s" help:"Length of each reading of a fleet at rest."`
-	Repeats int           `default:"2" help:"Readings of a fleet at rest."`
+	Repeats int           `default:"2" help:"Readings of a fleet at rest, and rounds of events."`
 	Seed    uint64        `default:"1" help:"Of what hollow servers report."`
 	JSON    string        `name:"json" help:"File of recorded measurements that these are added to."`
 
--- a/cmd/measure/scale_sessions_events.go
+++ b/cmd/measure/scale_sessions_events.go
@@ -37,6 +37,7 @@
 	fleet   *sessions.Fleet
 	report  *report
 	series  *series
+	name    string // of the round
 }
 
 // events has each event happen to a fleet, one after the other.
@@ -54,8 +55,25 @@
 		return err
 	}
 	progress("built in %.1f s", built.Time.Seconds())
-	e := &eventRun{c, fleet, r, newSeries()}
+	e := &eventRun{command: c, fleet: fleet, report: r, series: newSeries()}
 	var failed error
+	for round := range c.Repeats {
+		progress("round %d of %d", round+1, c.Repeats)
+		failed = errors.Join(failed, e.round(ctx, fmt.Sprint("round", round+1)))
+		if ctx.Err() != nil {
+			return failed
+		}
+	}
+	if failed != nil {
+		r.past = true
+		progress("not all events were measured")
+	}
+	return nil
+}
+
+// round has all events happen once. Documents that change in it have keys that begin with its name.
+func (e *eventRun) round(ctx context.Context, name string) (failed error) {
+	e.name = name
 	for _, event := range []struct {
 		name string
 		run  func(context.Context) (mayLose func(string) bool, err error)
@@ -70,7 +88,7 @@
 		{"outage", e.outage},
 		{"release", e.release},
 	} {
-		if len(c.Events) > 0 && !slices.Contains(c.Events, event.name) {
+		if wanted := e.command.Events; len(wanted) > 0 && !slices.Contains(wanted, event.name) {
 			continue
 		}
 		if err := e.event(ctx, event.name, event.run); err != nil {
@@ -80,15 +98,11 @@
 		if ctx.Err() != nil {
 			return failed
 		}
-		if err := recordSeries(c.JSON, sessionDesign, c.command(partEvents), c.Revision, e.series); err != nil {
+		if err := recordSeries(e.command.JSON, sessionDesign, e.command.command(partEvents), e.command.Revision, e.series); err != nil {
 			return err
 		}
 	}
-	if failed != nil {
-		r.past = true
-		progress("not all events were measured")
-	}
-	return nil
+	return failed
 }
 
 // event has one event happen to a fleet that is whole, and holds what it left behind against the record of before.
@@ -175,7 +189,11 @@
 				killed <- node.Start(ctx)
 			})
 		}
-		many, err := e.fleet.Change(ctx, name+"/many", changeCount, changeEvery)
+		leaderCPU, othersCPU, err := e.fleet.NodeCPU()
+		if err != nil {
+			return nil, err
+		}
+		many, err := e.fleet.Change(ctx, e.name+"/"+name+"/many", changeCount, changeEvery)
 		if err != nil {
 			return nil, err
 		}
@@ -184,7 +202,7 @@
 				return nil, err
 			}
 		}
-		note := fmt.Sprintf("from asked for until in force at all servers, %d changes, 20 a second", changeCount)
+		note := fmt.Sprintf("from asked for until in force at all servers, %d changes, 20 a second; who is not answered within 1 s asks another node", changeCount)
 		e.add(name+".p50", "s", note+"; "+wallNote, many.Median().Seconds())
 		e.add(name+".agreed.p99", "s", "from asked for until the node that was asked said that it is agreed; "+wallNote, many.Agreed99().Seconds())
 		progress("%s: median %.2f s, agreed in %.2f s of 99 in 100", name, many.Median().Seconds(), many.Agreed99().Seconds())
@@ -193,7 +211,10 @@
 		if node != nil {
 			return none, nil
 		}
-		single, err := e.fleet.Change(ctx, name+"/single", singleChanges, singleEvery)
+		if err := e.changeCPU(leaderCPU, othersCPU); err != nil {
+			return nil, err
+		}
+		single, err := e.fleet.Change(ctx, e.name+"/"+name+"/single", singleChanges, singleEvery)
 		if err != nil {
 			return nil, err
 		}
@@ -202,6 +223,22 @@
 	}
 }
 
+// changeCPU records what each change took of the control nodes, their work at rest included.
+func (e *eventRun) changeCPU(leaderBefore, othersBefore time.Duration) error {
+	leader, others, err := e.fleet.NodeCPU()
+	if err != nil {
+		return err
+	}
+	note := fmt.Sprintf("CPU for each of %d changes, 20 a second, the work at rest included", changeCount)
+	each := func(used time.Duration) float64 { return used.Seconds() * 1000 / changeCount }
+	ofLeader, ofFollower := each(leader-leaderBefore), each(others-othersBefore)/float64(max(1, e.command.Control-1))
+	e.add("leader.change.cpu", "ms", note, ofLeader)
+	e.add("follower.change.cpu", "ms", note, ofFollower)
+	e.report.row("leader.change.cpu", ofLeader, "ms")
+	e.report.row("follower.change.cpu", ofFollower, "ms")
+	return nil
+}
+
 // leaderKilled kills the leader, and starts it again afterwards.
 func (e *eventRun) leaderKilled(ctx context.Context) (func(string) bool, error) {
 	node, err := e.fleet.Leader()
@@ -241,7 +278,7 @@
 // missed makes changes that servers which are cut off do not hear of.
 func (e *eventRun) missed(ctx context.Context, name string) error {
 	for i := range changesMissed {
-		if err := e.fleet.Put(ctx, fmt.Sprintf("%s/missed/%d", name, i), 0); err != nil {
+		if err := e.fleet.Put(ctx, fmt.Sprintf("%s/%s/missed/%d", e.name, name, i), 0); err != nil {
 			return err
 		}
 		time.Sleep(changesPause)
--- a/cmd/measure/scale_sessions_record.go
+++ b/cmd/measure/scale_sessions_record.go
@@ -31,7 +31,7 @@
 func (s *series) nodeRates(servers int, role string, rates sessions.Rates, size sessions.Size) {
 	in, out := rates.BytesIn+rates.LinkIn, rates.BytesOut+rates.LinkOut
 	const note = "of sessions and to other control nodes, " + socketNote
-	s.add(role+".cpu", "cores", "user and system, at rest", servers, rates.CPU)
+	s.add(role+".cpu", "cores", "user and system, at rest, in the first minute after all started at once, when sessions are not evenly spread", servers, rates.CPU)
 	s.add(role+".rss", "bytes", "of the process", servers, size.Resident)
 	s.add(role+".bytes", "bytes/s", note, servers, in+out)
 	s.add(role+".bytes.in", "bytes/s", note, servers, in)
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -54,6 +54,7 @@
 // quantities are looked through in their order: the first suffix that ends a name, or stands in it as a whole part,
 // describes it.
 var quantities = []quantity{
+	{"change.cpu", Processor, "of a change of configuration at 20 a second", "", nil},
 	{"entry.cpu", Processor, "of an entry of the log", "", nil},
 	{"entry.messages", Messages, "for an entry of the log", "", nil},
 	{"entry.bytes", Messages, "bytes for an entry of the log", "", nil},
--- a/internal/measure/sessions/sample.go
+++ b/internal/measure/sessions/sample.go
@@ -214,3 +214,23 @@
 func (f *Fleet) Check() (traffic.KernelCheck, error) {
 	return call[traffic.KernelCheck](methodCheck)(f.workers[0])
 }
+
+// NodeCPU is what the leader and all other control nodes have used so far.
+func (f *Fleet) NodeCPU() (leader, others time.Duration, err error) {
+	leads, err := f.Leader()
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, n := range f.Nodes {
+		usage, err := n.Usage()
+		if err != nil {
+			return 0, 0, err
+		}
+		if n == leads {
+			leader = usage.CPU
+		} else {
+			others += usage.CPU
+		}
+	}
+	return leader, others, nil
+}
