--- a/internal/measure/sessions/events.go
+++ b/internal/measure/sessions/events.go
@@ -152,11 +152,12 @@
 
 // Serve has each real app server of a region answer a request.
 func (f *Fleet) Serve(region int) error {
-	for i, s := range f.real {
+	for _, s := range f.real {
 		if f.options.regionOf(s.zone) != region {
 			continue
 		}
-		if err := s.serve(i + 1); err != nil {
+		f.handles++ // a worker pool runs each handle once
+		if err := s.serve(f.handles); err != nil {
 			return fmt.Errorf("app server %s: %w", s.Name, err)
 		}
 	}
--- a/internal/measure/sessions/fleet.go
+++ b/internal/measure/sessions/fleet.go
@@ -58,6 +58,7 @@
 	real      []*appServer
 	bare      []*appServer
 	workers   []*hollowWorker
+	handles   int              // of requests to real app servers
 	reach     map[int][]string // by region, the control nodes as its servers reach them
 }
 
--- a/internal/measure/sessions/fleet_test.go
+++ b/internal/measure/sessions/fleet_test.go
@@ -98,8 +98,10 @@
 	if s, err := f.Standing(time.Time{}); err != nil || s.Servers != testServers {
 		t.Errorf("%+v, %v", s, err)
 	}
-	if err := f.Serve(0); err != nil {
-		t.Error(err)
+	for range 2 { // requests of their own
+		if err := f.Serve(0); err != nil {
+			t.Error(err)
+		}
 	}
 }
 
