Control: checking a configuration names a field only when it cannot be

Cause: Check made the name of each field of each class and tenant before it looked at it: 220,000 allocations to read a configuration of 42,000 tenants and 4,500 classes, at the start and at each reload, beside requests. Change: the element is noted, and the name made with the error.

--- a/control/check.go
+++ b/control/check.go
@@ -9,10 +9,15 @@
 // Check tells what of a Config cannot be, naming the field and its value.
 func (c *Config) Check() error {
 	var err error
+	list, index := "", 0 // the element that is looked at; "" = a field of c itself
 	bad := func(field string, value any) {
-		if err == nil {
-			err = fmt.Errorf("control: Config.%s is %v", field, value)
+		if err != nil {
+			return
 		}
+		if list != "" {
+			field = fmt.Sprintf("%s[%d].%s", list, index, field)
+		}
+		err = fmt.Errorf("control: Config.%s is %v", field, value)
 	}
 	span := func(field string, d time.Duration) {
 		if d < 0 {
@@ -38,21 +43,23 @@
 		}
 	}
 	for i, k := range c.Classes {
-		at := func(field string) string { return fmt.Sprintf("Classes[%d].%s", i, field) }
-		span(at("Aim"), k.Aim)
-		span(at("Deadline"), k.Deadline)
-		span(at("Window"), k.Window)
-		size(at("Worth"), k.Worth)
-		share(at("LateWorth"), k.LateWorth)
-		share(at("SkipWorth"), k.SkipWorth)
+		list, index = "Classes", i
+		span("Aim", k.Aim)
+		span("Deadline", k.Deadline)
+		span("Window", k.Window)
+		size("Worth", k.Worth)
+		share("LateWorth", k.LateWorth)
+		share("SkipWorth", k.SkipWorth)
 		if k.Effect > Unsafe {
-			bad(at("Effect"), k.Effect)
+			bad("Effect", k.Effect)
 		}
 	}
 	for i, t := range c.Tenants {
-		share(fmt.Sprintf("Tenants[%d].Share", i), t.Share)
-		size(fmt.Sprintf("Tenants[%d].Quota", i), t.Quota)
+		list, index = "Tenants", i
+		share("Share", t.Share)
+		size("Quota", t.Quota)
 	}
+	list = ""
 	if c.Advert > AdvertWeight {
 		bad("Advert", c.Advert)
 	}
