--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -33,6 +35,41 @@
 	t.Fatal("docs/CAPACITY.md differs from docs/capacity.json: make capacity rewrites it")
 }
 
+// The order in which the page's prose lists what growth meets is that of the walls.
+func TestOrderOfWallsInWords(t *testing.T) {
+	recording, err := ReadRecording("../../docs/capacity.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	walls, err := Walls(Rows(recording), Bounds(), recording, Target())
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := [][]string{
+		{"learner.follower.bytes", "learner.leader.bytes", "learner.follower.cpu", "learner.leader.cpu"},
+		{"counted.peers.bytes", "ledger.server.cpu.asked"},
+		{"counted.callers.all", "counted.mesh.descriptors"},
+		{"ledger.MaxNames"},
+		{"takeout.MaxBoxes", "lease.MaxBoxes", "place.MaxBoxes"},
+		{"learner.leader.rss"},
+		{"hand.Slices"},
+		{"counted.status.bytes"},
+	}
+	before := 0.0
+	for _, group := range order {
+		first := math.Inf(1)
+		for _, w := range walls {
+			if slices.ContainsFunc(group, func(name string) bool { return strings.HasPrefix(w.What, "`"+name) }) {
+				first = min(first, w.Servers)
+			}
+		}
+		if math.IsInf(first, 1) || first < before {
+			t.Errorf("%v is met at %g servers, after what is met at %g: reorder the list of docs/CAPACITY.md", group, first, before)
+		}
+		before = first
+	}
+}
+
 // Every figure that a suspect rests on is one that the page has or waits for.
 func TestSuspectsNameRows(t *testing.T) {
 	rows := Rows(&Recording{})
