--- a/cmd/measure/scale_path_bare.go
+++ b/cmd/measure/scale_path_bare.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	waiting map[string]chan gjson.Result // notices by handle
 	idle    []net.Conn                   // connections to the index
+	over    bool                         // the connection to the pool has ended
 }
 
 // newBarePath connects to the stand-ins of a site, which has no server.
@@ -58,6 +59,7 @@
 		line, err := in.ReadString('\n')
 		b.mu.Lock()
 		if err != nil {
+			b.over = true
 			for handle, notices := range b.waiting {
 				delete(b.waiting, handle)
 				close(notices)
@@ -78,6 +80,10 @@
 func (b *barePath) do(request standin.Request) string {
 	notices := make(chan gjson.Result, 2) // one that it is blocked, one that it has ended
 	b.mu.Lock()
+	if b.over {
+		b.mu.Unlock()
+		return "lost"
+	}
 	b.waiting[request.Handle] = notices
 	_, err := fmt.Fprintf(b.pool, `{"event":"spawn","handle":%q,"entry":%q,"arg":%q}`+"\n", request.Handle, request.Class,
 		base64.StdEncoding.EncodeToString([]byte(request.Body)))
