--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -52,6 +52,7 @@
 		{"sequential.MaxBoxes", "internal/sequential/sequential.go", sequential.MaxBoxes, "servers", "trials are ended as void more often than their plan allows"},
 		{"trial.MaxHeard", "internal/fleet/trial/count.go", (trial.MaxHeard - trial.MaxKept) / trial.MaxBlocks, "servers", "reports to a trial in its last blocks are refused"},
 		{"hand.Slices, place.Slices", "internal/fleet/hand/hand.go, internal/fleet/place/state.go", hand.Slices, "servers", "servers without a shard"},
+		{"route.MaxMembers", "client/route/route.go", route.MaxMembers, "servers", "callers do not know further servers"},
 		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "tenants", "a server with a ledger does not start"},
 		{"ledger.MaxNames", "internal/ledger/book.go", ledger.MaxNames, "routes", "a server with a ledger does not start"},
 	}
@@ -113,6 +114,9 @@
 	return math.Ceil(mean) / mean
 }
 
+// trialDays is how long a trial runs until its leader refuses reports, as each restart of a server is a life more.
+func trialDays(s Size) float64 { return (trial.MaxLives - s.Servers) / s.Restarts }
+
 // membersBytes is the agreed state of members, leases and placement, as a snapshot has it.
 func membersBytes(s Size) float64 {
 	n := int(s.Servers)
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -75,6 +75,8 @@
 			Count{"⌈1,024/n⌉ / (1,024/n)", shardImbalance}, "`hand.Slices`, `place.Slices`").by("`fleet/place`"),
 		counted("counted.admissions", Fleet, Messages, "deliveries of entries until all are members", "messages",
 			Count{"n(n−1)/2", admissions}, "`agree.State.Knock`: one change at a time").by("`fleet/members` through the log"),
+		counted("counted.trial.days", Fleet, State, "days until a trial's leader hears of no further process", "days",
+			Count{"(4,096 − n) / restarts a day", trialDays}, "`trial.MaxLives`").by("`fleet/trial`"),
 		counted("counted.config.files", Fleet, Messages, "files written and processes signalled for a day's changes", "a day",
 			Count{"changes × n", func(s Size) float64 { return s.ConfigChanges * s.Servers }}, "SIGHUP in `cmd/larchscale` is the only way").by("none yet"),
 		counted("counted.stats.bytes", RequestPath, Messages, "bytes of one answer of /stats", "KB",
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -74,6 +74,8 @@
 	{"sender", Time, "lateness of the sends", "ms", nil},
 	{"cpu.request", Processor, "of requests", "% of a core", &requestsPerServer},
 	{"cpu.asked", Processor, "of ledger requests asked and answered, each on a new connection", "% of a core", &ledgerAsked},
+	{"list.time", Time, "of a new list, one server more or less", "us", nil},
+	{"pick.time", Time, "of choosing a server for a request", "us", nil},
 	{"status.time", Time, "of the fleet's status", "s", nil},
 	{"config.time", Time, "of a change, until accepted", "s", nil},
 	{"ledger.starts", Time, "whether a server with a ledger starts, 1 = yes", "", nil},
@@ -117,7 +119,7 @@
 		names = append(names, design+".build.time", design+".build.cpu")
 	}
 	return append(names, "session.config.p99", "session.config.max", "session.failover.leader", "session.failover.follower",
-		"ledger.server.cpu.asked", "caller.cpu.request", "caller.rss", "caller.bytes", "operator.status.time", "operator.config.time")
+		"ledger.server.cpu.asked", "caller.heap", "caller.list.time", "caller.pick.time", "caller.cpu.request", "caller.bytes", "operator.status.time", "operator.config.time")
 }
 
 // measuredRow is the row of a measurement, by its name; m = nil when it is not measured.
@@ -184,7 +186,7 @@
 	case RequestPath:
 		return "`core`, `jsonrpc`, `uwsgi`, `admin`"
 	case Caller:
-		return "`client`"
+		return "`client`, `client/route`"
 	case Operator:
 		return "`larchctl`"
 	}
