--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -106,7 +106,9 @@
 func expectedNames() []string {
 	names := []string{"path.added.p99", "path.added.keyed.p99", "path.cpu.request", "path.cpu.request.tenant",
 		"path.cpu.request.class", "path.rss.connection", "path.rss.tenant", "path.rss.class", "path.start.tenant",
-		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time", "path.ledger.starts"}
+		"path.start.class", "path.reload.tenant", "path.reload.class", "path.stats.bytes", "path.stats.time", "path.ledger.starts",
+		"path.cpu.connect", "path.cpu.uwsgi.class", "path.cpu.uwsgi.connection",
+		"pathbefore.cpu.request.tenant", "pathbefore.cpu.request.class", "pathbefore.cpu.connect", "pathbefore.cpu.uwsgi.class", "pathbefore.cpu.uwsgi.connection"}
 	for _, server := range []string{designLearner + ".server", designLeases + ".server", designSession + ".server"} {
 		names = append(names, server+".cpu", server+".rss", server+".bytes", server+".messages", server+".descriptors")
 	}
@@ -160,7 +162,9 @@
 func roleOf(design, rest string) Role {
 	part, _, _ := strings.Cut(rest, ".")
 	switch {
-	case strings.HasPrefix(design, "path"):
+	case strings.HasSuffix(design, "before"):
+		return Superseded
+	case design == "path":
 		return RequestPath
 	case design == "caller" || part == "caller":
 		return Caller
@@ -183,7 +187,7 @@
 	switch role {
 	case ServerControl:
 		return "`peers`, `link`"
-	case RequestPath:
+	case RequestPath, Superseded:
 		return "`core`, `jsonrpc`, `uwsgi`, `admin`"
 	case Caller:
 		return "`client`, `client/route`"
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -18,12 +18,13 @@
 	Follower      Role = "follower"
 	Caller        Role = "caller"
 	Operator      Role = "operator"
-	Fleet         Role = "fleet" // times that no single role spends
+	Fleet         Role = "fleet"      // times that no single role spends
+	Superseded    Role = "superseded" // of an earlier program, kept to compare with
 )
 
 // Roles are all roles, in the page's order.
 func Roles() []Role {
-	return []Role{RequestPath, ServerControl, Leader, Follower, Caller, Operator, Fleet}
+	return []Role{RequestPath, ServerControl, Leader, Follower, Caller, Operator, Fleet, Superseded}
 }
 
 // Aspect is what kind of thing a row counts.
--- a/internal/capacity/row_test.go
+++ b/internal/capacity/row_test.go
@@ -114,7 +114,7 @@
 
 // A measurement that nobody named beforehand has a row under its role.
 func TestRowsTakeUnknownNames(t *testing.T) {
-	for name, role := range map[string]Role{"session.leader.watches": Leader, "path.cpu.connect": RequestPath, "pathbefore.added.p99": RequestPath,
+	for name, role := range map[string]Role{"session.leader.watches": Leader, "path.cpu.connect": RequestPath, "pathbefore.added.p99": Superseded,
 		"learner.shared.rss": ServerControl, "learner.leases.follower.cpu": Follower, "session.zone.return": Fleet, "caller.retries": Caller} {
 		recording := recorded(t, Measurement{Name: name, Unit: "us", SizeUnit: "servers", Points: points(740, 1)})
 		row := rowOf(t, recording, name)
