--- a/cmd/measure/scale.go
+++ b/cmd/measure/scale.go
@@ -4,5 +4,6 @@
 type scaleCmd struct {
 	Path     scalePathCmd     `cmd:"" help:"The request path of one server: delay added, CPU, memory, start, reload and /stats by size."`
 	Learners scaleLearnersCmd `cmd:"" help:"What the fleet costs its servers, each of which has the whole log, by its size."`
+	States   scaleStatesCmd   `cmd:"" help:"What the leader works out and encodes, without I/O, by the size of the fleet."`
 	Hollow   scaleHollowCmd   `cmd:"" hidden:"" help:"Part of learners, in a process of its own."`
 }
--- a/internal/capacity/suspects.go
+++ b/internal/capacity/suspects.go
@@ -32,7 +32,7 @@
 	return []Suspect{
 		{"a bound of 300 servers in six places", Confirmed, nil, "`link.maxBoxes`, `takeout.MaxBoxes`, `lease.MaxBoxes`, `place.MaxBoxes`, `forecast.MaxBoxes`, `sequential.MaxBoxes` are under 740"},
 		{"every server is a raft learner", "", []string{"learner.leader.messages", "learner.leader.bytes", "learner.leader.cpu", "learner.leases.leader.messages", "learner.leases.leader.bytes", "learner.leases.leader.cpu", "counted.leader.messages", "counted.leader.leases"}, ""},
-		{"an idle server's own control traffic", "", []string{"learner.server.bytes", "learner.leases.server.bytes"}, ""},
+		{"an idle server's own control traffic", "", []string{"learner.server.bytes", "learner.leases.server.bytes"}, "under its budget without leases; the leases of takeover are not measured"},
 		{"members are admitted one by one", "", []string{"learner.build.time", "learner.build.cpu", "counted.admissions"}, ""},
 		{"ledger peers ask everybody every 10 s", "", []string{"counted.peers.asked", "counted.peers.answer", "counted.peers.bytes", "ledger.server.cpu.asked"}, "each request dials anew, and each answer has the digests of all servers; the ledger's exchange is taken as part of the control traffic"},
 		{"a mesh of connections for claims, kept replies and messages", "", []string{"counted.mesh.descriptors", "counted.fleet.descriptors"}, ""},
@@ -67,7 +67,7 @@
 // judge returns the verdict on a suspect and the figures of its rows.
 func judge(s Suspect, rows []Row, recording *Recording, target Size) (Verdict, []string, error) {
 	var verdicts []Verdict
-	known := false
+	known, pending := false, false
 	var figures []string
 	for _, id := range s.Rows {
 		row, err := findRow(rows, id)
@@ -92,6 +92,7 @@
 			verdicts = append(verdicts, Confirmed)
 		}
 		known = known || cell.Provenance != NotMeasured && cell.Unsteady == "" && row.Budget.Most == 0
+		pending = pending || row.Budget.Most != 0 && !ok
 		figures = append(figures, text)
 	}
 	switch {
@@ -99,9 +100,9 @@
 		return s.Verdict, figures, nil
 	case slices.Contains(verdicts, Confirmed):
 		return Confirmed, figures, nil
-	case slices.Contains(verdicts, RuledOut):
+	case slices.Contains(verdicts, RuledOut) && !pending:
 		return RuledOut, figures, nil
-	case known:
+	case known && !pending:
 		return Undecided, figures, nil
 	}
 	return Unmeasured, figures, nil
