--- a/cmd/measure/scale_learners.go
+++ b/cmd/measure/scale_learners.go
@@ -22,16 +22,14 @@
 	Leases  bool          `help:"With leases and placement."`
 	Window  time.Duration `default:"10s" help:"Length of each reading of an idle fleet."`
 	Repeats int           `default:"2" help:"Readings of an idle fleet."`
-	Entries int           `default:"200" help:"Entries that are committed, 20 a second."`
+	Entries int           `default:"200" help:"Entries that are committed."`
+	Every   time.Duration `default:"50ms" help:"Time between two entries that are committed."`
 	Seed    uint64        `default:"1" help:"Of the order in which servers start."`
 	JSON    string        `name:"json" help:"File of recorded measurements that these are added to."`
 
 	Revision string `help:"Of the program, as it is recorded."`
 }
 
-// commitEvery is the time between two entries that are committed.
-const commitEvery = 50 * time.Millisecond
-
 // wallNote marks what a busy machine changes.
 const wallNote = "by the clock, on a shared machine"
 
@@ -145,12 +143,12 @@
 
 // commits reads what an entry costs beside an idle fleet.
 func (c scaleLearnersCmd) commits(ctx context.Context, fleet *hollow.Fleet, servers int, idle map[hollow.Role]hollow.Rates, series *series) error {
-	commits := hollow.Commits{Count: c.Entries, Every: commitEvery}
+	commits := hollow.Commits{Count: c.Entries, Every: c.Every}
 	rates, err := steady(func() (map[hollow.Role]hollow.Rates, error) { return fleet.Commit(ctx, commits) })
 	if err != nil {
 		return err
 	}
-	const note = "more than idle, of each entry at 20 a second"
+	note := fmt.Sprintf("more than idle, of each entry, one in %s; on a busy machine several share a message", c.Every)
 	for role, busy := range rates {
 		more := busy.Minus(idle[role])
 		entry := busy.Seconds / float64(c.Entries)
@@ -175,8 +173,8 @@
 
 // command is what repeats the measurement.
 func (c scaleLearnersCmd) command() string {
-	text := fmt.Sprintf("bin/measure scale learners --sizes %s --voters %d --window %s --repeats %d --entries %d --seed %d",
-		joined(c.Sizes), c.Voters, c.Window, c.Repeats, c.Entries, c.Seed)
+	text := fmt.Sprintf("bin/measure scale learners --sizes %s --voters %d --window %s --repeats %d --entries %d --every %s --seed %d",
+		joined(c.Sizes), c.Voters, c.Window, c.Repeats, c.Entries, c.Every, c.Seed)
 	if c.Leases {
 		text += " --leases"
 	}
