Measure: states are compared of the same entry

With leases the first placement may be agreed while the servers' digests are read: at 100 servers the check took two entries for two states. Servers that have applied different entries are read again; two states of one entry fail at once.

--- a/internal/measure/hollow/fleet.go
+++ b/internal/measure/hollow/fleet.go
@@ -18,8 +18,10 @@
 const (
 	zones     = 3
 	lookEvery = 200 * time.Millisecond
-	// steadyFor is how long nothing is agreed before a fleet counts as built.
-	steadyFor = 2 * time.Second
+	// steadyFor is how long nothing is agreed before a fleet counts as built: the first placement waits for 2.5 s.
+	steadyFor = 4 * time.Second
+	// digestAttempts bounds how often the states of all servers are read until they are of the same entry.
+	digestAttempts = 20
 	// buildWithin is how long a fleet may take until all are admitted.
 	buildWithin = 6 * time.Minute
 )
@@ -211,7 +213,7 @@
 		return built, err
 	}
 	built.CPU = after - before
-	built.Entries, err = f.agreed()
+	built.Entries, err = f.agreed(ctx)
 	if err != nil {
 		return built, err
 	}
@@ -270,22 +272,43 @@
 	return since, err
 }
 
-// agreed checks that all servers hold the same state, and gives the number of entries in the log.
-func (f *Fleet) agreed() (entries uint64, err error) {
-	list, err := each(f.all(), call[Digests](methodDigests))
-	if err != nil {
-		return 0, err
+// agreed checks that all servers hold the same state, and gives the number of entries in the log. Servers that have applied
+// different entries are read again: of those that have applied the same, two states are an error at once.
+func (f *Fleet) agreed(ctx context.Context) (entries uint64, err error) {
+	for range digestAttempts {
+		list, err := each(f.all(), call[Digests](methodDigests))
+		if err != nil {
+			return 0, err
+		}
+		entries, same, err := compare(list)
+		if err != nil || same {
+			return entries, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(lookEvery):
+		}
 	}
-	first := list[0].Digests[0]
+	return 0, fmt.Errorf("the servers have not applied the same entries in %d looks: %w", digestAttempts, ErrBuild)
+}
+
+// compare tells whether all servers have applied the same entries; an error = some that have hold different states.
+func compare(list []Digests) (entries uint64, same bool, err error) {
+	sums := map[uint64]uint64{} // by index
 	for _, d := range list {
-		if len(d.Digests) != 1 || d.Digests[0] != first {
-			return 0, fmt.Errorf("the servers hold different states: %w", ErrBuild)
+		for _, digest := range d.Digests {
+			if sum, ok := sums[digest.Index]; ok && sum != digest.Sum {
+				return 0, false, fmt.Errorf("servers hold different states of entry %d: %w", digest.Index, ErrBuild)
+			}
+			sums[digest.Index] = digest.Sum
+			entries = max(entries, digest.Index)
 		}
 		if d.Unspoken > 0 {
-			return 0, fmt.Errorf("%d servers have not spoken: %w", d.Unspoken, ErrBuild)
+			return 0, false, fmt.Errorf("%d servers have not spoken: %w", d.Unspoken, ErrBuild)
 		}
 	}
-	return list[0].Entries, nil
+	return entries, len(sums) == 1, nil
 }
 
 // cpu is what all processes have used so far.
--- a/internal/measure/hollow/hollow_test.go
+++ b/internal/measure/hollow/hollow_test.go
@@ -67,7 +67,7 @@
 	if sizes[Shared].Servers != servers-4 || sizes[Learner].Servers != 1 {
 		t.Errorf("%+v", sizes)
 	}
-	entries, err := f.agreed()
+	entries, err := f.agreed(t.Context())
 	if err != nil || entries < built.Entries+10 {
 		t.Errorf("%d entries after 10 more than %d, %v", entries, built.Entries, err)
 	}
@@ -76,6 +76,26 @@
 	}
 }
 
+func TestCompare(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		second Digests
+		same   bool
+		failed bool
+	}{
+		{"same", Digests{Digests: []Digest{{7, 70}}}, true, false},
+		{"another entry", Digests{Digests: []Digest{{8, 80}}}, false, false},
+		{"another state of the same entry", Digests{Digests: []Digest{{7, 71}}}, false, true},
+		{"another state beside another entry", Digests{Digests: []Digest{{8, 80}, {7, 71}}}, false, true},
+		{"unspoken", Digests{Digests: []Digest{{7, 70}}, Unspoken: 1}, false, true},
+	} {
+		_, same, err := compare([]Digests{{Digests: []Digest{{7, 70}}}, c.second})
+		if same != c.same || (err != nil) != c.failed {
+			t.Errorf("%s: %t, %v", c.name, same, err)
+		}
+	}
+}
+
 func TestOptionsCheck(t *testing.T) {
 	for _, c := range []struct {
 		servers, voters int
--- a/internal/measure/hollow/worker.go
+++ b/internal/measure/hollow/worker.go
@@ -35,10 +35,12 @@
 	Every time.Duration
 }
 
+// Digest is what a server holds once it has applied the log up to an entry.
+type Digest struct{ Index, Sum uint64 }
+
 // Digests are what the servers of a worker hold.
 type Digests struct {
-	Digests  []uint64 // those that differ
-	Entries  uint64   // the index of the last entry
+	Digests  []Digest // those that differ
 	Unspoken int      // servers whose process the log does not know, as the first server sees it
 }
 
@@ -106,17 +108,17 @@
 }
 
 func (h *host) digests() (out Digests, err error) {
-	seen := map[uint64]bool{}
+	seen := map[Digest]bool{}
 	for i, s := range h.servers {
 		status, err := s.Status()
 		if err != nil {
 			return out, err
 		}
-		if !seen[status.Digest] {
-			seen[status.Digest] = true
-			out.Digests = append(out.Digests, status.Digest)
+		digest := Digest{status.Index, status.Digest}
+		if !seen[digest] {
+			seen[digest] = true
+			out.Digests = append(out.Digests, digest)
 		}
-		out.Entries = max(out.Entries, status.Index)
 		for _, box := range status.Boxes {
 			if i == 0 && box.Incarnation == 0 {
 				out.Unspoken++
