--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-<<<<<<< HEAD
 .PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand capacity measure-scale measure-scale-path
-=======
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand capacity measure-scale-path measure-scale
->>>>>>> page
 
 check: lint build size test
 
@@ -49,10 +45,7 @@
 # The tables of the capacity page, from docs/capacity.json; a test fails when they differ.
 capacity: build
 	bin/measure capacity
-<<<<<<< HEAD
 
-=======
->>>>>>> page
 # How costs grow with the size of a fleet: hollow servers, up to 295, in up to seven processes; a quarter of an hour.
 measure-scale: build
 	bin/measure scale states --json docs/capacity.json --revision $$(git rev-parse --short=12 HEAD)
