--- a/internal/capacity/counts.go
+++ b/internal/capacity/counts.go
@@ -97,7 +97,7 @@
 
 // leaseMessages is the renewals and grants a second at the leader, with in-flight takeover.
 func leaseMessages(s Size) float64 {
-	return 2 * (s.Servers - 1) / lease.Every.Seconds()
+	return 2 * (s.Servers - 1) / lease.MeshTerms.Every.Seconds()
 }
 
 // admissions is the deliveries of entries that let all servers in one after the other: each goes to all there are.
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -30,13 +30,13 @@
 	others := func(s Size) float64 { return s.Servers - 1 }
 	toVoters := func(s Size) float64 { return (s.Servers - 1) * voters }
 	heartbeats := func(s Size) float64 { return (s.Servers-voters)*learnerHeartbeatsPerSecond + (voters-1)*10 }
-	renewals := func(s Size) float64 { return (s.Servers - 1) / lease.Every.Seconds() }
+	renewals := func(s Size) float64 { return (s.Servers - 1) / lease.MeshTerms.Every.Seconds() }
 	return []MessageKind{
 		{"report", "each server", "each of 3 voters", Count{"3(n−1) / 1 s", toVoters}, reportPayload(), "`fleet/driver`, newest value wins"},
 		{"heartbeat", "leader", "each voter, each learner", Count{"(n−3) / 1 s + 2 / 0.1 s", heartbeats}, heartbeatPayload(raftpb.MessageType_MsgHeartbeat), "raft"},
 		{"answer to a heartbeat", "voter, learner", "leader", Count{"the same", heartbeats}, heartbeatPayload(raftpb.MessageType_MsgHeartbeatResp), "raft"},
 		{"lease renewal", "each server", "leader", Count{"(n−1) / 0.3 s", renewals}, cborBytes(lease.Renewal{Box: "server-0001", Life: 1_000_000, Seq: 1_000_000}), "`fleet/lease`"},
-		{"lease grant", "leader", "each server", Count{"(n−1) / 0.3 s", renewals}, cborBytes(lease.Grant{Box: "server-0001", Life: 1_000_000, Seq: 1_000_000, For: lease.Length}), "`fleet/lease`, read index"},
+		{"lease grant", "leader", "each server", Count{"(n−1) / 0.3 s", renewals}, cborBytes(lease.Grant{Box: "server-0001", Life: 1_000_000, Seq: 1_000_000, For: lease.MeshTerms.Length}), "`fleet/lease`, read index"},
 		{"entry of the log", "leader", "each member", Count{"(n−1) for each entry", nil}, 0, "raft"},
 		{"answer to an entry", "member", "leader", Count{"(n−1) for each entry", nil}, 0, "raft"},
 		{"snapshot", "leader", "a member that joins or fell behind", Count{"each join", nil}, math.Trunc(membersBytes(Target())), "raft"},
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -70,7 +70,7 @@
 		counted("counted.leader.messages", Leader, Messages, "reports, heartbeats and their answers while nothing happens", "messages/s",
 			Count{"3(n−1)", leaderMessages}, "`driver.reportEach`, `agree.learnerTicks`").by("`fleet/driver`, `fleet/agree`"),
 		counted("counted.leader.leases", Leader, Messages, "lease renewals and grants", "messages/s",
-			Count{"2(n−1) / 0.3 s", leaseMessages}, "`lease.Every`").by("`fleet/lease`, read index"),
+			Count{"2(n−1) / 0.3 s", leaseMessages}, "`lease.MeshTerms.Every`").by("`fleet/lease`, read index"),
 		counted("counted.shards.imbalance", ServerControl, State, "shards of the fullest server over the mean", "×",
 			Count{"⌈1,024/n⌉ / (1,024/n)", shardImbalance}, "`hand.Slices`, `place.Slices`").by("`fleet/place`"),
 		counted("counted.admissions", Fleet, Messages, "deliveries of entries until all are members", "messages",
