--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -48,6 +49,9 @@
 // ErrAnswer is a box that answers with something else than asked for.
 var ErrAnswer = errors.New("not an answer")
 
+// ErrNotFound is a box that has nothing of what was asked for.
+var ErrNotFound = fmt.Errorf("not found: %w", ErrAnswer)
+
 // Box is another box, and how it is reached.
 type Box struct{ Name, Addr string }
 
@@ -110,15 +114,15 @@
 	case !set && bare < len(addrs):
 		return fmt.Errorf("%s: only mutual TLS leaves the machine: set ca, cert and key", table)
 	case set:
-		if _, err := o.tls(); err != nil {
+		if _, err := o.TLS(); err != nil {
 			return fmt.Errorf("%s.%w", table, err)
 		}
 	}
 	return nil
 }
 
-// tls gives the configuration of both sides; nil = without.
-func (o *Options) tls() (*tls.Config, error) {
+// TLS returns the configuration of both sides, which show and ask for certificates; nil = without.
+func (o *Options) TLS() (*tls.Config, error) {
 	if o.CA == "" {
 		return nil, nil
 	}
@@ -157,7 +161,7 @@
 
 // New makes a link.
 func New(opt Options, log *slog.Logger) (*Link, error) {
-	c, err := opt.tls()
+	c, err := opt.TLS()
 	if err != nil {
 		return nil, err
 	}
@@ -167,24 +171,40 @@
 // Observe has an observer see all that passes. It is called before Listen and Dial.
 func (l *Link) Observe(o Observer) { l.observer = o }
 
-// Listen opens the port on which other boxes ask.
+// Listen opens the port on which other boxes ask, for Serve.
 func (l *Link) Listen() (net.Listener, error) {
 	in, err := net.Listen("tcp", l.opt.Listen)
 	if err == nil && l.observer.Conn != nil {
 		in = &observedListener{in, l.observer.Conn}
 	}
-	if err == nil && l.tls != nil {
-		in = tls.NewListener(in, l.tls)
-	}
 	return in, err
 }
 
-// Serve answers on in until ctx ends. The connections open at a time are bounded.
+// Serve answers on in until ctx ends. The connections open at a time are bounded. TLS is the outermost layer: a handler
+// finds the certificate of who asks in Request.TLS.
 func (l *Link) Serve(ctx context.Context, in net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: Within, ReadTimeout: Within, WriteTimeout: 2 * Within, IdleTimeout: time.Minute,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelWarn)}
+		MaxHeaderBytes: maxHead, ErrorLog: log.New(serverErrors{l.log}, "", 0)}
 	defer context.AfterFunc(ctx, func() { s.Close() })()
-	s.Serve(&limited{Listener: in, free: make(chan struct{}, l.opt.conns())})
+	in = Limit(in, l.opt.conns())
+	if l.tls != nil {
+		in = tls.NewListener(in, l.tls)
+	}
+	s.Serve(in)
+}
+
+// serverErrors logs what net/http has to say under one message: it names the peer's address and port, and a message of
+// its own for each would never be held back as a repetition.
+type serverErrors struct{ log *slog.Logger }
+
+func (e serverErrors) Write(line []byte) (int, error) {
+	e.log.Warn("link", "do", "serve", "err", string(bytes.TrimSpace(line)))
+	return len(line), nil
+}
+
+// Limit returns a listener that has at most so many connections open at a time; it closes further ones at once.
+func Limit(in net.Listener, most int) net.Listener {
+	return &limited{Listener: in, free: make(chan struct{}, most)}
 }
 
 // observedListener wraps the connections that it accepts.
@@ -295,6 +315,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.StatusCode == http.StatusNotFound {
+		return nil, fmt.Errorf("%s: %w", path, ErrNotFound)
+	}
 	if len(text) > MaxAnswer || res.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s: status %d, %d bytes: %w", path, res.StatusCode, len(text), ErrAnswer)
 	}
