--- a/internal/measure/hollow/worker.go
+++ b/internal/measure/hollow/worker.go
@@ -35,7 +35,8 @@
 	Every time.Duration
 }
 
-// Digest is what a server holds once it has applied the log up to an entry.
+// Digest is what a server holds. Its index is that of the last entry of plans and members; entries of leases and placement
+// do not raise it.
 type Digest struct{ Index, Sum uint64 }
 
 // Digests are what the servers of a worker hold.
