Measure: a reading of an idle fleet counts only if nothing was agreed in it

With leases the first placement came within the reading at 100 servers: 26 % of a core for the leader and 846 KB/s out are not those of a fleet at rest.

--- a/cmd/measure/scale_learners.go
+++ b/cmd/measure/scale_learners.go
@@ -127,13 +127,13 @@
 	return last, nil
 }
 
-// steadyAttempts is how often a reading is taken anew because the leader changed in it.
-const steadyAttempts = 3
+// steadyAttempts is how often a reading is taken anew because it does not count.
+const steadyAttempts = 6
 
-// steady takes a reading in which the leader stays the same.
+// steady takes a reading in which the leader stays the same and, of an idle fleet, nothing is agreed.
 func steady(read func() (map[hollow.Role]hollow.Rates, error)) (rates map[hollow.Role]hollow.Rates, err error) {
 	for range steadyAttempts {
-		if rates, err = read(); !errors.Is(err, hollow.ErrLeader) {
+		if rates, err = read(); !errors.Is(err, hollow.ErrLeader) && !errors.Is(err, hollow.ErrBusy) {
 			return rates, err
 		}
 		progress("taken anew: %v", err)
--- a/internal/measure/hollow/hollow_test.go
+++ b/internal/measure/hollow/hollow_test.go
@@ -52,6 +52,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	idle, err := f.Idle(t.Context(), time.Second)
+	for errors.Is(err, ErrBusy) || errors.Is(err, ErrLeader) { // the first placement
+		idle, err = f.Idle(t.Context(), time.Second)
+	}
+	if err != nil || idle[Leader].MessagesIn <= 0 {
+		t.Fatalf("%+v, %v", idle, err)
+	}
 	sizes, err := f.Sizes()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/measure/hollow/sample.go
+++ b/internal/measure/hollow/sample.go
@@ -42,8 +42,11 @@
 	Goroutines  int
 }
 
-// ErrLeader is a window in which the leader changed.
-var ErrLeader = errors.New("the leader changed")
+// Windows that do not count.
+var (
+	ErrLeader = errors.New("the leader changed")
+	ErrBusy   = errors.New("the fleet agreed on something")
+)
 
 // reading is that of one process.
 type reading struct {
@@ -83,9 +86,14 @@
 	return f.byRole(leader, before, after), nil
 }
 
-// Idle is a window in which nothing is asked of the fleet.
+// Idle is a window in which nothing is asked of the fleet. One in which the fleet agreed on something is an error: with
+// leases, the first placement comes some seconds after all are admitted.
 func (f *Fleet) Idle(ctx context.Context, length time.Duration) (map[Role]Rates, error) {
-	return f.Window(func() error {
+	before, err := f.state()
+	if err != nil {
+		return nil, err
+	}
+	rates, err := f.Window(func() error {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -93,6 +101,22 @@
 			return nil
 		}
 	})
+	if err != nil {
+		return nil, err
+	}
+	if after, err := f.state(); err != nil || after != before {
+		return nil, errors.Join(err, fmt.Errorf("%w in a window", ErrBusy))
+	}
+	return rates, nil
+}
+
+// state is what the first voter holds.
+func (f *Fleet) state() (Digest, error) {
+	d, err := call[Digests](methodDigests)(f.voters[0])
+	if err != nil {
+		return Digest{}, err
+	}
+	return d.Digests[0], nil
 }
 
 // Commit is a window in which the leader has entries committed at a rate. It ends once all servers have applied them.
