--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -1,5 +1,5 @@
 // Package desk has the core's keyed work claimed in the fleet: it carries out package hand on a goroutine of its own,
-// as the core's Store. Claims and ends go to the homes of their keys over lines of their own, and what lost boxes had
+// as the core's Store. Claims and ends go to the homes of their keys over streams of their own, and what lost boxes had
 // in hand is brought to its end at their worker pools.
 package desk
 
@@ -13,7 +13,7 @@
 	"larchscale/internal/core"
 	"larchscale/internal/fleet/ground"
 	"larchscale/internal/fleet/hand"
-	"larchscale/internal/fleet/post"
+	"larchscale/internal/fleet/transport"
 	"larchscale/internal/link"
 )
 
@@ -46,15 +46,15 @@
 	shown  atomic.Pointer[hand.Figures]
 
 	// Of the loop.
-	hand   *hand.Hand
-	life   uint64 // of the view that hand has
-	placed bool   // slices had homes in it
-	next   *ground.View
-	lines  *post.Lines[*hand.Msg]
-	heirs  map[hand.Owner]*heir
-	calls  Calls
-	last   tally
-	waits  waits
+	hand    *hand.Hand
+	life    uint64 // of the view that hand has
+	placed  bool   // slices had homes in it
+	next    *ground.View
+	streams *transport.Streams[*hand.Msg]
+	heirs   map[hand.Owner]*heir
+	calls   Calls
+	last    tally
+	waits   waits
 }
 
 // Calls makes calls below for runs of lost boxes. Its methods are as core.Caller's.
@@ -76,7 +76,7 @@
 // Stand gives the desk its ground and its ways, before Run.
 func (d *Desk) Stand(g *ground.Ground, l *link.Link, calls Calls) {
 	d.ground, d.calls = g, calls
-	d.lines = d.newLines(l)
+	d.streams = d.newStreams(l)
 }
 
 // Run is the loop, until ctx ends.
@@ -195,7 +195,7 @@
 		d.held.Store(d.life)
 	}
 	for _, s := range out.Sends {
-		d.lines.Send(ctx, s.To, s.Msg)
+		d.streams.Send(ctx, s.To, s.Msg)
 	}
 	for _, v := range out.Verdicts {
 		d.verdict(v)
--- a/internal/fleet/desk/lines.go
+++ b/internal/fleet/desk/streams.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"larchscale/internal/fleet/hand"
-	"larchscale/internal/fleet/post"
+	"larchscale/internal/fleet/transport"
 	"larchscale/internal/link"
 )
 
@@ -17,9 +17,9 @@
 	path       = "/hand/messages"
 )
 
-// newLines makes the desk's lines to other boxes.
-func (d *Desk) newLines(l *link.Link) *post.Lines[*hand.Msg] {
-	return post.New(post.Options[*hand.Msg]{Box: d.opt.Box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch,
+// newStreams makes the desk's streams to other servers.
+func (d *Desk) newStreams(l *link.Link) *transport.Streams[*hand.Msg] {
+	return transport.New(transport.Options[*hand.Msg]{Server: d.opt.Box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch,
 		Within: 2 * time.Second, Rest: tickEach, // a box that refuses at once is not asked again at full speed
 		Addr: func(box string) string { return cmp.Or(d.opt.Ways[box], d.ground.Addr(box)) },
 		Lost: func(to string, list []*hand.Msg, err error) {
@@ -29,7 +29,7 @@
 
 // Handler takes what other boxes send.
 func (d *Desk) Handler() http.Handler {
-	return post.Handler(path, batch, maxBody, func(from string, list []*hand.Msg) bool {
+	return transport.Handler(path, batch, maxBody, func(from string, list []*hand.Msg) bool {
 		return d.enter(func() {
 			for _, m := range list {
 				if m != nil {
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/keep/keep.go
@@ -70,7 +70,7 @@
 	epoch   uint64
 	numbers map[string]uint16
 	names   []string         // by number
-	lines   sender           // nil = there is nobody else
+	streams sender           // nil = there is nobody else
 	rests   map[string]int64 // boxes that are asked nothing, until when
 
 	hits, home, calls, served, bytes atomic.Int64
@@ -95,7 +95,7 @@
 
 // Stand gives it its ways to the homes, by name as the box's own, else as the fleet knows them. It comes before Run.
 func (k *Keep) Stand(g *ground.Ground, l *link.Link, ways map[string]string) {
-	k.lines = k.newLines(l, g.Addr, ways)
+	k.streams = k.newStreams(l, g.Addr, ways)
 }
 
 // enter has f run on the loop. What the core asks for is as bounded as its open requests.
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -222,7 +222,7 @@
 		r.below.takes = 10 * time.Millisecond
 		r.enter(func(context.Context) {
 			homes := slices.Repeat([]uint16{r.number("n2")}, kept.Slices)
-			r.lines, r.homes = deaf{}, homes
+			r.streams, r.homes = deaf{}, homes
 			if err := r.kept.Place(1, homes); err != nil {
 				t.Error(err)
 			}
--- a/internal/fleet/keep/lines.go
+++ b/internal/fleet/keep/streams.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"larchscale/internal/fleet/post"
+	"larchscale/internal/fleet/transport"
 	"larchscale/internal/link"
 )
 
@@ -24,9 +24,9 @@
 	Send(ctx context.Context, box string, m message) bool
 }
 
-// newLines makes the lines to other boxes. A question that does not get there is as one that was not asked.
-func (k *Keep) newLines(l *link.Link, where func(string) string, ways map[string]string) sender {
-	return post.New(post.Options[message]{Box: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch, Within: speakFor, Rest: 0, // only questions rest, see pause
+// newStreams makes the streams to other servers. A question that does not get there is as one that was not asked.
+func (k *Keep) newStreams(l *link.Link, where func(string) string, ways map[string]string) sender {
+	return transport.New(transport.Options[message]{Server: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch, Within: speakFor, Rest: 0, // only questions rest, see pause
 		Addr: func(box string) string { return cmp.Or(ways[box], where(box)) },
 		Lost: func(to string, list []message, err error) {
 			k.enter(func(ctx context.Context) {
@@ -42,7 +42,7 @@
 
 // post brings a message to a box; false = it does not get there, or it is a question, of which it rests.
 func (k *Keep) post(ctx context.Context, box string, m message) bool {
-	return k.lines != nil && box != k.box && !(m.Kind == question && now() < k.rests[box]) && k.lines.Send(ctx, box, m)
+	return k.streams != nil && box != k.box && !(m.Kind == question && now() < k.rests[box]) && k.streams.Send(ctx, box, m)
 }
 
 // pause has a box be asked nothing for a while: what it may have is got below.
@@ -56,7 +56,7 @@
 
 // Handler takes what other boxes send.
 func (k *Keep) Handler() http.Handler {
-	return post.Handler(path, batch, maxBody, func(from string, list []message) bool {
+	return transport.Handler(path, batch, maxBody, func(from string, list []message) bool {
 		if k.full() {
 			return false
 		}
