larchcontrol: faults on the way between real processes, and a disk that is lost

The tests of a control tier killed and stopped processes; nothing went wrong on the way between them, and no disk was lost. standin.Tier can now have a relay of faultnet for every directed pair, and two regions.

The wait for a document to be in force is now apart from the wait for it to be agreed; put does both as before.

--- a/cmd/larchcontrol/main_test.go
+++ b/cmd/larchcontrol/main_test.go
@@ -64,6 +64,12 @@
 			certs.New(t, o.Certs, name, ca)
 		}
 	}
+	return newTierOf(t, o)
+}
+
+// newTierOf starts a tier, and waits until all servers hold leases.
+func newTierOf(t *testing.T, o standin.TierOptions) *tierTest {
+	t.Helper()
 	tier, err := standin.NewTier(server, control, t.TempDir(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -181,6 +187,20 @@
 
 // put gives a document a value, and waits until it is in force at all servers as the leader knows.
 func (f *tierTest) put(key, value string) {
+	f.Helper()
+	f.agree(key, value)
+	f.until("document "+key+" is in force at all servers", 15*time.Second, func() bool {
+		leader := f.Leader()
+		if leader == nil {
+			return false
+		}
+		s, err := leader.Sessions()
+		return err == nil && s.Leads && s.Configuration > 0 && s.Behind == 0 && s.Servers == len(f.Servers)
+	})
+}
+
+// agree gives a document a value, and waits until that is agreed.
+func (f *tierTest) agree(key, value string) {
 	f.Helper()
 	data, err := json.Marshal(controlnode.Command{Key: key, Value: []byte(value), By: "staff"})
 	if err != nil {
@@ -191,14 +211,6 @@
 			return n.Say(driver.Word{Part: controlnode.ConfigurationPart, Data: data}) == nil
 		})
 	})
-	f.until("document "+key+" is in force at all servers", 15*time.Second, func() bool {
-		leader := f.Leader()
-		if leader == nil {
-			return false
-		}
-		s, err := leader.Sessions()
-		return err == nil && s.Leads && s.Configuration > 0 && s.Behind == 0 && s.Servers == len(f.Servers)
-	})
 }
 
 // Five control nodes and six app servers as real processes. The leader is killed, a follower is stopped and goes on, one
--- a/internal/standin/tier.go
+++ b/internal/standin/tier.go
@@ -16,6 +16,7 @@
 	"larchscale/internal/fleet/controlnode"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/link"
+	"larchscale/internal/standin/faultnet"
 )
 
 // BuildControl builds the real program of control nodes into dir.
@@ -45,10 +46,19 @@
 	Nodes, Servers int
 	DrainMs        int    // of the servers
 	Certs          string // a directory with ca.crt, and NAME.crt and NAME.key of each node, each server and of ops; "" = without
+	Relays         bool   // what one process asks another passes a relay of Tier.Net; operators reach each directly
+	TwoRegions     bool   // the smaller half of the nodes, and half of the servers, are in South
 }
 
+// The regions of a tier; without TwoRegions all is in North.
+const (
+	North = "north"
+	South = "south"
+)
+
 // Tier is a control tier of real processes, and its app servers.
 type Tier struct {
+	Net     *faultnet.Net // nil = without relays
 	Nodes   []*ControlNode
 	Servers []*TierServer
 }
@@ -56,10 +66,12 @@
 // ControlNode is one control node on files that outlive its processes.
 type ControlNode struct {
 	Name, Admin string
+	Region      string
 	addr        string // for operators
 	sessions    string // for app servers
 	program     string
 	file        string
+	dir         string       // of its log
 	way         link.Options // of operators
 	cmd         *exec.Cmd
 	ended       chan struct{} // closed once the process has ended; nil = it was never started
@@ -69,13 +81,16 @@
 // TierServer is one app server.
 type TierServer struct {
 	*Box
-	Zone string
-	Site *Site
+	Zone, Region string
+	Site         *Site
 }
 
 // NewTier starts all processes of a control tier under home, and has the first node found the fleet.
 func NewTier(server, control, home string, o TierOptions) (*Tier, error) {
 	t := &Tier{}
+	if o.Relays {
+		t.Net = faultnet.New()
+	}
 	if err := t.start(server, control, home, o); err != nil {
 		t.Close()
 		return nil, err
@@ -92,7 +107,12 @@
 		t.Nodes = append(t.Nodes, n)
 	}
 	for i, n := range t.Nodes {
-		if err := n.write(filepath.Join(home, n.Name), string(rune('a'+i%3)), t.list(func(n *ControlNode) string { return n.addr }), o.Certs); err != nil {
+		n.Region = o.region(i, len(t.Nodes))
+		nodes, err := t.list(n.Name, func(n *ControlNode) string { return n.addr })
+		if err != nil {
+			return err
+		}
+		if err := n.write(filepath.Join(home, n.Name), zone(i), quoted(nodes), o.Certs); err != nil {
 			return err
 		}
 	}
@@ -103,15 +123,17 @@
 	if err := Until("the fleet is founded", 10*time.Second, func() bool { return first.Say(driver.Word{Found: true}) == nil }); err != nil {
 		return err
 	}
-	nodes := t.list(func(n *ControlNode) string { return n.sessions })
 	for i := range o.Servers {
-		s := &TierServer{Zone: string(rune('a' + i%3))}
+		s := &TierServer{Zone: zone(i), Region: o.region(i, o.Servers)}
 		name := fmt.Sprint("app-", i+1)
-		var err error
+		nodes, err := t.SessionNodes(name)
+		if err != nil {
+			return err
+		}
 		if s.Site, err = NewSite(time.Millisecond); err != nil {
 			return err
 		}
-		operator := fmt.Sprintf("[control]\nnodes = [%s]\nzone = %q\ndrain_ms = %d\n%s", nodes, s.Zone, o.DrainMs, certificates(o.Certs, name))
+		operator := fmt.Sprintf("[control]\nnodes = [%s]\nzone = %q\ndrain_ms = %d\n%s", quoted(nodes), s.Zone, o.DrainMs, certificates(o.Certs, name))
 		if s.Box, err = NewBox(server, filepath.Join(home, name), name, s.Site, operator); err != nil {
 			return err
 		}
@@ -131,13 +153,45 @@
 	return errors.Join(errs...)
 }
 
-// list returns the nodes as a list of a file has them.
-func (t *Tier) list(addr func(*ControlNode) string) string {
+// zone is that of the i-th node or server.
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+// region is that of the i-th of so many nodes or servers.
+func (o *TierOptions) region(i, of int) string {
+	if o.TwoRegions && i >= (of+1)/2 {
+		return South
+	}
+	return North
+}
+
+// SessionNodes returns the nodes where an app server of a name opens sessions, as its file has them.
+func (t *Tier) SessionNodes(server string) ([]string, error) {
+	return t.list(server, func(n *ControlNode) string { return n.sessions })
+}
+
+// list returns the nodes as the file of a process has them: with relays, each but itself behind one of its own.
+func (t *Tier) list(from string, addr func(*ControlNode) string) ([]string, error) {
 	var items []string
 	for _, n := range t.Nodes {
-		items = append(items, fmt.Sprintf("%q", n.Name+"="+addr(n)))
+		at := addr(n)
+		if t.Net != nil && n.Name != from {
+			var err error
+			if at, err = t.Net.Relay(from, n.Name, at); err != nil {
+				return nil, err
+			}
+		}
+		items = append(items, n.Name+"="+at)
+	}
+	return items, nil
+}
+
+// quoted returns texts as the items of a TOML array.
+func quoted(items []string) string {
+	var out []string
+	for _, item := range items {
+		out = append(out, fmt.Sprintf("%q", item))
 	}
-	return strings.Join(items, ", ")
+	return strings.Join(out, ", ")
 }
 
 // certificates returns the keys of a file that name certificates.
@@ -160,6 +214,9 @@
 	for _, n := range t.Nodes {
 		n.Kill()
 	}
+	if t.Net != nil {
+		t.Net.Close()
+	}
 }
 
 // Leader returns the node that leads as it says itself; nil = none does.
@@ -191,9 +248,9 @@
 		file := func(name string) string { return filepath.Join(certs, name) }
 		n.way = link.Options{CA: file("ca.crt"), Cert: file("ops.crt"), Key: file("ops.key")}
 	}
-	n.file = filepath.Join(home, "control.toml")
-	text := fmt.Sprintf("name = %q\nzone = %q\nregion = \"north\"\ndir = %q\nsessions = %q\nadmin = %q\nnodes = [%s]\n%s",
-		n.Name, zone, filepath.Join(home, "log"), n.sessions, n.Admin, nodes, certificates(certs, n.Name))
+	n.file, n.dir = filepath.Join(home, "control.toml"), filepath.Join(home, "log")
+	text := fmt.Sprintf("name = %q\nzone = %q\nregion = %q\ndir = %q\nlisten = %q\nsessions = %q\nadmin = %q\nnodes = [%s]\n%s",
+		n.Name, zone, n.Region, n.dir, n.addr, n.sessions, n.Admin, nodes, certificates(certs, n.Name))
 	return os.WriteFile(n.file, []byte(text), 0o600)
 }
 
@@ -232,6 +289,12 @@
 	}
 }
 
+// Wipe ends the process at once, and its disk is lost.
+func (n *ControlNode) Wipe() error {
+	n.Kill()
+	return os.RemoveAll(n.dir)
+}
+
 // Freeze stops the process where it is, and Thaw has it go on.
 func (n *ControlNode) Freeze() { n.cmd.Process.Signal(syscall.SIGSTOP) }
 
@@ -292,3 +355,19 @@
 	})
 	return s, err
 }
+
+// Documents are all configuration documents with their values, as the node has them.
+func (n *ControlNode) Documents() (out []controlnode.DocumentStatus, err error) {
+	err = n.ask(func(ctx context.Context, c *link.Client) error {
+		if err := driver.Stands(ctx, c, controlnode.ConfigurationPart, &out); err != nil {
+			return err
+		}
+		for i := range out {
+			if _, err := driver.Item(ctx, c, controlnode.ConfigurationPart, out[i].Key, &out[i]); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return out, err
+}
