--- a/internal/fleet/stream/cut_test.go
+++ b/internal/fleet/stream/cut_test.go
@@ -316,6 +316,9 @@
 	})
 }
 
+// maxAttempts is how many connections a session may need before its test fails.
+const maxAttempts = 3
+
 // allChanges are all changes that a server has to be told of.
 var allChanges = []string{"1 a", "2 b", "3 c", "11 d", "12 b", "13 a deleted"}
 
@@ -463,6 +466,9 @@
 
 func (p *player) connect(ctx context.Context, connect *session.Connect) {
 	p.attempts++
+	if p.attempts > maxAttempts {
+		p.t.Fatalf("told %v after %d connections, lost %q", p.told, maxAttempts, p.losses)
+	}
 	p.attempt = connect.Attempt
 	conn, err := p.dialer.Dial(ctx, connect.Node, p.addr)
 	if err != nil {
