--- a/internal/fleet/configuration/state.go
+++ b/internal/fleet/configuration/state.go
@@ -43,6 +43,8 @@
 type State struct {
 	Index     uint64     // of the last entry applied
 	Documents []Document // by key
+	// LastChange is the index of the entry that last changed a document, deletions included; 0 = there was none.
+	LastChange uint64
 
 	changed *watch.Update // by the last entry applied; nil = nothing
 }
@@ -98,7 +100,7 @@
 }
 
 // Clone gives a state that changes apart from this one. Values are shared: they are never changed.
-func (s *State) Clone() State { return State{Index: s.Index, Documents: slices.Clone(s.Documents)} }
+func (s *State) Clone() State { return State{Index: s.Index, Documents: slices.Clone(s.Documents), LastChange: s.LastChange} }
 
 func (s *State) find(key string) (int, bool) {
 	return slices.BinarySearchFunc(s.Documents, key, func(d Document, key string) int { return strings.Compare(d.Key, key) })
@@ -154,7 +156,7 @@
 		s.Documents = slices.Insert(s.Documents, i, Document{})
 	}
 	s.Documents[i] = Document{Key: e.Key, Value: e.Value, Revision: s.Index, Expected: e.Expect, By: e.By, At: e.At}
-	s.changed = &watch.Update{Revision: s.Index, Key: e.Key, Value: e.Value}
+	s.change(&watch.Update{Key: e.Key, Value: e.Value})
 	return nil
 }
 
@@ -167,10 +169,16 @@
 		return err
 	}
 	s.Documents = slices.Delete(s.Documents, i, i+1)
-	s.changed = &watch.Update{Revision: s.Index, Key: e.Key, Deleted: true}
+	s.change(&watch.Update{Key: e.Key, Deleted: true})
 	return nil
 }
 
+// change notes what the entry being applied changed.
+func (s *State) change(u *watch.Update) {
+	u.Revision = s.Index
+	s.changed, s.LastChange = u, s.Index
+}
+
 // checkRevision tells whether a document has the revision that an entry expects.
 func (e *Entry) checkRevision(d *Document) error {
 	if e.Expect != 0 && e.Expect != d.Revision {
--- a/internal/fleet/configuration/state_test.go
+++ b/internal/fleet/configuration/state_test.go
@@ -112,6 +112,9 @@
 	if changed != want {
 		t.Fatalf("changed %v, want %v", changed, want)
 	}
+	if (s.LastChange == s.Index) != want {
+		t.Errorf("last change at %d, index %d", s.LastChange, s.Index)
+	}
 	wanted := watch.Update{Revision: s.Index, Key: e.Key, Value: e.Value, Deleted: e.Kind == Delete}
 	if !want {
 		wanted = watch.Update{}
@@ -337,6 +340,7 @@
 func TestAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := model{}
+		lastChange := uint64(0)
 		first := agree.NewAgreed[State, Entry](PartName)
 		second := agree.NewAgreed[State, Entry](PartName)
 		limits := watch.Limits{Bytes: 1 << 10, Updates: rapid.IntRange(0, 20).Draw(t, "updates kept")}
@@ -351,6 +355,9 @@
 			}
 			last = e
 			changed, want := model.apply(index, e)
+			if changed {
+				lastChange = index
+			}
 			for i, part := range []*agree.Agreed[State, Entry, *State]{first, second} {
 				if err := applyEncoded(t, part, index, e); !errors.Is(err, want) {
 					t.Fatalf("%v: %v, want %v", e, err, want)
@@ -358,6 +365,9 @@
 				if _, got := part.State.Changed(); got != changed {
 					t.Fatalf("%v: changed %v, want %v", e, got, changed)
 				}
+				if part.State.LastChange != lastChange {
+					t.Fatalf("%v: last change at %d, want %d", e, part.State.LastChange, lastChange)
+				}
 				feed(histories[i], &part.State)
 			}
 			checkModel(t, model, &first.State)
--- a/internal/fleet/controlnode/documents.go
+++ b/internal/fleet/controlnode/documents.go
@@ -19,7 +19,6 @@
 	baseModule
 	node *Node
 	host *driver.Host
-	last uint64 // revision of the newest change that this node knows of
 }
 
 func newDocuments(n *Node) *documents {
@@ -36,7 +35,6 @@
 	if !ok {
 		return err
 	}
-	d.last = changed.Revision
 	if d.node.sessions.restored { // the history is made anew of the whole state
 		return err
 	}
@@ -52,9 +50,6 @@
 // Load implements agree.Part.
 func (d *documents) Load(state []byte) error {
 	err := d.Agreed.Load(state)
-	for i := range d.State.Documents {
-		d.last = max(d.last, d.State.Documents[i].Revision)
-	}
 	d.node.sessions.restored = true
 	return err
 }
@@ -67,9 +62,8 @@
 	}
 }
 
-// newest returns the revision of the newest change of a document; 0 = there was none. After a snapshot of raft deletions
-// before it are not known.
-func (d *documents) newest() uint64 { return d.last }
+// newest returns the revision of the newest change of a document, deletions included; 0 = there was none.
+func (d *documents) newest() uint64 { return d.State.LastChange }
 
 // Command is an operator's word on a document, as JSON.
 type Command struct {
