larchcontrol: a leader that is told to end hands its leadership over first

A rolling release of control nodes cost an election, about a second without a leader, each time the leader's turn came. Driver.HandOver transfers to a voter that is heard of, warm and not taken out, and returns once another node leads; larchcontrol calls it at SIGTERM before its sessions move, for 3 s at most.

Format of configuration/state.go is put right.

--- a/cmd/larchcontrol/main_test.go
+++ b/cmd/larchcontrol/main_test.go
@@ -257,6 +257,20 @@
 		t.Errorf("leases were lost: tokens %v, were %v", now, tokens)
 	}
 
+	// Node after node as in a release: whoever leads hands that over before its sessions move.
+	old := f.Leader()
+	if code, err := old.Term(); code != 0 || err != nil {
+		t.Errorf("%s, which led, ended with %d: %v\n%s", old.Name, code, err, old.Log())
+	}
+	handed, drained := strings.LastIndex(old.Log(), `do="hand over"`), strings.LastIndex(old.Log(), "msg=draining")
+	if handed < 0 || handed > drained || strings.Contains(old.Log(), `msg="handing over"`) {
+		t.Errorf("%s led, and did not hand that over before its sessions moved:\n%s", old.Name, old.Log())
+	}
+	if err := old.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.until("the old leader is back", 20*time.Second, f.settled)
+
 	for _, n := range f.Nodes {
 		n.Kill()
 	}
--- a/cmd/larchcontrol/serve.go
+++ b/cmd/larchcontrol/serve.go
@@ -21,6 +21,8 @@
 const (
 	// drainWithin is how long sessions may take to move to other nodes once the process is to end.
 	drainWithin = 20 * time.Second
+	// handOverWithin is how long another node may take to lead before the sessions move all the same.
+	handOverWithin = 3 * time.Second
 	// adminWithin bounds a request to the admin endpoint.
 	adminWithin = time.Second
 	maxHead     = 4 << 10
@@ -66,6 +68,7 @@
 	log.Info("started", "listen", settings.Listen, "sessions", settings.Sessions, "admin", settings.Admin)
 	select {
 	case <-leave:
+		n.handOver(ctx)
 		n.drain()
 		stop()
 		<-ended
@@ -138,6 +141,15 @@
 	server.Serve(link.Limit(in, config.AdminConns))
 }
 
+// handOver has another node lead, if this one does: an election costs a second without a leader.
+func (n *controlNode) handOver(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, handOverWithin)
+	defer stop()
+	if err := n.driver.HandOver(ctx); err != nil {
+		n.log.Warn("handing over", "err", err)
+	}
+}
+
 // drain has all sessions move to other nodes.
 func (n *controlNode) drain() {
 	n.log.Info("draining")
--- a/internal/fleet/configuration/state.go
+++ b/internal/fleet/configuration/state.go
@@ -100,7 +100,9 @@
 }
 
 // Clone gives a state that changes apart from this one. Values are shared: they are never changed.
-func (s *State) Clone() State { return State{Index: s.Index, Documents: slices.Clone(s.Documents), LastChange: s.LastChange} }
+func (s *State) Clone() State {
+	return State{Index: s.Index, Documents: slices.Clone(s.Documents), LastChange: s.LastChange}
+}
 
 func (s *State) find(key string) (int, bool) {
 	return slices.BinarySearchFunc(s.Documents, key, func(d Document, key string) int { return strings.Compare(d.Key, key) })
--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -500,3 +501,40 @@
 	leader.start()
 	f.until("the node follows again", func() bool { return leader.metric("fleet.known") == 1 && leader.metric("fleet.revision") > 0 })
 }
+
+// A leader hands that over before it ends: once it says so another node leads, the old one follows it, and it votes on.
+func TestALeaderHandsOver(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	f := newTier(t, 3, 1, false)
+	defer f.close()
+	f.until("all servers have leases", f.settled)
+	ctx, stop := context.WithTimeout(t.Context(), within)
+	defer stop()
+	for range 3 {
+		old := f.leader()
+		before, err := old.state()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := old.driver.HandOver(ctx); err != nil {
+			t.Fatal(err)
+		}
+		after, err := old.state()
+		if err != nil || after.Leader == "" || after.Leader == old.name || after.Term <= before.Term {
+			t.Fatalf("%s led in term %d, now %q in term %d, %v", old.name, before.Term, after.Leader, after.Term, err)
+		}
+		f.until("all servers have leases of the new leader", func() bool { return f.settled() && f.leader().name == after.Leader })
+		if err := old.driver.HandOver(ctx); err != nil {
+			t.Errorf("%s does not lead and has nothing to hand over: %v", old.name, err)
+		}
+	}
+}
+
+// A node without another that could lead says so.
+func TestNobodyToHandOverTo(t *testing.T) {
+	f := newTier(t, 1, 0, false)
+	f.until("the node leads", func() bool { return f.leader() != nil })
+	if err := f.nodes[0].driver.HandOver(t.Context()); !errors.Is(err, driver.ErrNoSuccessor) {
+		t.Error(err)
+	}
+}
--- a/internal/fleet/driver/driver.go
+++ b/internal/fleet/driver/driver.go
@@ -79,6 +79,7 @@
 	saidAt   int
 	stood    takeout.Report // as last told
 	token    uint64
+	handed   uint64 // raft's id of whom HandOver chose; 0 = nobody
 	waiting  map[uint64]pending
 	leader   agree.Member // who sent last, for a box that does not know the members yet
 	knocking *line
