controlnode: a test of what follows a lost digest

Nothing forced a digest to be lost between nodes. The test's nodes can lose messages on their way now: the first digest that tells the leader of a server's new revision is lost, for each server, and its sender is told that it came. The servers have nothing new to tell afterwards, so only the gap in the numbers has the leader know of them.

--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -75,6 +75,7 @@
 	certs   string // directory; "" = without TLS
 	nodes   []*testNode
 	servers []*testServer
+	losing  losing
 }
 
 // newTier starts nodes and servers, and has the first node found the fleet.
@@ -198,7 +199,9 @@
 	ctx, end := context.WithCancel(context.Background())
 	var running []chan struct{}
 	for _, run := range []func(){
-		func() { n.link.Serve(ctx, between, controlnode.Guard(names, n.driver.Handler())) },
+		func() {
+			n.link.Serve(ctx, between, controlnode.Guard(names, n.tier.losing.handler(n.driver.Handler())))
+		},
 		func() { accept.Serve(ctx, servers) },
 		func() { n.driver.Run(ctx) },
 	} {
