controlnode: a node that is taken out sends its sessions away before it is out

A control node told the plan that nothing was open on it, and was out with all its sessions. controlnode.Node is the body of its driver now: its sessions count as open, Hold(true) drains them as the end of the process does, and Hold(false) has it take sessions again (session.Table.Resume).

Tests: a node with the most sessions is taken out, has none at that moment, takes none while it is out, no lease ends, and it takes some as another process; a node that is held and released has its server back.

--- a/cmd/larchcontrol/serve.go
+++ b/cmd/larchcontrol/serve.go
@@ -14,7 +14,6 @@
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/session"
 	"larchscale/internal/fleet/stream"
-	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/link"
 )
 
@@ -28,15 +27,6 @@
 	maxHead     = 4 << 10
 )
 
-// body is a control node as a server that is taken out: always warm, and no capacity is lost with it.
-type body struct{}
-
-// Look implements driver.Body.
-func (body) Look() takeout.Report { return takeout.Report{Warm: true} }
-
-// Hold implements driver.Body.
-func (body) Hold(bool) {}
-
 // controlNode is the parts of the process.
 type controlNode struct {
 	settings *config.Control
@@ -90,7 +80,7 @@
 	part := driver.Defaults()
 	part.Dir, part.Zone, part.SilentMs = settings.Dir, settings.Zone, settings.SilentMs
 	part.Voters, part.Members = len(settings.Nodes), settings.Names()
-	d, err := driver.New(part, settings.Name, settings.Addr(settings.Name), options.Others(), way, body{}, log, node.Modules()...)
+	d, err := driver.New(part, settings.Name, settings.Addr(settings.Name), options.Others(), way, node, log, node.Modules()...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -12,6 +12,7 @@
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/lease"
 	"larchscale/internal/fleet/stream"
+	"larchscale/internal/fleet/takeout"
 )
 
 // The names of the parts of the agreed state. A later format gets another number.
@@ -65,6 +66,15 @@
 // Drain has the node take no more sessions and end those that it has. The channel is closed when there are none.
 func (n *Node) Drain() <-chan struct{} { return n.sessions.drain() }
 
+// Look implements driver.Body: a control node is always warm, and no capacity is lost with it. What is open on it are its
+// sessions.
+func (n *Node) Look() takeout.Report {
+	return takeout.Report{Warm: true, Open: int(n.sessions.count.Load())}
+}
+
+// Hold implements driver.Body: a node that is taken out sends its sessions to the others, and takes none until it is in again.
+func (n *Node) Hold(on bool) { n.sessions.held.Store(on) }
+
 // baseModule implements the methods of driver.Module that a module has no use for.
 type baseModule struct{}
 
--- a/internal/fleet/controlnode/sessions.go
+++ b/internal/fleet/controlnode/sessions.go
@@ -44,7 +44,9 @@
 
 	lastID      atomic.Uint64
 	connections atomic.Int64
-	draining    atomic.Bool
+	draining    atomic.Bool   // the process is to end
+	held        atomic.Bool   // the node is taken out
+	count       atomic.Int64  // of the table's sessions
 	begun       chan struct{} // closed when connections may be accepted
 	over        chan struct{} // closed when the node takes no part any longer
 	drained     chan struct{}
@@ -196,6 +198,7 @@
 	if s.table == nil {
 		return
 	}
+	s.count.Store(int64(s.table.Sessions()))
 	for _, id := range s.table.Pending(at) {
 		p := s.peers[id]
 		if p == nil {
@@ -216,8 +219,10 @@
 		s.found()
 		return
 	}
-	if s.draining.Load() {
+	if s.draining.Load() || s.held.Load() {
 		s.table.Drain()
+	} else {
+		s.table.Resume()
 	}
 	s.table.Leaderless(s.host.Leader() == "")
 	s.end(s.table.Tick(at))
--- a/internal/fleet/controlnode/tier_test.go
+++ b/internal/fleet/controlnode/tier_test.go
@@ -31,12 +31,6 @@
 // within is how long a test waits for what has to come; it is reached only by a test that fails.
 const within = 60 * time.Second
 
-// nodeBody is a control node as a server that is taken out.
-type nodeBody struct{}
-
-func (nodeBody) Look() takeout.Report { return takeout.Report{Warm: true} }
-func (nodeBody) Hold(bool)            {}
-
 // testNode is one control node on a directory and addresses that outlive its processes.
 type testNode struct {
 	name, dir, addr, sessions string
@@ -180,7 +174,7 @@
 	n.node = controlnode.New(controlnode.Options{Name: n.name, Members: names, MaxSessions: 64, OpensPerSecond: 100, OpensBurst: 100, MaxSnapshots: 4, DrainPerSecond: 100}, n.tier.log)
 	part := driver.Defaults()
 	part.Dir, part.Zone, part.Voters, part.Members, part.DrainMs = n.dir, "z-"+n.name, len(names), names, 100
-	if n.driver, err = driver.New(part, n.name, n.addr, options.Others(), n.link, nodeBody{}, n.tier.log, n.node.Modules()...); err != nil {
+	if n.driver, err = driver.New(part, n.name, n.addr, options.Others(), n.link, n.node, n.tier.log, n.node.Modules()...); err != nil {
 		t.Fatal(err)
 	}
 	between, err := n.link.Listen()
@@ -541,3 +535,86 @@
 		t.Error(err)
 	}
 }
+
+// A control node that is taken out has no session left when it is out, and takes none; as another process it does again.
+func TestAControlNodeIsTakenOut(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	f := newTier(t, 3, 5, false)
+	defer f.close()
+	f.until("all servers have leases", f.settled)
+	out := f.nodes[0]
+	for _, n := range f.nodes {
+		if n.metric("fleet.sessions") > out.metric("fleet.sessions") {
+			out = n
+		}
+	}
+	t.Logf("%s is taken out with %d of 5 sessions", out.name, out.metric("fleet.sessions"))
+	plan := takeout.Plan{ID: "disks", By: "staff", Reason: "new disks", Boxes: []string{out.name}, Most: 1, Floor: 0.1}
+	f.until("the plan is taken", func() bool {
+		return out.say(driver.Word{Entry: takeout.Entry{Kind: takeout.Propose, Plan: plan}}) == nil
+	})
+	f.until(out.name+" is out", func() bool {
+		status, err := out.state()
+		box := status.State.Box(out.name)
+		return err == nil && box != nil && box.Phase == takeout.Out
+	})
+	if sessions := out.openSessions(); sessions != 0 {
+		t.Errorf("%s is out with %d sessions", out.name, sessions)
+	}
+	f.until("all servers are at the other nodes", func() bool {
+		return f.all(leased) && f.leader() != nil && f.leader().metric("fleet.servers") == len(f.servers)
+	})
+	if sessions := out.openSessions(); sessions != 0 {
+		t.Errorf("%s is out and took %d sessions", out.name, sessions)
+	}
+	for _, s := range f.servers {
+		if lost := s.lost.Load(); lost != 0 {
+			t.Errorf("%s lost its lease %d times", s.name, lost)
+		}
+	}
+	out.stop()
+	out.start()
+	f.until("the plan is done", func() bool {
+		status, err := f.nodes[0].state()
+		plan := status.State.Plan("disks")
+		return err == nil && plan != nil && plan.State == takeout.Done && f.settled()
+	})
+	f.takesSessions(out)
+}
+
+// A node that is held sends its sessions away, and takes some again once it is not held any longer.
+func TestANodeThatIsHeldNoLongerTakesSessions(t *testing.T) {
+	f := newTier(t, 1, 1, false)
+	f.until("the server has a lease", f.settled)
+	n := f.nodes[0]
+	n.node.Hold(true)
+	f.until("the session has ended", func() bool { return n.openSessions() == 0 && n.node.Look().Open == 0 })
+	n.node.Hold(false)
+	f.until("the server has a session again", func() bool { return f.settled() && n.openSessions() == 1 && n.node.Look().Open == 1 })
+}
+
+// openSessions asks a node how many sessions it has at this moment; -1 = it does not answer.
+func (n *testNode) openSessions() int {
+	client := n.link.Dial(n.name, n.addr)
+	defer client.Close()
+	var status controlnode.Status
+	if err := driver.Stands(n.tier.t.Context(), client, controlnode.SessionPart, &status); err != nil {
+		return -1
+	}
+	for _, node := range status.Nodes {
+		if node.Name == n.name {
+			return node.Sessions
+		}
+	}
+	return -1
+}
+
+// takesSessions starts a server that knows of one node alone, and waits until it has a lease.
+func (f *tier) takesSessions(n *testNode) {
+	f.t.Helper()
+	nodes := f.nodes
+	f.nodes = []*testNode{n}
+	s := f.serve("at-" + n.name)
+	f.nodes = nodes
+	f.until("a server at "+n.name+" has a lease", func() bool { return leased(s) })
+}
--- a/internal/fleet/session/table.go
+++ b/internal/fleet/session/table.go
@@ -368,6 +368,9 @@
 // Drain has the node take no more sessions and end those it has, DrainPerSecond of them.
 func (t *Table) Drain() { t.draining = true }
 
+// Resume has a node that drained take sessions again.
+func (t *Table) Resume() { t.draining = false }
+
 // Sessions returns the number of sessions.
 func (t *Table) Sessions() int { return len(t.sessions) }
 
--- a/internal/fleet/session/table_test.go
+++ b/internal/fleet/session/table_test.go
@@ -385,6 +385,11 @@
 	if total != 28 || table.Sessions() != 0 {
 		t.Error(total, table.Sessions())
 	}
+	table.Resume()
+	mustOpen(t, table, 100, hello("new", 1, 1), Expiry+ms(4000))
+	if ended := table.Tick(Expiry + ms(5000)); len(ended) != 0 || table.Sessions() != 1 {
+		t.Errorf("%+v, %d sessions", ended, table.Sessions())
+	}
 }
 
 // What the leader hears: what is new, once, within the bound; all of it anew after Resync.
