--- a/cmd/larchcontrol/serve.go
+++ b/cmd/larchcontrol/serve.go
@@ -14,27 +14,19 @@
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/session"
 	"larchscale/internal/fleet/stream"
-	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/link"
 )
 
 const (
 	// drainWithin is how long sessions may take to move to other nodes once the process is to end.
 	drainWithin = 20 * time.Second
+	// handOverWithin is how long another node may take to lead before the sessions move all the same.
+	handOverWithin = 3 * time.Second
 	// adminWithin bounds a request to the admin endpoint.
 	adminWithin = time.Second
 	maxHead     = 4 << 10
 )
 
-// body is a control node as a server that is taken out: always warm, and no capacity is lost with it.
-type body struct{}
-
-// Look implements driver.Body.
-func (body) Look() takeout.Report { return takeout.Report{Warm: true} }
-
-// Hold implements driver.Body.
-func (body) Hold(bool) {}
-
 // controlNode is the parts of the process.
 type controlNode struct {
 	settings *config.Control
@@ -67,6 +59,7 @@
 	log.Info("started", "listen", settings.Listen, "sessions", settings.Sessions, "admin", settings.Admin)
 	select {
 	case <-leave:
+		n.handOver(ctx)
 		n.drain()
 		stop()
 		<-ended
@@ -88,7 +81,7 @@
 	part := driver.Defaults()
 	part.Dir, part.Zone, part.SilentMs = settings.Dir, settings.Zone, settings.SilentMs
 	part.Voters, part.Members = len(settings.Nodes), settings.Names()
-	d, err := driver.New(part, settings.Name, settings.Addr(settings.Name), options.Others(), way, body{}, log, node.Modules()...)
+	d, err := driver.New(part, settings.Name, settings.Addr(settings.Name), options.Others(), way, node, log, node.Modules()...)
 	if err != nil {
 		return nil, err
 	}
@@ -142,6 +135,15 @@
 	server.Serve(link.Limit(in, config.AdminConns))
 }
 
+// handOver has another node lead, if this one does: an election costs a second without a leader.
+func (n *controlNode) handOver(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, handOverWithin)
+	defer stop()
+	if err := n.driver.HandOver(ctx); err != nil {
+		n.log.Warn("handing over", "err", err)
+	}
+}
+
 // drain has all sessions move to other nodes.
 func (n *controlNode) drain() {
 	n.log.Info("draining")
