trial: the bound of cells heard of follows limits.MaxMeshServers

Cause: MaxHeard had the literal 300, the size of a fleet without a control tier. Change: it is derived from limits.MaxMeshServers; the value is the same. Measured: go test ./internal/fleet/trial ./internal/capacity pass.

--- a/internal/fleet/trial/count.go
+++ b/internal/fleet/trial/count.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 
+	"larchscale/internal/fleet/limits"
 	"larchscale/internal/sequential"
 )
 
@@ -17,10 +18,10 @@
 
 // Bounds of reports.
 const (
-	MaxLives    = 4096                    // of a trial, that a leader hears of
-	MaxHeard    = 300*MaxBlocks + MaxKept // cells of them
-	MaxReport   = 1536                    // bytes of an encoded report
-	reportCells = 4                       // in a report: the two newest blocks, and older ones in turn
+	MaxLives    = 4096                                      // of a trial, that a leader hears of
+	MaxHeard    = limits.MaxMeshServers*MaxBlocks + MaxKept // cells of them
+	MaxReport   = 1536                                      // bytes of an encoded report
+	reportCells = 4                                         // in a report: the two newest blocks, and older ones in turn
 )
 
 // Count is what is counted of one arm in one block. It only grows.
