--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -17,11 +17,11 @@
 
 	"go.etcd.io/raft/v3"
 
+	"larchscale/internal/faultfs"
 	"larchscale/internal/fleet/agree"
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/raftlog"
 	"larchscale/internal/fleet/takeout"
-	"larchscale/internal/simfs"
 	"larchscale/internal/standin"
 )
 
@@ -319,7 +319,7 @@
 	var id uint64
 	add := func(found bool) (*agree.Node, error) {
 		id++
-		store, err := raftlog.Open(simfs.New(id), fmt.Sprint("n", id), func() uint64 { return id }, 1<<20)
+		store, err := raftlog.Open(faultfs.New(id), fmt.Sprint("n", id), func() uint64 { return id }, 1<<20)
 		if err == nil && found {
 			err = agree.Found(store, agree.Member{Name: "n1", Zone: "a", Addr: "n1"})
 		}
--- a/internal/simfs/simfs.go
+++ b/internal/faultfs/faultfs.go
@@ -1,6 +1,6 @@
-// Package simfs is a simulated disk for tests: it forgets at a power cut what was not synced, tears writes at
+// Package faultfs is a simulated disk for tests: it forgets at a power cut what was not synced, tears writes at
 // sectors, and fails where it is told to. Its verdicts follow from its seed alone.
-package simfs
+package faultfs
 
 import (
 	"fmt"
--- a/internal/fleet/agree/parts_test.go
+++ b/internal/fleet/agree/parts_test.go
@@ -9,8 +9,8 @@
 
 	"go.etcd.io/raft/v3"
 
+	"larchscale/internal/faultfs"
 	"larchscale/internal/fleet/raftlog"
-	"larchscale/internal/simfs"
 )
 
 // tally is a small part: a sum, and what it refuses.
@@ -31,7 +31,7 @@
 	return nil
 }
 
-func alone(t *testing.T, disk *simfs.Disk, found bool, parts ...Part) (*Node, error) {
+func alone(t *testing.T, disk *faultfs.Disk, found bool, parts ...Part) (*Node, error) {
 	t.Helper()
 	store, err := raftlog.Open(disk, "n1", func() uint64 { return 1 }, 4<<10)
 	if err == nil && found {
@@ -51,7 +51,7 @@
 }
 
 func TestAPartIsAgreedKeptAndRefusedByAProgramThatDoesNotKnowIt(t *testing.T) {
-	disk := simfs.New(1)
+	disk := faultfs.New(1)
 	part := NewAgreed[tally, add]("tally")
 	n, err := alone(t, disk, true, part)
 	if err != nil {
--- a/internal/fleet/agree/sim_test.go
+++ b/internal/fleet/agree/sim_test.go
@@ -18,9 +18,9 @@
 	"github.com/anishathalye/porcupine"
 	"go.etcd.io/raft/v3"
 
+	"larchscale/internal/faultfs"
 	"larchscale/internal/fleet/raftlog"
 	"larchscale/internal/fleet/takeout"
-	"larchscale/internal/simfs"
 )
 
 var (
@@ -39,7 +39,7 @@
 // box is one box of the simulation: its disk lives over its processes.
 type box struct {
 	name, zone string
-	disk       *simfs.Disk
+	disk       *faultfs.Disk
 	store      *raftlog.Log
 	node       *Node // nil = no process
 	inc        uint64
@@ -156,7 +156,7 @@
 	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), digests: map[uint64]uint64{}, leaders: map[uint64]uint64{}, outs: map[string]bool{}, cut: make([][]bool, n)}
 	for i := range n {
 		w.cut[i] = make([]bool, n)
-		w.boxes = append(w.boxes, &box{name: fmt.Sprintf("n%03d", i), zone: string(rune('a' + i%zones)), disk: simfs.New(seed + uint64(i))})
+		w.boxes = append(w.boxes, &box{name: fmt.Sprintf("n%03d", i), zone: string(rune('a' + i%zones)), disk: faultfs.New(seed + uint64(i))})
 	}
 	for i, b := range w.boxes {
 		w.start(b, i == 0)
@@ -194,7 +194,7 @@
 	b.disk.CutPower()
 	b.disk.Restart()
 	if lose {
-		b.disk, b.store = simfs.New(w.rnd.Uint64()), nil
+		b.disk, b.store = faultfs.New(w.rnd.Uint64()), nil
 	}
 }
 
--- a/internal/fleet/raftlog/raftlog_test.go
+++ b/internal/fleet/raftlog/raftlog_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"larchscale/internal/simfs"
+	"larchscale/internal/faultfs"
 	"larchscale/internal/wal"
 )
 
@@ -53,16 +53,16 @@
 // at all.
 func TestWhatWasSavedIsThereAfterAnyPowerCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		disk := simfs.New(rapid.Uint64().Draw(t, "seed"))
+		disk := faultfs.New(rapid.Uint64().Draw(t, "seed"))
 		cutAt := rapid.IntRange(0, 60).Draw(t, "cut at")
-		open := func(d *simfs.Disk) *Log {
+		open := func(d *faultfs.Disk) *Log {
 			l, err := Open(d, "n1", id(7), 512)
 			if err != nil {
 				t.Fatal(err)
 			}
 			return l
 		}
-		l, twin := open(disk), open(simfs.New(1)) // the twin's disk never fails
+		l, twin := open(disk), open(faultfs.New(1)) // the twin's disk never fails
 		from := disk.Ops()
 		disk.FailWith(func(_ string, n int) error {
 			if n-from > cutAt {
@@ -133,12 +133,12 @@
 
 // A box that lost its disk is somebody new; one that kept it is who it was.
 func TestABoxWithoutItsDiskIsSomebodyNew(t *testing.T) {
-	disk := simfs.New(1)
+	disk := faultfs.New(1)
 	for _, k := range []struct {
-		disk *simfs.Disk
+		disk *faultfs.Disk
 		new  uint64
 		want uint64
-	}{{disk, 7, 7}, {disk, 8, 7}, {simfs.New(2), 9, 9}} {
+	}{{disk, 7, 7}, {disk, 8, 7}, {faultfs.New(2), 9, 9}} {
 		l, err := Open(k.disk, "n1", id(k.new), 1<<16)
 		if err != nil {
 			t.Fatal(err)
@@ -154,8 +154,8 @@
 
 // A log that cannot be read is named, and left as it is: the box takes no part, and whoever mends it finds all.
 func TestALogThatCannotBeReadIsLeftAlone(t *testing.T) {
-	write := func(records ...[]byte) *simfs.Disk {
-		disk := simfs.New(3)
+	write := func(records ...[]byte) *faultfs.Disk {
+		disk := faultfs.New(3)
 		w, _, err := wal.Open(wal.Options{FS: disk, Owner: owner("n1")}, func(uint64, wal.Position, []byte) error { return nil })
 		if err != nil {
 			t.Fatal(err)
@@ -169,7 +169,7 @@
 	self := []byte{recIdentity, version, 0, 7, 0, 0, 0, 0, 0, 0, 0}
 	late, _ := record(recEntry, entry(1, 9))
 	for name, k := range map[string]struct {
-		disk *simfs.Disk
+		disk *faultfs.Disk
 		box  string
 		want error
 	}{
--- a/internal/keeper/bench_test.go
+++ b/internal/keeper/bench_test.go
@@ -4,15 +4,15 @@
 	"testing"
 
 	"larchscale/internal/core"
+	"larchscale/internal/faultfs"
 	"larchscale/internal/ledger"
-	"larchscale/internal/simfs"
 )
 
 // What the core's loop spends on an entry.
 func BenchmarkBook(b *testing.B) {
 	for _, mode := range []string{Relaxed, Strict} {
 		b.Run(mode, func(b *testing.B) {
-			k, err := Open(simfs.New(1), options(mode, Gap), site("n1"), quiet)
+			k, err := Open(faultfs.New(1), options(mode, Gap), site("n1"), quiet)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -15,9 +15,9 @@
 	"pgregory.net/rapid"
 
 	"larchscale/internal/core"
+	"larchscale/internal/faultfs"
 	"larchscale/internal/ledger"
 	_ "larchscale/internal/scenario/fixed"
-	"larchscale/internal/simfs"
 	"larchscale/internal/wal"
 )
 
@@ -93,7 +93,7 @@
 func faults(t *rapid.T, mode, onFailure string, syncMs int) {
 	o := options(mode, onFailure)
 	o.SyncMs = syncMs
-	d := simfs.New(rapid.Uint64().Draw(t, "disk"))
+	d := faultfs.New(rapid.Uint64().Draw(t, "disk"))
 	var b *box
 	var used, told int64 // of the whole life, and up to the last ticket told
 	var before int64     // used before this start
@@ -198,7 +198,7 @@
 func TestDiskFullThenSpace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, dies := range []bool{false, true} {
-			d := simfs.New(1)
+			d := faultfs.New(1)
 			b, err := open(d, options(Strict, Gap))
 			if err != nil {
 				t.Fatal(err)
@@ -242,7 +242,7 @@
 // new segment stands.
 func TestRefuseUntilWritten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		b, err := open(d, options(Strict, Refuse))
 		if err != nil {
 			t.Fatal(err)
@@ -273,7 +273,7 @@
 // Entries that find no room while a disk does not answer are summed, not dropped.
 func TestQueueFoldsBeyondItsBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b, err := open(simfs.New(1), options(Strict, Gap))
+		b, err := open(faultfs.New(1), options(Strict, Gap))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -294,7 +294,7 @@
 // nothing is missing from what it gets in the end: periods that closed meanwhile are whole.
 func TestCollectorAwayWhilePeriodsClose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		o := options(Strict, Gap)
 		o.SegmentKB, o.DiskKB, o.ExportMs = 64, 2048, 1000
 		b, err := open(d, o)
@@ -369,7 +369,7 @@
 			var off time.Duration
 			s := site("n1")
 			s.Wall = func() time.Time { return time.Now().Add(off) }
-			k, err := Open(simfs.New(1), options(Strict, Gap), s, quiet)
+			k, err := Open(faultfs.New(1), options(Strict, Gap), s, quiet)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -428,7 +428,7 @@
 // Another kind of period, less room and other names between two starts change nothing of what was booked.
 func TestOtherSettingsAtTheNextStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		o := options(Strict, Gap)
 		b, err := open(d, o)
 		if err != nil {
@@ -478,28 +478,28 @@
 // word, and left as it was.
 func TestFilesThatCannotBe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		other := simfs.New(2)
+		other := faultfs.New(2)
 		if _, err := Open(other, options(Relaxed, Gap), site("n2"), quiet); err != nil {
 			t.Fatal(err)
 		}
 		for name, x := range map[string]struct {
-			spoil func(*simfs.Disk)
+			spoil func(*faultfs.Disk)
 			want  error
 		}{
-			"another box":     {func(d *simfs.Disk) { d.Put(identityName, other.Bytes(identityName)) }, ErrForeign},
-			"another segment": {func(d *simfs.Disk) { d.Put("0000000001.wal", other.Bytes("0000000001.wal")) }, wal.ErrForeign},
-			"newer": {func(d *simfs.Disk) {
+			"another box":     {func(d *faultfs.Disk) { d.Put(identityName, other.Bytes(identityName)) }, ErrForeign},
+			"another segment": {func(d *faultfs.Disk) { d.Put("0000000001.wal", other.Bytes("0000000001.wal")) }, wal.ErrForeign},
+			"newer": {func(d *faultfs.Disk) {
 				d.Put(identityName, []byte(`{"version":2,"box":"n1","ledger":"00000000000000000000000000000000"}`))
 			}, ledger.ErrNewer},
-			"no identity":   {func(d *simfs.Disk) { d.Remove(identityName) }, nil},
-			"torn identity": {func(d *simfs.Disk) { d.Put(identityName, []byte("{")) }, nil},
-			"damaged": {func(d *simfs.Disk) {
+			"no identity":   {func(d *faultfs.Disk) { d.Remove(identityName) }, nil},
+			"torn identity": {func(d *faultfs.Disk) { d.Put(identityName, []byte("{")) }, nil},
+			"damaged": {func(d *faultfs.Disk) {
 				b := d.Bytes("0000000001.wal")
 				b[60] ^= 1
 				d.Put("0000000001.wal", b)
 			}, new(wal.DamageError)},
 		} {
-			d := simfs.New(1)
+			d := faultfs.New(1)
 			b, err := open(d, options(Relaxed, Gap))
 			if err != nil {
 				t.Fatal(err)
@@ -526,7 +526,7 @@
 // A correction left in the inbox is booked once and answered, also when its file is read again.
 func TestInbox(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		b, err := open(d, options(Relaxed, Gap))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/measure/pure/pure.go
+++ b/internal/measure/pure/pure.go
@@ -13,10 +13,10 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"larchscale/internal/faultfs"
 	"larchscale/internal/fleet/agree"
 	"larchscale/internal/fleet/raftlog"
 	"larchscale/internal/fleet/takeout"
-	"larchscale/internal/simfs"
 )
 
 const (
@@ -124,7 +124,7 @@
 		}
 	}
 	snapshot := &raftpb.Snapshot{Data: data, Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: conf}}
-	store, err := raftlog.Open(simfs.New(1), s.Members[0].Name, func() uint64 { return s.Members[0].ID }, segment)
+	store, err := raftlog.Open(faultfs.New(1), s.Members[0].Name, func() uint64 { return s.Members[0].ID }, segment)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,11 +14,11 @@
 	"go.uber.org/goleak"
 
 	"larchscale/internal/core"
+	"larchscale/internal/faultfs"
 	"larchscale/internal/keeper"
 	"larchscale/internal/ledger"
 	"larchscale/internal/link"
 	"larchscale/internal/scenario/certs"
-	"larchscale/internal/simfs"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -39,7 +39,7 @@
 	o.Dir, o.Period, o.ExportMs, o.WriteMs = "-", "day", 10, 5
 	noon := time.Date(2026, 11, 15, 12, 0, 0, 0, time.UTC)
 	began := time.Now()
-	k, err := keeper.Open(simfs.New(1), o, keeper.Site{Box: name, Stands: []string{"north"}, Classes: []string{"quote"},
+	k, err := keeper.Open(faultfs.New(1), o, keeper.Site{Box: name, Stands: []string{"north"}, Classes: []string{"quote"},
 		Wall: func() time.Time { return noon.Add(time.Since(began)) }}, quiet)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -14,8 +14,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"larchscale/internal/faultfs"
 	_ "larchscale/internal/scenario/fixed"
-	"larchscale/internal/simfs"
 	"larchscale/internal/wal"
 )
 
@@ -40,9 +40,9 @@
 }
 
 // filled is a disk whose log holds the checkpoint "keep" and then groups of records, each of them synced.
-func filled(t testing.TB, groups ...[]string) *simfs.Disk {
+func filled(t testing.TB, groups ...[]string) *faultfs.Disk {
 	t.Helper()
-	d := simfs.New(1)
+	d := faultfs.New(1)
 	l, _, _, err := open(t, d)
 	if err == nil {
 		_, err = l.Roll([]byte("keep"))
@@ -81,7 +81,7 @@
 func TestCutAtEveryByte(t *testing.T) {
 	whole := filled(t, groups...).Bytes(first)
 	for n := range whole {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		d.Put(first, whole[:n])
 		_, got, _, err := open(t, d)
 		if n < 40 { // the name comes after the header is on the disk: this is damage
@@ -109,7 +109,7 @@
 	whole := filled(t, groups...).Bytes(first)
 	for n := range whole {
 		for _, bit := range []byte{1, 0x80} {
-			d := simfs.New(1)
+			d := faultfs.New(1)
 			b := bytes.Clone(whole)
 			b[n] ^= bit
 			d.Put(first, b)
@@ -135,7 +135,7 @@
 	newer := d.Bytes(first)
 	newer[8] = 2
 	binary.LittleEndian.PutUint32(newer[36:], crc32.Checksum(newer[:36], crc32.MakeTable(crc32.Castagnoli)))
-	e := simfs.New(1)
+	e := faultfs.New(1)
 	e.Put(first, newer)
 	if _, _, _, err := open(t, e); !errors.Is(err, wal.ErrNewer) || !strings.Contains(err.Error(), first) {
 		t.Errorf("newer: %v", err)
@@ -191,7 +191,7 @@
 func TestPowerCutAtEveryOperationOfARoll(t *testing.T) {
 	for seed := range uint64(20) {
 		for n := 1; ; n++ {
-			d := simfs.New(seed)
+			d := faultfs.New(seed)
 			l, _, _, _ := open(t, d)
 			must(t, 0, func() error { _, err := l.Roll([]byte("old")); return err }())
 			must(t, 0, func() error { _, err := l.Append([]byte("more")); return err }())
@@ -199,7 +199,7 @@
 			from := d.Ops()
 			d.FailWith(func(_ string, op int) error {
 				if op-from == n {
-					return simfs.ErrPower
+					return faultfs.ErrPower
 				}
 				return nil
 			})
@@ -223,7 +223,7 @@
 // after a kill, in order, with nothing else.
 func TestLogAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := simfs.New(rapid.Uint64().Draw(t, "seed"))
+		d := faultfs.New(rapid.Uint64().Draw(t, "seed"))
 		var l *wal.Log
 		var all []string // written, and how many of them are synced
 		synced, n := 0, 0
@@ -294,7 +294,7 @@
 func FuzzOpen(f *testing.F) {
 	f.Add(filled(f, groups...).Bytes(first))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		d := simfs.New(1)
+		d := faultfs.New(1)
 		d.Put(first, b)
 		open(t, d)
 	})
