replycache: package fleet/keep renamed, its Keep is a Cache

Need: the standard name for the replies that servers keep and share. The operator's table [kept], the metrics and the paths stay. Measured: go build, go vet ./..., and go test of config, capacity and fleet/replycache pass.

--- a/cmd/larchscale/fleet.go
+++ b/cmd/larchscale/fleet.go
@@ -17,8 +17,8 @@
 	"larchscale/internal/fleet/driver"
 	"larchscale/internal/fleet/ground"
 	"larchscale/internal/fleet/hand"
-	"larchscale/internal/fleet/keep"
 	"larchscale/internal/fleet/place"
+	"larchscale/internal/fleet/replycache"
 	"larchscale/internal/fleet/takeout"
 	"larchscale/internal/fleet/trials"
 	"larchscale/internal/index"
@@ -180,12 +180,12 @@
 	return out
 }
 
-// newKeep makes the keeper of replies of calls below; nil = it is off.
-func newKeep(cfg *config.Config, own *config.Operator, sink func(core.Event), log *slog.Logger) (*keep.Keep, error) {
+// newReplyCache makes the cache of replies of calls below; nil = it is off.
+func newReplyCache(cfg *config.Config, own *config.Operator, sink func(core.Event), log *slog.Logger) (*replycache.Cache, error) {
 	if own.Kept.Bytes == 0 {
 		return nil, nil
 	}
-	return keep.New(own.Kept, cfg.Name, &cfg.Site, sink, log)
+	return replycache.New(own.Kept, cfg.Name, &cfg.Site, sink, log)
 }
 
 // joinMetrics returns the metrics of both; nil = there are none.
--- a/cmd/larchscale/server.go
+++ b/cmd/larchscale/server.go
@@ -15,7 +15,7 @@
 	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/desk"
 	"larchscale/internal/fleet/ground"
-	"larchscale/internal/fleet/keep"
+	"larchscale/internal/fleet/replycache"
 	"larchscale/internal/fleet/trials"
 	"larchscale/internal/handoff"
 	"larchscale/internal/index"
@@ -51,8 +51,8 @@
 	directory *directory.Client
 
 	index   *index.Client
-	backend core.Caller // what calls of requests go through: the index or uwsgi, behind the reply cache and experiments
-	replies *keep.Keep  // the reply cache; nil = off
+	backend core.Caller       // what calls of requests go through: the index or uwsgi, behind the reply cache and experiments
+	replies *replycache.Cache // the reply cache; nil = off
 
 	store      core.Store
 	endStore   context.CancelFunc // has the store do what it was asked and end
@@ -185,7 +185,7 @@
 // newBackend makes what calls of requests go through: the index or a uwsgi server, behind the reply cache if it is on.
 func (s *server) newBackend() (err error) {
 	ended := s.core.Send
-	if s.replies, err = newKeep(s.config, s.operator, s.core.Send, s.log); err != nil {
+	if s.replies, err = newReplyCache(s.config, s.operator, s.core.Send, s.log); err != nil {
 		return err
 	}
 	if s.replies != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,7 +13,7 @@
 	"larchscale/internal/export"
 	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/driver"
-	"larchscale/internal/fleet/keep"
+	"larchscale/internal/fleet/replycache"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -72,7 +72,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults(), keep.Defaults(), controlclient.Defaults()}
+		want := &Operator{uwsgi.Defaults(), store.Defaults(), Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, driver.Defaults(), replycache.Defaults(), controlclient.Defaults()}
 		if path != "" {
 			want.UWSGI.Listen, want.UWSGI.Below, want.Ledger.Peers.Boxes = "127.0.0.4:6566", []string{}, []string{}
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -13,7 +13,7 @@
 	"larchscale/internal/export"
 	"larchscale/internal/fleet/controlclient"
 	"larchscale/internal/fleet/driver"
-	"larchscale/internal/fleet/keep"
+	"larchscale/internal/fleet/replycache"
 	"larchscale/internal/keeper"
 	"larchscale/internal/peers"
 	"larchscale/internal/store"
@@ -22,11 +22,11 @@
 
 // Operator is the operator's own file, deploy/operator.toml or one like it.
 type Operator struct {
-	UWSGI  uwsgi.Options  `toml:"uwsgi"`
-	Store  store.Options  `toml:"store"`
-	Ledger Ledger         `toml:"ledger"`
-	Fleet  driver.Options `toml:"fleet"`
-	Kept   keep.Options   `toml:"kept"`
+	UWSGI  uwsgi.Options      `toml:"uwsgi"`
+	Store  store.Options      `toml:"store"`
+	Ledger Ledger             `toml:"ledger"`
+	Fleet  driver.Options     `toml:"fleet"`
+	Kept   replycache.Options `toml:"kept"`
 	// Control is the session of this server in a fleet with a control tier.
 	Control controlclient.Options `toml:"control"`
 }
@@ -41,7 +41,7 @@
 // LoadOperator reads the operator's file; without a path nothing is turned on. Of the platform's configuration
 // it takes the host that a ":port" stands on.
 func LoadOperator(path string, platform *Config) (*Operator, error) {
-	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults(), Kept: keep.Defaults(), Control: controlclient.Defaults()}
+	o := &Operator{UWSGI: uwsgi.Defaults(), Store: store.Defaults(), Ledger: Ledger{keeper.Defaults(), export.Defaults(), peers.Defaults()}, Fleet: driver.Defaults(), Kept: replycache.Defaults(), Control: controlclient.Defaults()}
 	if path == "" {
 		return o, nil
 	}
--- a/internal/fleet/keep/keep.go
+++ b/internal/fleet/replycache/cache.go
@@ -1,7 +1,7 @@
-// Package keep is the core's Caller in front of the calls below: it carries out package kept on a goroutine of its own.
+// Package replycache is the core's Caller in front of the calls below: it carries out package kept on a goroutine of its own.
 // A call of a kept class is answered by a reply that is kept, by the call that another makes already, by the home of
 // its slice in the fleet, or below. Calls of other classes go below as they are.
-package keep
+package replycache
 
 import (
 	"context"
@@ -46,8 +46,8 @@
 	until         int64 // it waits no longer behind a call that another box makes; 0 = it does not
 }
 
-// Keep is one process's. Its methods are safe from any goroutine.
-type Keep struct {
+// Cache is one process's. Its methods are safe from any goroutine.
+type Cache struct {
 	box   string
 	sink  func(core.Event)
 	log   *slog.Logger
@@ -76,8 +76,8 @@
 	hits, home, calls, served, bytes atomic.Int64
 }
 
-// New makes the keeper of a box that is off unless Options.Bytes is over 0; sink is told how calls end.
-func New(opt Options, box string, site *core.Site, sink func(core.Event), log *slog.Logger) (*Keep, error) {
+// New makes the reply cache of a server, which is off unless Options.Bytes is over 0; sink is told how calls end.
+func New(opt Options, box string, site *core.Site, sink func(core.Event), log *slog.Logger) (*Cache, error) {
 	store, err := opt.store(site)
 	if err != nil {
 		return nil, err
@@ -86,20 +86,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Keep{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
+	return &Cache{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
 		remotes: map[uint64]*remote{}, led: map[kept.Key]uint64{}, numbers: map[string]uint16{box: self}, names: []string{box}, rests: map[string]int64{}}, nil
 }
 
 // Attach gives it the calls below, whose sink is Ended. It comes before Run.
-func (k *Keep) Attach(below core.Caller) { k.below = below }
+func (k *Cache) Attach(below core.Caller) { k.below = below }
 
 // Stand gives it its ways to the homes, by name as the box's own, else as the fleet knows them. It comes before Run.
-func (k *Keep) Stand(g *ground.Ground, l *link.Link, ways map[string]string) {
+func (k *Cache) Stand(g *ground.Ground, l *link.Link, ways map[string]string) {
 	k.streams = k.newStreams(l, g.Addr, ways)
 }
 
 // enter has f run on the loop. What the core asks for is as bounded as its open requests.
-func (k *Keep) enter(f func(context.Context)) {
+func (k *Cache) enter(f func(context.Context)) {
 	k.mu.Lock()
 	k.queue = append(k.queue, f)
 	k.mu.Unlock()
@@ -109,14 +109,14 @@
 	}
 }
 
-func (k *Keep) full() bool {
+func (k *Cache) full() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return len(k.queue) >= maxQueue
 }
 
 // Run is the loop, until ctx ends.
-func (k *Keep) Run(ctx context.Context) {
+func (k *Cache) Run(ctx context.Context) {
 	timer := time.NewTimer(stoppedFor)
 	defer timer.Stop()
 	for {
@@ -142,7 +142,7 @@
 func now() int64 { return time.Now().UnixMilli() }
 
 // late ends what has waited for too long, and gives when it is to be called again.
-func (k *Keep) late(ctx context.Context) time.Duration {
+func (k *Cache) late(ctx context.Context) time.Duration {
 	at := now()
 	next := k.kept.Next()
 	if next <= at {
@@ -176,7 +176,7 @@
 }
 
 // Call implements core.Caller.
-func (k *Keep) Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte) {
+func (k *Cache) Call(handle string, number uint64, class string, subject uint64, patience time.Duration, once bool, body []byte) {
 	k.enter(func(ctx context.Context) {
 		k.giveUp(ctx, handle)
 		if once || k.lasts[class] == 0 || k.spoilt.Contains(handle) {
@@ -195,7 +195,7 @@
 }
 
 // Abandon implements core.Caller.
-func (k *Keep) Abandon(handle string) {
+func (k *Cache) Abandon(handle string) {
 	k.enter(func(ctx context.Context) {
 		if !k.giveUp(ctx, handle) {
 			k.below.Abandon(handle)
@@ -204,7 +204,7 @@
 }
 
 // giveUp drops what the core no longer wants; false = it is not wanted here.
-func (k *Keep) giveUp(ctx context.Context, handle string) bool {
+func (k *Cache) giveUp(ctx context.Context, handle string) bool {
 	w := k.handles[handle]
 	if w == nil {
 		return false
@@ -215,7 +215,7 @@
 }
 
 // drop takes a want out. A call below that is in hand for it goes with it.
-func (k *Keep) drop(ctx context.Context, w *want, failed bool) {
+func (k *Cache) drop(ctx context.Context, w *want, failed bool) {
 	delete(k.wants, w.who)
 	delete(k.handles, w.handle)
 	if w.calling {
@@ -228,7 +228,7 @@
 }
 
 // Ended takes how a call below ended, as the sink of the calls below.
-func (k *Keep) Ended(e core.Event) {
+func (k *Cache) Ended(e core.Event) {
 	k.enter(func(ctx context.Context) {
 		c, ok := e.(core.CallEnded)
 		w := k.handles[c.Handle]
@@ -255,7 +255,7 @@
 }
 
 // tell does what kept says to those who want a reply; those who are to give up end as told.
-func (k *Keep) tell(ctx context.Context, all []kept.Answer, end control.Outcome) {
+func (k *Cache) tell(ctx context.Context, all []kept.Answer, end control.Outcome) {
 	for len(all) > 0 {
 		a := all[0]
 		all = all[1:]
@@ -290,16 +290,16 @@
 	}
 }
 
-func (k *Keep) callBelow(w *want) {
+func (k *Cache) callBelow(w *want) {
 	k.calls.Add(1)
 	w.calling = true
 	k.below.Call(w.handle, w.number, w.class, w.subject, time.Duration(max(1, w.due-lastWord-now()))*time.Millisecond, false, w.body)
 }
 
 // Lines are the figures for the door.
-func (k *Keep) Lines() []byte {
+func (k *Cache) Lines() []byte {
 	return fmt.Appendf(nil, "kept.hits=%d\nkept.home=%d\nkept.below=%d\nkept.served=%d\nkept.bytes=%d\n",
 		k.hits.Load(), k.home.Load(), k.calls.Load(), k.served.Load(), k.bytes.Load())
 }
 
-var _ core.Caller = (*Keep)(nil)
+var _ core.Caller = (*Cache)(nil)
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/replycache/cache_test.go
@@ -1,4 +1,4 @@
-package keep
+package replycache
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 type service struct {
 	mu    sync.Mutex
 	rand  *rand.Rand
-	keep  *Keep
+	keep  *Cache
 	takes time.Duration // 0 = by chance
 	open  map[string]bool
 	calls int
@@ -62,7 +62,7 @@
 
 // rig is a box on its own, and what its core was told.
 type rig struct {
-	*Keep
+	*Cache
 	below *service
 	mu    sync.Mutex
 	ends  map[string][]core.CallEnded
@@ -72,7 +72,7 @@
 	r := &rig{ends: map[string][]core.CallEnded{}}
 	site := &core.Site{Classes: []string{"fare", "map"}, Control: control.Config{Classes: make([]control.Class, 2)}}
 	var err error
-	r.Keep, err = New(Options{Bytes: leastBytes, Classes: map[string]int64{"fare": 30}}, "n1", site, func(e core.Event) {
+	r.Cache, err = New(Options{Bytes: leastBytes, Classes: map[string]int64{"fare": 30}}, "n1", site, func(e core.Event) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		c := e.(core.CallEnded)
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.below = &service{rand: rand.New(rand.NewPCG(seed, 1)), keep: r.Keep, open: map[string]bool{}}
+	r.below = &service{rand: rand.New(rand.NewPCG(seed, 1)), keep: r.Cache, open: map[string]bool{}}
 	r.Attach(r.below)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/internal/fleet/keep/fleet_test.go
+++ b/internal/fleet/replycache/fleet_test.go
@@ -1,4 +1,4 @@
-package keep_test
+package replycache_test
 
 import (
 	"fmt"
--- a/internal/fleet/keep/home.go
+++ b/internal/fleet/replycache/home.go
@@ -1,4 +1,4 @@
-package keep
+package replycache
 
 import (
 	"context"
@@ -50,7 +50,7 @@
 }
 
 // View takes which box is home of what, on the fleet's loop.
-func (k *Keep) View(v *ground.View) {
+func (k *Cache) View(v *ground.View) {
 	k.enter(func(context.Context) {
 		homes := make([]uint16, kept.Slices)
 		for i := range homes {
@@ -68,7 +68,7 @@
 }
 
 // number gives a box its number; it keeps it for as long as the process lives.
-func (k *Keep) number(box string) uint16 {
+func (k *Cache) number(box string) uint16 {
 	n, ok := k.numbers[box]
 	if !ok {
 		if len(k.names) >= kept.Nobody {
@@ -81,7 +81,7 @@
 }
 
 // at gives the number of a key's home.
-func (k *Keep) at(key kept.Key) uint16 {
+func (k *Cache) at(key kept.Key) uint16 {
 	if k.homes == nil {
 		return kept.Nobody
 	}
@@ -89,7 +89,7 @@
 }
 
 // ask sends the question of one who wants a reply to its home.
-func (k *Keep) ask(ctx context.Context, w *want, a kept.Answer) []kept.Answer {
+func (k *Cache) ask(ctx context.Context, w *want, a kept.Answer) []kept.Answer {
 	at := now()
 	w.ask, w.home = w.who, k.names[a.Box]
 	if k.post(ctx, w.home, message{Kind: question, ID: w.ask, Class: w.key.Class, Sum: w.key.Sum, Ask: a.Until - at}) {
@@ -100,19 +100,19 @@
 }
 
 // unasked takes a question that did not come to its home.
-func (k *Keep) unasked(ctx context.Context, box string, m message) {
+func (k *Cache) unasked(ctx context.Context, box string, m message) {
 	k.tell(ctx, k.kept.HomeFailed(kept.Key{Class: m.Class, Sum: m.Sum}, k.number(box)), control.TimedOut)
 }
 
 // put tells a key's home what a call below brought: it waits for it, or will be asked for it.
-func (k *Keep) put(ctx context.Context, key kept.Key, body []byte, born int64) {
+func (k *Cache) put(ctx context.Context, key kept.Key, body []byte, born int64) {
 	if n := k.at(key); n != self && n != kept.Nobody && len(body) <= maxReply {
 		k.post(ctx, k.names[n], message{Kind: reply, Class: key.Class, Sum: key.Sum, Reply: body, Born: born})
 	}
 }
 
 // receive takes what another box said.
-func (k *Keep) receive(ctx context.Context, from string, m message) {
+func (k *Cache) receive(ctx context.Context, from string, m message) {
 	key, at := kept.Key{Class: m.Class, Sum: m.Sum}, now()
 	switch m.Kind {
 	case question:
@@ -153,7 +153,7 @@
 	}
 }
 
-func (k *Keep) dropRemote(who uint64, r *remote) {
+func (k *Cache) dropRemote(who uint64, r *remote) {
 	delete(k.remotes, who)
 	if k.led[r.key] == who {
 		delete(k.led, r.key)
@@ -161,7 +161,7 @@
 }
 
 // answer does what kept says to another box.
-func (k *Keep) answer(ctx context.Context, a kept.Answer, r *remote) {
+func (k *Cache) answer(ctx context.Context, a kept.Answer, r *remote) {
 	switch a.Do {
 	case kept.CallBelow:
 		r.leads, k.led[r.key] = true, a.Who
@@ -175,7 +175,7 @@
 }
 
 // say tells another box what is kept here.
-func (k *Keep) say(ctx context.Context, r *remote) {
+func (k *Cache) say(ctx context.Context, r *remote) {
 	w := k.kept.Serve(now(), r.key)
 	if w.Has {
 		k.served.Add(1)
--- a/internal/fleet/keep/options.go
+++ b/internal/fleet/replycache/options.go
@@ -1,4 +1,4 @@
-package keep
+package replycache
 
 import (
 	"fmt"
--- a/internal/fleet/keep/options_test.go
+++ b/internal/fleet/replycache/options_test.go
@@ -1,4 +1,4 @@
-package keep_test
+package replycache_test
 
 import (
 	"strings"
@@ -6,13 +6,13 @@
 
 	"larchscale/control"
 	"larchscale/internal/core"
-	"larchscale/internal/fleet/keep"
+	"larchscale/internal/fleet/replycache"
 )
 
 // What cannot be kept, or not so much, or not for so long, is said; what is right is taken, and so is nothing.
 func TestWhatAnOperatorMaySet(t *testing.T) {
 	site := &core.Site{Classes: []string{"fare", "book"}, Control: control.Config{Classes: []control.Class{{}, {Effect: control.Keyed}}}}
-	for want, o := range map[string]keep.Options{
+	for want, o := range map[string]replycache.Options{
 		"":                     {},
 		"<nil>":                {Bytes: 1 << 20, Classes: map[string]int64{"fare": 1}},
 		`no class "far"`:       {Bytes: 1 << 20, Classes: map[string]int64{"far": 1}},
--- a/internal/fleet/keep/streams.go
+++ b/internal/fleet/replycache/streams.go
@@ -1,4 +1,4 @@
-package keep
+package replycache
 
 import (
 	"cmp"
@@ -25,7 +25,7 @@
 }
 
 // newStreams makes the streams to other servers. A question that does not get there is as one that was not asked.
-func (k *Keep) newStreams(l *link.Link, where func(string) string, ways map[string]string) sender {
+func (k *Cache) newStreams(l *link.Link, where func(string) string, ways map[string]string) sender {
 	return transport.New(transport.Options[message]{Server: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch, Within: speakFor, Rest: 0, // only questions rest, see pause
 		Addr: func(box string) string { return cmp.Or(ways[box], where(box)) },
 		Lost: func(to string, list []message, err error) {
@@ -41,12 +41,12 @@
 }
 
 // post brings a message to a box; false = it does not get there, or it is a question, of which it rests.
-func (k *Keep) post(ctx context.Context, box string, m message) bool {
+func (k *Cache) post(ctx context.Context, box string, m message) bool {
 	return k.streams != nil && box != k.box && !(m.Kind == question && now() < k.rests[box]) && k.streams.Send(ctx, box, m)
 }
 
 // pause has a box be asked nothing for a while: what it may have is got below.
-func (k *Keep) pause(box, why string) {
+func (k *Cache) pause(box, why string) {
 	at := now()
 	if k.rests[box] <= at {
 		k.log.Info("kept", "do", "pause", "box", box, "ms", restFor.Milliseconds(), "why", why)
@@ -55,7 +55,7 @@
 }
 
 // Handler takes what other boxes send.
-func (k *Keep) Handler() http.Handler {
+func (k *Cache) Handler() http.Handler {
 	return transport.Handler(path, batch, maxBody, func(from string, list []message) bool {
 		if k.full() {
 			return false
