--- a/internal/standin/size.go
+++ b/internal/standin/size.go
@@ -1,6 +1,9 @@
 package standin
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // defaultSockets is the descriptor limit of a server whose maker says nothing else.
 const defaultSockets = 1024
@@ -11,9 +14,10 @@
 // Size is what a server's settings are generated for: names and limits.
 type Size struct {
 	Tenants  []string
-	Classes  []string // the second of each three is keyed
-	Sockets  int      // the platform's limit of descriptors
-	MemoryMB int      // the platform's limit of memory
+	Classes  []string      // the second of each three is keyed
+	Sockets  int           // the platform's limit of descriptors
+	MemoryMB int           // the platform's limit of memory
+	GiveUp   time.Duration // after which a request is given up; 0 = giveUp
 }
 
 // Names returns count distinct names that begin with prefix.
