Stream: bytes are counted before they are written

Cause: a connection counted what it had written after Write returned, so a peer could have read all of it before the last bytes were counted; TestMessagesGoBothWays read the counter then, and failed 2 of 20 times under the race detector. Change: bytes are counted before, and what was not written is taken off. Result: go test -race -count=20 -run TestMessagesGoBothWays ./internal/fleet/stream passes.

--- a/internal/fleet/stream/meter.go
+++ b/internal/fleet/stream/meter.go
@@ -83,9 +83,13 @@
 	return n, err
 }
 
+// Write counts before it writes: whoever has read all that was sent finds all of it counted.
 func (c meteredConn) Write(b []byte) (int, error) {
+	c.meter.out.Add(uint64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.meter.out.Add(uint64(n))
+	if unsent := len(b) - n; unsent > 0 {
+		c.meter.out.Add(^uint64(unsent - 1))
+	}
 	return n, err
 }
 
