measure scale sessions: what the machine held up beside each event

A run lost the leases of all servers for half a minute while every process on the machine was held up; nothing in the record told that from a fault of the control tier. The longest write to the disk and the longest delay of a timer are printed with each event.

--- a/cmd/measure/scale_sessions_events.go
+++ b/cmd/measure/scale_sessions_events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"larchscale/internal/measure/sessions"
+	"larchscale/internal/measure/stall"
 )
 
 // What events may take.
@@ -38,6 +39,7 @@
 	report  *report
 	series  *series
 	name    string // of the round
+	stall   *stall.Monitor
 }
 
 // events has each event happen to a fleet, one after the other.
@@ -50,12 +52,17 @@
 		return err
 	}
 	defer clean()
+	watch, err := stall.Start(fleet.Home())
+	if err != nil {
+		return err
+	}
+	defer watch.Stop()
 	built, err := fleet.Build(ctx)
 	if err != nil {
 		return err
 	}
 	progress("built in %.1f s", built.Time.Seconds())
-	e := &eventRun{command: c, fleet: fleet, report: r, series: newSeries()}
+	e := &eventRun{command: c, fleet: fleet, report: r, series: newSeries(), stall: watch}
 	var failed error
 	for round := range c.Repeats {
 		progress("round %d of %d", round+1, c.Repeats)
@@ -115,6 +122,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := e.stall.Take(); err != nil {
+		return err
+	}
 	mayLose, err := run(ctx)
 	if err != nil {
 		return err
@@ -126,6 +136,13 @@
 	if err != nil {
 		return err
 	}
+	longest, err := e.stall.Take()
+	if err != nil {
+		return err
+	}
+	e.report.row(name+": longest write to the disk beside it", longest.Sync.Seconds(), "s")
+	e.report.row(name+": longest delay of a timer beside it", longest.Timer.Seconds(), "s")
+	progress("%s: beside it a write to the disk took up to %.2f s, a timer was late by up to %.2f s", name, longest.Sync.Seconds(), longest.Timer.Seconds())
 	for _, violation := range findings.Violations {
 		progress("%s: VIOLATION: %s", name, violation)
 	}
--- a/internal/measure/sessions/events.go
+++ b/internal/measure/sessions/events.go
@@ -134,6 +134,9 @@
 	return forEach(f.Nodes, func(n *Node) error { return n.Start(ctx) })
 }
 
+// Home is the directory of the fleet's files and logs.
+func (f *Fleet) Home() string { return f.options.Home }
+
 // Workers is the number of processes of hollow servers.
 func (f *Fleet) Workers() int { return len(f.workers) }
 
