--- a/internal/measure/worker/worker_test.go
+++ b/internal/measure/worker/worker_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // asWorker is set for a process of the test that is a worker.
@@ -56,3 +57,29 @@
 		t.Error("a worker that has ended answered")
 	}
 }
+
+// What is read of a process from outside is what it reads of itself.
+func TestReadUsageOf(t *testing.T) {
+	before, err := ReadUsage()
+	if err != nil {
+		t.Fatal(err)
+	}
+	outside, err := ReadUsageOf(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := ReadUsage()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const resolution = 2 * time.Second / clockTicks // of user and of system time
+	if outside.CPU < before.CPU-resolution || outside.CPU > after.CPU+resolution {
+		t.Errorf("%s from outside, %s to %s from within", outside.CPU, before.CPU, after.CPU)
+	}
+	if outside.Resident == 0 || outside.Descriptors < 3 || outside.Descriptors > after.Descriptors+1 {
+		t.Errorf("%+v from outside, %+v from within", outside, after)
+	}
+	if _, err := ReadUsageOf(0); err == nil {
+		t.Error("a process that cannot be has a usage")
+	}
+}
