Log each refusal and retry by request id, each close with its reason, each drain state

Change: log lines not served, connection ended (a warning where requests stand on it), drain, worker pool link, command repeated, call repeated; Session.Close carries a reason.

--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -131,7 +131,7 @@
 func (g *rig) Report(bool)                                                      {}
 func (g *rig) Silence()                                                         {}
 func (g *rig) Drain(time.Duration)                                              {}
-func (g *rig) Close(uint64)                                                     {}
+func (g *rig) Close(uint64, core.CloseReason)                                   {}
 func (g *rig) Cut()                                                             {}
 
 type waiter struct {
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -24,6 +24,27 @@
 	Checked              // a health check
 )
 
+// String returns the kind's name in the log.
+func (k Kind) String() string {
+	switch k {
+	case Served:
+		return "served"
+	case Refused:
+		return "refused"
+	case Failed:
+		return "failed"
+	case TimedOut:
+		return "timed out"
+	case Conflict:
+		return "conflict"
+	case Invalid:
+		return "invalid"
+	case Checked:
+		return "checked"
+	}
+	return "unknown"
+}
+
 // Answer is what a front sends back. Kinds but Checked are final.
 type Answer struct {
 	Kind Kind
@@ -43,12 +64,23 @@
 	Drain(left time.Duration) // tell the other side to send nothing new; what has not come after left is not run
 	// Close ends the connection, on which no request is open, unless something has come on it beyond the heard events
 	// that the core has taken of it, or is there to be read: that is delivered, and keeps the connection. So a request
-	// that was read is answered on its connection. The end is told by Closed.
-	Close(heard uint64)
+	// that was read is answered on its connection. The end is told by Closed, and logged with the reason.
+	Close(heard uint64, why CloseReason)
 	// Cut has nothing further read. The connection ends, told by Closed, once all is answered that was delivered.
 	Cut()
 }
 
+// CloseReason tells why the server ends a connection. It stands in the log as it is.
+type CloseReason string
+
+// The reasons for which the core ends a connection.
+const (
+	CloseIdle     CloseReason = "idle"
+	CloseRoom     CloseReason = "room for a newer connection"
+	CloseUnserved CloseReason = "too many requests came to nothing"
+	CloseShutdown CloseReason = "shutdown"
+)
+
 // Listener is what lets connections in. Its methods must not block.
 type Listener interface {
 	// Shut takes the connections that others have made already, and lets no more in.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -21,6 +21,7 @@
 		return
 	}
 	c.counted(r.Class, a.Kind)
+	c.logUnserved(r, a)
 	if r.session.idled++; a.Kind == Served {
 		r.session.idled, r.session.served = 0, true
 		r.use.out = int64(len(a.Body))
@@ -36,6 +37,23 @@
 	c.left(r)
 }
 
+// logUnserved logs an answer that is no result: which request, and why. The log bounds its lines by itself.
+func (c *Core) logUnserved(r *request, a Answer) {
+	if a.Kind == Served {
+		return
+	}
+	c.log.Info("not served", "id", r.Handle, "class", c.className(r.Class), "how", a.Kind.String(), "why", a.Why, "ran", r.ran,
+		"waited_ms", (c.now - r.arrived).Milliseconds(), "left_ms", (r.due - c.now).Milliseconds(), "leaving", c.leaving)
+}
+
+// className returns the name of a class; "" = it has none.
+func (c *Core) className(class int) string {
+	if class < 0 || class >= len(c.site.Classes) {
+		return ""
+	}
+	return c.site.Classes[class]
+}
+
 // judged tells what a request was worth that made calls below.
 func (c *Core) judged(r *request, k Kind) {
 	if c.trials == nil || r.use.calls == 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -242,9 +242,17 @@
 		c.turn()
 		clock.Reset(c.next())
 	}
+	c.logDrain("ended")
 	c.settle()
 }
 
+// logDrain logs a state of the drain, and what is open in it.
+func (c *Core) logDrain(state string) {
+	if c.leaving {
+		c.log.Info("drain", "state", state, "since_ms", (c.now - c.notice).Milliseconds(), "open", len(c.byHandle), "connections", len(c.sessions))
+	}
+}
+
 // settle answers what waits for a store or a disk when the server ends, and books what is open: runs that nobody
 // waits for any longer.
 func (c *Core) settle() {
@@ -411,6 +419,7 @@
 	c.reported()
 	grace := c.grace()
 	c.late.set(&deadline{do: c.shutDown}, c.now+max(0, grace-shutEarly))
+	c.late.set(&deadline{do: func() { c.logDrain("refusing all that comes") }}, c.now+grace)
 	c.late.set(&deadline{do: func() {}}, c.now+grace+quitAfter)
 	c.late.set(&deadline{do: c.end}, c.now+c.site.Stop-endEarly)
 	c.late.set(&deadline{do: func() { c.over = true }}, c.now+c.site.Stop-quitEarly)
@@ -445,6 +454,7 @@
 		return
 	}
 	c.ending = true
+	c.logDrain("closing connections")
 	c.closeDoors()
 	for _, x := range c.sessions {
 		c.rest(x)
@@ -455,6 +465,7 @@
 // goes without this server before its successor is known: until then it works on.
 func (c *Core) shutDown() {
 	c.shut = true
+	c.logDrain("asking for nothing more")
 	for _, s := range c.sessions {
 		c.tellDrain(s)
 	}
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -6,7 +6,7 @@
 
 func (c *Core) opened(e Opened) {
 	x := &session{Session: e.Session, once: e.Single}
-	x.idle.do = func() { c.hangUp(x) }
+	x.idle.do = func() { c.hangUp(x, CloseIdle) }
 	c.sessions[e.Session] = x
 	c.rest(x)
 	c.makeRoom(x)
@@ -45,7 +45,7 @@
 		if out == newest {
 			c.log.Warn("crowded", "connections", n, "open", len(c.byHandle))
 		}
-		c.hangUp(out)
+		c.hangUp(out, CloseRoom)
 	}
 }
 
@@ -78,10 +78,10 @@
 	switch {
 	case x.open > 0 || x.ends || c.sessions[x.Session] != x:
 	case c.ending:
-		c.hangUp(x)
+		c.hangUp(x, CloseShutdown)
 	case c.strange(x):
 		c.tellDrain(x)
-		c.hangUp(x)
+		c.hangUp(x, CloseUnserved)
 	case !x.once && c.idleAfter > 0:
 		c.late.set(&x.idle, x.since+c.idleAfter)
 	}
@@ -89,10 +89,10 @@
 
 // hangUp asks for the end of an idle connection. The connection decides: what has come on it by then is taken, and
 // keeps it.
-func (c *Core) hangUp(x *session) {
+func (c *Core) hangUp(x *session, why CloseReason) {
 	c.late.drop(&x.idle)
 	x.ends = true
-	x.Close(x.heard)
+	x.Close(x.heard, why)
 }
 
 // hear notes an event of a connection; nil = it is gone, and nothing can be answered on it.
--- a/internal/core/listing_test.go
+++ b/internal/core/listing_test.go
@@ -93,12 +93,12 @@
 // none is a connection and a worker pool that do nothing.
 type none struct{}
 
-func (none) Drain(time.Duration)        {}
-func (none) Close(uint64)               {}
-func (none) Cut()                       {}
-func (none) Run(string, string, []byte) {}
-func (none) Stop(string)                {}
-func (none) Supply(string, []byte)      {}
-func (none) Pass(string, uint64)        {}
-func (none) Verify(string)              {}
-func (none) Poll(string)                {}
+func (none) Drain(time.Duration)            {}
+func (none) Close(uint64, core.CloseReason) {}
+func (none) Cut()                           {}
+func (none) Run(string, string, []byte)     {}
+func (none) Stop(string)                    {}
+func (none) Supply(string, []byte)          {}
+func (none) Pass(string, uint64)            {}
+func (none) Verify(string)                  {}
+func (none) Poll(string)                    {}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -157,6 +157,7 @@
 		return // what was given since is doubtful already
 	}
 	c.linked = false
+	c.log.Info("worker pool link", "up", false, "open", len(c.byID))
 	for _, r := range c.byID {
 		if r.resend != nil && r.sent >= c.now-lostBefore {
 			r.doubtful = true
@@ -248,6 +249,7 @@
 		if r.resend != nil && (r.doubtful || r.begins) {
 			r.sent, r.doubtful = c.now, false
 			r.resend()
+			c.log.Info("command repeated", "id", r.Handle, "spawn", r.begins, "why", "new link to the worker pool")
 		}
 		if r.stopping {
 			c.runner.Stop(r.Handle)
@@ -258,6 +260,7 @@
 		}
 	}
 	c.linked = true
+	c.log.Info("worker pool link", "up", true, "open", len(c.byID))
 }
 
 // unknown is a command that was not carried out. A run that was asked for once and refused by the worker
--- a/internal/core/variants_test.go
+++ b/internal/core/variants_test.go
@@ -120,7 +120,7 @@
 func (l *callersLine) Cut() {}
 
 // Close ends the connection, unless more was sent on it.
-func (l *callersLine) Close(heard uint64) {
+func (l *callersLine) Close(heard uint64, _ core.CloseReason) {
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
 	if l.sent != heard {
--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -215,6 +215,7 @@
 	if x != nil && c.calls[x.handle] == x && x.link == l {
 		if l != nil && l.again && !l.heard && !x.once && time.Since(x.sent) < idleBreak {
 			x.link, x.fresh = nil, true // it had been forgotten: the call is made again
+			c.log.Info("call repeated", "id", x.handle, "why", "an idle connection had ended")
 			c.place(x)
 		} else {
 			delete(c.calls, x.handle)
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -26,6 +26,8 @@
 	openWithin  = 8 * time.Second         // or, where requests are open, which its end would lose
 	firstLook   = 5 * time.Millisecond    // whether the other side has gone altogether; then after twice as long
 	maxLook     = 200 * time.Millisecond
+	// maxLoggedIDs bounds the unanswered requests that the log names of one connection.
+	maxLoggedIDs = 5
 )
 
 // errRetired is a connection that is read no further.
@@ -57,6 +59,7 @@
 	resting   bool              // its reader waits for the first byte of a line
 	retire    bool              // the connection is to end unless something has come
 	cut       bool              // nothing more is to be read
+	why       core.CloseReason  // of the end that the core asked for last
 }
 
 // Drain says that nothing new should come on this connection.
@@ -65,11 +68,11 @@
 }
 
 // Close implements core.Session.
-func (s *session) Close(heard uint64) {
+func (s *session) Close(heard uint64, why core.CloseReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.delivered == heard {
-		s.retire = true
+		s.retire, s.why = true, why
 		s.wake()
 	}
 }
@@ -207,7 +210,8 @@
 	s := &session{outbound: outbound, src: src, in: bufio.NewReaderSize(src, maxLine), open: map[string]string{}, owed: map[string]bool{}, answered: make(chan struct{}, 1)}
 	f.core.Send(core.Opened{Session: s})
 	defer f.core.Send(core.Closed{Session: s})
-	first := time.Now().Add(firstWithin)
+	began := time.Now()
+	first := began.Add(firstWithin)
 	for {
 		var until time.Time
 		if !s.asked {
@@ -215,6 +219,7 @@
 		}
 		line, err := s.readLine(until)
 		if err != nil {
+			defer f.logEnd(s, conn, began, s.endReason(err))
 			switch {
 			case errors.Is(err, errRetired):
 				s.awaitAnswers(conn)
@@ -231,11 +236,56 @@
 			return
 		}
 		if len(line) > 0 && !f.message(s, line) {
+			f.logEnd(s, conn, began, "bad message")
 			return
 		}
 	}
 }
 
+// endReason names the end of a connection whose reader failed with err, for the log.
+func (s *session) endReason(err error) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.outbound.Err() != nil:
+		return "answers are not read"
+	case errors.Is(err, errRetired) && s.cut:
+		return "read no further"
+	case errors.Is(err, errRetired):
+		return string(s.why)
+	case errors.Is(err, io.EOF):
+		return "closed by the client"
+	case errors.Is(err, sock.ErrLong):
+		return "bad message"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "time limit"
+	}
+	return "broken: " + err.Error()
+}
+
+// logEnd logs the end of a connection. It is a warning where requests stand on it, delivered or unread, that will have
+// no answer.
+func (f *Front) logEnd(s *session, conn net.Conn, began time.Time, why string) {
+	unread := s.in.Buffered() + sock.Unread(conn)
+	s.mu.Lock()
+	unanswered := len(s.owed)
+	var ids []string
+	for id, handle := range s.open {
+		if len(ids) < maxLoggedIDs && s.owed[id] {
+			ids = append(ids, handle)
+		}
+	}
+	last := s.last
+	s.mu.Unlock()
+	attrs := []any{"front", "jsonrpc", "peer", conn.RemoteAddr().String(), "why", why, "age_ms", time.Since(began).Milliseconds(),
+		"last_id", last, "unanswered", unanswered, "unread_bytes", unread}
+	if unanswered == 0 && unread == 0 {
+		f.log.Info("connection ended", attrs...)
+		return
+	}
+	f.log.Warn("connection ended over requests", append(attrs, "ids", ids)...)
+}
+
 // readLine reads a line. Until a time it has to come whole, zero = no time is set: the core closes what stands idle.
 // A line that has begun has to come whole then too: guards against clients that send half of one.
 func (s *session) readLine(until time.Time) ([]byte, error) {
--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -28,12 +28,12 @@
 	handle string
 }
 
-func (b *box) Drain(time.Duration) {}
-func (b *box) Close(uint64)        {}
-func (b *box) Cut()                {}
-func (b *box) Report(bool)         {}
-func (b *box) Silence()            {}
-func (b *box) Abandon(string)      {}
+func (b *box) Drain(time.Duration)            {}
+func (b *box) Close(uint64, core.CloseReason) {}
+func (b *box) Cut()                           {}
+func (b *box) Report(bool)                    {}
+func (b *box) Silence()                       {}
+func (b *box) Abandon(string)                 {}
 func (b *box) Call(h string, _ uint64, _ string, _ uint64, _ time.Duration, _ bool, _ []byte) {
 	b.said <- "call " + h
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -397,7 +397,7 @@
 func (s session) Cut()                { s.w.note("cut %s", s.name) }
 
 // Close ends the connection, unless more was sent on it.
-func (s session) Close(heard uint64) {
+func (s session) Close(heard uint64, _ core.CloseReason) {
 	s.w.mu.Lock()
 	ends := s.w.sent[s.name] == heard
 	s.w.mu.Unlock()
--- a/internal/sock/read.go
+++ b/internal/sock/read.go
@@ -71,3 +71,22 @@
 	}
 	return broken
 }
+
+// Unread returns how many bytes have come on a connection that nobody has read, as far as the system tells; else 0.
+func Unread(conn net.Conn) int {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	rc.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return unread
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -65,7 +65,7 @@
 }
 
 // Close ends the reading of a packet that is not whole. Once it is, its answer ends the connection.
-func (s *session) Close(uint64) { s.Drain(0) }
+func (s *session) Close(uint64, core.CloseReason) { s.Drain(0) }
 
 // Cut implements core.Session.
 func (s *session) Cut() { s.Drain(0) }
