--- /dev/null
+++ b/internal/soak/drain_test.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"larchscale/internal/standin"
+)
+
+// draw makes a request of a class that may be repeated.
+func draw(r *rand.Rand, body string, budget time.Duration) request {
+	return request{rid: fmt.Sprintf("%016x", r.Uint64()), class: standin.Classes[0], body: body, budget: budget}
+}
+
+// A balancer goes on sending on an open connection while its server drains. Past the grace every request is refused, and
+// none of them may be left without an answer as a run that began before goes on beside them: incident 34. The resets of
+// the worker pool's link are those of its evidence.
+func TestADrainingServerAnswersWhatItsConnectionsGoOnSending(t *testing.T) {
+	for name, resets := range map[string]bool{"the pool's link holds": false, "the pool's link is reset": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const deadline, grace = 3 * time.Second, 600 * time.Millisecond
+			s := serve(t, deadline, grace, 2*time.Second)
+			stalls := watchStalls()
+			defer stalls.Close()
+			records := &records{}
+			c, err := dial(records, "balancer", s.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			random := rand.New(rand.NewPCG(34, 0))
+			if resets {
+				for range 3 {
+					s.resetPool()
+					time.Sleep(200 * time.Millisecond)
+				}
+			}
+			if _, err := c.send(draw(random, "slow", deadline), 1, 0); err != nil {
+				t.Fatal(err)
+			}
+			for s.site.Runs()["slow"] == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			left := make(chan times, 1)
+			go func() { left <- s.leave() }()
+			time.Sleep(grace + 100*time.Millisecond)
+			// More than the 128 refusals in a row after which a connection was read no further, while the run goes on.
+			for i := range 300 {
+				if _, err := c.send(draw(random, fmt.Sprint("after the grace ", i), deadline), 1, 0); err != nil {
+					break
+				}
+				time.Sleep(4 * time.Millisecond)
+			}
+			at := <-left
+			<-c.over
+			v := judge(records.all(), at, stalls, s.site.Ran)
+			if t.Log(v); len(v.broken) > 0 {
+				t.Errorf("rules broken: %s", s.Log())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/server_test.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"larchscale/internal/standin"
+	"larchscale/internal/standin/faultnet"
+)
+
+// program is the real program, built once for all tests.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(standin.WithProgram(&program, m.Run)) }
+
+// The platform's kill comes no earlier after SIGTERM than the longest deadline, counted as so much at most, and this.
+const (
+	longestCounted = 3 * time.Second
+	killAfter      = 700 * time.Millisecond
+)
+
+// server is a real app server with what stands behind it, its worker pool reached through a relay.
+type server struct {
+	*standin.Box
+	site     *standin.Site
+	net      *faultnet.Net
+	deadline time.Duration
+	grace    time.Duration
+}
+
+const (
+	serverName = "n1"
+	poolName   = "pool"
+)
+
+// serve starts a server whose classes all have one deadline, and whose runs take work. It ends with the test.
+func serve(t *testing.T, deadline, grace, work time.Duration) *server {
+	t.Helper()
+	site, err := standin.NewSite(work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	s := &server{site: site, net: faultnet.New(), deadline: deadline, grace: grace}
+	t.Cleanup(s.net.Close)
+	if site.Pool, err = s.net.Relay(serverName, poolName, site.Pool); err != nil {
+		t.Fatal(err)
+	}
+	size := standin.Size{Tenants: standin.Stands, Classes: standin.Classes, Sockets: 512, MemoryMB: 64, GiveUp: deadline,
+		Stop: s.killIn() + 500*time.Millisecond, Grace: grace}
+	if s.Box, err = standin.NewBoxOfSize(program, t.TempDir(), serverName, site, "", size); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Kill)
+	return s
+}
+
+// killIn is how soon after SIGTERM the kill may come, which is earlier than stop_ms says.
+func (s *server) killIn() time.Duration { return min(s.deadline, longestCounted) + killAfter }
+
+// resetPool resets the link to the worker pool, once.
+func (s *server) resetPool() {
+	toPool := func(_, to string) bool { return to == poolName }
+	s.net.Set(faultnet.Fault{Refuse: true}, toPool)
+	s.net.Set(faultnet.Fault{}, toPool)
+}
+
+// leave sends SIGTERM, and SIGKILL when the platform may, and returns once the process has ended.
+func (s *server) leave() times {
+	at := times{term: time.Now(), grace: s.grace}
+	at.kill = at.term.Add(s.killIn())
+	ended := s.Term()
+	select {
+	case <-ended:
+	case <-time.After(time.Until(at.kill)):
+		s.Kill()
+	}
+	at.ended = time.Now()
+	return at
+}
--- a/internal/standin/size.go
+++ b/internal/standin/size.go
@@ -8,6 +8,12 @@
 // defaultSockets is the descriptor limit of a server whose maker says nothing else.
 const defaultSockets = 1024
 
+// The times of a drain in the settings of a server whose maker says nothing else.
+const (
+	defaultStop  = 1200 * time.Millisecond
+	defaultGrace = 500 * time.Millisecond
+)
+
 // keyedEach is the period of keyed classes: one class of so many is keyed.
 const keyedEach = 3
 
@@ -18,6 +24,8 @@
 	Sockets  int           // the platform's limit of descriptors
 	MemoryMB int           // the platform's limit of memory
 	GiveUp   time.Duration // after which a request is given up; 0 = giveUp
+	Stop     time.Duration // from SIGTERM to the kill, as the settings have it; 0 = defaultStop
+	Grace    time.Duration // after SIGTERM in which new requests may be run; 0 = defaultGrace
 }
 
 // Names returns count distinct names that begin with prefix.
