--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -66,8 +66,6 @@
 	// that the core has taken of it, or is there to be read: that is delivered, and keeps the connection. So a request
 	// that was read is answered on its connection. The end is told by Closed, and logged with the reason.
 	Close(heard uint64, why CloseReason)
-	// Cut has nothing further read. The connection ends, told by Closed, once all is answered that was delivered.
-	Cut()
 }
 
 // CloseReason tells why the server ends a connection. It stands in the log as it is.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -73,10 +73,6 @@
 func (c *Core) left(r *request) {
 	r.session.open--
 	c.rest(r.session)
-	if x := r.session; x.idled >= 2*maxIdle && !x.once && !x.cut { // it goes on although it was asked to end
-		x.cut = true
-		x.Cut()
-	}
 }
 
 // refuse turns away a request that never ran.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,7 +101,6 @@
 	idle   deadline
 	told   bool // it was told to drain
 	ends   bool // its end was asked for, and it has not been heard of since
-	cut    bool // it is read no further
 }
 
 type state uint8
--- a/internal/scenario/peer.go
+++ b/internal/scenario/peer.go
@@ -78,6 +78,9 @@
 // Send writes lines or any bytes. The other side may hang up meanwhile: what it said shows at Expect or Rest.
 func (p *Peer) Send(parts ...string) { io.WriteString(p.conn, strings.Join(parts, "")) }
 
+// Write is Send for a test that wants to know whether the other side has hung up.
+func (p *Peer) Write(text string) (int, error) { return io.WriteString(p.conn, text) }
+
 // Expect reads up to a line that matches and gives its groups; lines before it are passed over.
 func (p *Peer) Expect(pattern string) []string {
 	p.t.Helper()
--- a/internal/sock/read.go
+++ b/internal/sock/read.go
@@ -13,7 +13,7 @@
 // Reader reads a connection, and can be asked for what has come already.
 type Reader struct {
 	Conn   net.Conn
-	NoWait bool // a read gives what has come, and os.ErrDeadlineExceeded if nothing has
+	NoWait bool // a read returns what has come, whatever the deadline, and os.ErrDeadlineExceeded if nothing has
 }
 
 // Read implements io.Reader.
@@ -31,10 +31,11 @@
 	}
 	var n int
 	var rerr error
-	err = rc.Read(func(fd uintptr) bool {
+	// Control, as RawConn.Read looks at nothing once the connection's deadline is over.
+	err = rc.Control(func(fd uintptr) {
 		for {
 			if n, rerr = unix.Read(int(fd), p); !errors.Is(rerr, unix.EINTR) {
-				return true
+				return
 			}
 		}
 	})
--- a/internal/sock/writequeue.go
+++ b/internal/sock/writequeue.go
@@ -152,7 +152,8 @@
 	}
 }
 
-// stopReading ends the wait of the connection's reader and all that follow. What it has read it still answers.
+// stopReading ends the wait of the connection's reader and all that follow. What has come by then it still reads and
+// answers.
 func (q *WriteQueue) stopReading() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -160,6 +161,13 @@
 	q.conn.SetReadDeadline(past)
 }
 
+// Stopping reports whether the connection is to end with its server: its reader gets nothing more to wait for.
+func (q *WriteQueue) Stopping() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.quit
+}
+
 // Wake ends the wait of the connection's reader, which finds os.ErrDeadlineExceeded.
 func (q *WriteQueue) Wake() { q.Wait(past) }
 
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -67,9 +67,6 @@
 // Close ends the reading of a packet that is not whole. Once it is, its answer ends the connection.
 func (s *session) Close(uint64, core.CloseReason) { s.Drain(0) }
 
-// Cut implements core.Session.
-func (s *session) Cut() { s.Drain(0) }
-
 // begin and end frame the reading of the packet.
 func (s *session) begin(limit time.Duration) {
 	s.mu.Lock()
