A pool that starts in a drain, and a line that ends past the grace, run nothing late

Cause 1: a worker pool that starts, or starts anew, during a drain makes a new controller, which took that moment for the notice: the grace began again, and requests past it were run. Cause 2: a request was held against the grace by its t0, also where its last byte came 90 ms later. Change: Controller.LeaveSince counts the grace from the notice; a request is held against it by when it is read. The end of the loop answers whatever is open, also what waits for a store that says nothing (it had no answer); the stand-in of the pool tells its age truly, as it was taken for one that starts anew each second.

--- a/control/control.go
+++ b/control/control.go
@@ -282,7 +282,8 @@
 	paid := c.readUse > dearRead && c.over <= 1 && c.backlog() < queuePart*c.shortest.Seconds()
 	c.hold.add(r)
 	switch {
-	case c.leaving && r.arrived > c.notice+c.cfg.DrainGrace-c.cfg.Quantum:
+	case c.leaving && c.now > c.notice+c.cfg.DrainGrace-c.cfg.Quantum:
+		// By when it is read: its last byte may have come long after it is said to have.
 		c.refuse(r)
 	case b < c.cursor && !c.spare() && !paid:
 		c.wasQueued(r)
@@ -640,10 +641,13 @@
 	c.callCap = min(top, max(c.cfg.CallShare*callLeast, c.callCap))
 }
 
-// Leave tells that the worker is stopped after in.
-func (c *Controller) Leave(now time.Duration, in time.Duration) {
+// Leave tells that the worker has just been told to leave, and is stopped after in.
+func (c *Controller) Leave(now time.Duration, in time.Duration) { c.LeaveSince(now, now, in) }
+
+// LeaveSince is Leave for a controller that begins after the notice: the grace counts from the notice.
+func (c *Controller) LeaveSince(now, notice, in time.Duration) {
 	c.step(now)
-	c.leaving, c.notice, c.stop = true, now, now+in
+	c.leaving, c.notice, c.stop = true, notice, now+in
 }
 
 // Tick brings the gauges, after a Wake.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,9 +256,7 @@
 // waits for any longer.
 func (c *Core) settle() {
 	for _, r := range c.byHandle {
-		if r.state == ending {
-			c.answer(r, Answer{Kind: Failed, Why: "the shared store did not tell in time"})
-		}
+		c.answer(r, c.lastAnswer(r))
 	}
 	if c.books == nil {
 		return
@@ -276,6 +274,17 @@
 	c.books.Flush()
 }
 
+// lastAnswer is what a request is told that has none when the server ends. Only one that can have run nowhere is refused.
+func (c *Core) lastAnswer(r *request) Answer {
+	switch {
+	case r.state == ending, r.state == claiming:
+		return Answer{Kind: Failed, Why: "the shared store did not tell in time"}
+	case r.ran, r.entry != nil && c.store != nil, r.entry != nil && r.entry.owner != r:
+		return Answer{Kind: Failed, Why: "the server has ended"}
+	}
+	return Answer{Kind: Refused, Why: "the server has ended"}
+}
+
 // tell reads the clock, once a turn.
 func (c *Core) tell() { c.now = time.Since(c.start) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -324,6 +324,51 @@
 	})
 }
 
+// A worker pool that starts anew, or for the first time, during a drain makes a new controller: what comes past the grace
+// is not run for that.
+func TestAPoolThatStartsInADrainRunsNothingLate(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		grace := scenario.Site().Control.DrainGrace
+		w.Send(core.Drain{})
+		w.Expect(grace-100*ms, "closed", "draining to c")
+		w.Send(core.PoolLost{}, core.PoolBound{Cold: true}, w.Ask("a", "quote", ""))
+		w.Expect(10*ms, "run a quote body")
+		w.Send(finished("a", control.OK, "x"))
+		w.Expect(200*ms, "served a x")
+		w.Send(w.Ask("b", "quote", "")) // past the grace
+		w.Expect(ms, "refused b")
+		w.Send(core.PoolLost{}, core.PoolBound{Cold: true}, w.Ask("c", "quote", ""))
+		w.Expect(ms, "refused c")
+	})
+}
+
+// A request that is read past the grace is not run, whenever it is said to have come: its last byte may be as late.
+func TestWhatIsReadPastTheGraceIsNotRun(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(core.Drain{})
+		w.Expect(scenario.Site().Control.DrainGrace, "closed", "draining to c")
+		late := w.Ask("a", "quote", "")
+		late.Req.Arrived = time.Now().Add(-100 * ms)
+		w.Send(late)
+		w.Expect(ms, "refused a")
+	})
+}
+
+// A request that waits for a store which says nothing has its answer before the server ends, though it would wait longer.
+func TestTheEndAnswersWhatWaitsForAStore(t *testing.T) {
+	play(t, true, func(w *scenario.World) {
+		w.Send(w.Ask("a", "book", "k"))
+		w.Expect(ms, "claim k")
+		start := time.Now()
+		w.Send(core.Drain{})
+		w.Await("failed a")
+		if d := time.Since(start); d >= scenario.Site().Stop {
+			t.Errorf("answered after %v", d)
+		}
+		<-w.Done
+	})
+}
+
 // With no room for another key the oldest results go, and what is known to have run stays known.
 func TestTheTableOfKeysIsBounded(t *testing.T) {
 	site := scenario.Site()
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -205,7 +205,7 @@
 	c.changed()
 	c.log.Info("worker pool up", "cold", cold, "age_ms", (c.now - at).Milliseconds())
 	if c.leaving {
-		c.ctl.Leave(c.now, max(0, c.notice+c.site.Stop-stopEarly-c.now))
+		c.ctl.LeaveSince(c.now, c.notice, max(0, c.notice+c.site.Stop-stopEarly-c.now))
 	}
 	c.reported()
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -23,6 +23,9 @@
 	asksWithin = 3 * time.Second
 )
 
+// poolAge is how long a worker pool has run when its site is made: it is warm.
+const poolAge = time.Minute
+
 // The body of a call below and the reply to it; where runs make different calls a number follows in both.
 const (
 	callBody  = "fleet-match"
@@ -55,7 +58,7 @@
 
 // NewSite starts a site on loopback. A run takes work, and every third makes a call below.
 func NewSite(work time.Duration) (*Site, error) {
-	s := &Site{work: work, use: 0.2, began: time.Now(), runs: map[string][]time.Time{}, worked: map[string]time.Duration{}, begun: map[string]string{}, waiting: map[string]chan string{}, asked: map[string]int{}}
+	s := &Site{work: work, use: 0.2, began: time.Now().Add(-poolAge), runs: map[string][]time.Time{}, worked: map[string]time.Duration{}, begun: map[string]string{}, waiting: map[string]chan string{}, asked: map[string]int{}}
 	for _, x := range []struct {
 		l      *net.Listener
 		addr   *string
@@ -198,7 +201,7 @@
 	if cursor == 0 {
 		s.notices = nil
 	}
-	fmt.Fprintf(c, `{"event":"bound","fate":"hot","lasted":%d}`+"\n", max(60_000, time.Since(s.began).Milliseconds()))
+	fmt.Fprintf(c, `{"event":"bound","fate":"hot","lasted":%d}`+"\n", time.Since(s.began).Milliseconds())
 	for _, n := range s.notices[min(int(cursor), len(s.notices)):] {
 		io.WriteString(c, n)
 	}
