--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run larchscale. `make check` is what every landing must pass.
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: check build demo test torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand capacity measure-scale measure-scale-path measure-scale-short
+.PHONY: check build demo test soak torture measure-ledger measure-ops measure-fleet versus race lint size run fuzz measure-stopper measure-forecast measure-hand capacity measure-scale measure-scale-path measure-scale-short
 
 check: lint build size test
 
@@ -69,6 +69,12 @@
 	go test -timeout 3600s -count=1 ./internal/fleet/driver -run Script -scripts 200 -parallel 4
 	go test -v -timeout 3600s -count=1 ./internal/fleet/desk -run Kills -kills 200
 
+# The long form of the soak: real servers under faults with balancers that go on to the kill. `make test` plays 12 seeds.
+SEEDS ?= 60
+FIRST ?= 1
+soak:
+	go test -v -timeout 3600s -count=1 ./internal/soak -run TestSoak -seeds $(SEEDS) -first $(FIRST)
+
 # The long form of the games between versions: the present program and the pinned one on up to 200 seeds.
 versus:
 	go test -v -timeout 7200s -count=1 ./internal/versus -games 200
--- a/cmd/larchscale/server.go
+++ b/cmd/larchscale/server.go
@@ -177,7 +177,9 @@
 
 // newCore makes the core, and its links to the worker pool and the directory.
 func (s *server) newCore() {
-	s.core = core.New(s.config.Site, s.log)
+	site := s.config.Site
+	site.Stop = handoff.Earliest(site.Stop, s.deadlines())
+	s.core = core.New(site, s.log)
 	s.workers = pool.New(s.config.Pool, s.core.Send, s.log)
 	s.directory = directory.New(s.config.Lookup, s.config.Name, s.log)
 }
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -70,3 +71,12 @@
 	}
 	return min(longest, longestCounted) + killAfter
 }
+
+// Earliest returns how soon after a SIGTERM the kill may come: as told, or as Kill says if that is sooner. A deadline of 0
+// is not known, and counted as long.
+func Earliest(told time.Duration, deadlines []time.Duration) time.Duration {
+	if len(deadlines) == 0 || slices.Contains(deadlines, 0) {
+		return min(told, longestCounted+killAfter)
+	}
+	return min(told, Kill(deadlines))
+}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -59,3 +59,22 @@
 		}
 	})
 }
+
+// The kill is planned for as early as the platform allows it, whatever longer time the settings tell.
+func TestTheEarliestKill(t *testing.T) {
+	for _, c := range []struct {
+		told      time.Duration
+		deadlines []time.Duration
+		want      time.Duration
+	}{
+		{4200 * time.Millisecond, []time.Duration{8700 * time.Millisecond, 12 * time.Second}, 3700 * time.Millisecond},
+		{4200 * time.Millisecond, []time.Duration{300 * time.Millisecond, 500 * time.Millisecond}, 1200 * time.Millisecond},
+		{900 * time.Millisecond, []time.Duration{500 * time.Millisecond}, 900 * time.Millisecond},
+		{4200 * time.Millisecond, []time.Duration{300 * time.Millisecond, 0}, 3700 * time.Millisecond},
+		{4200 * time.Millisecond, nil, 3700 * time.Millisecond},
+	} {
+		if got := Earliest(c.told, c.deadlines); got != c.want {
+			t.Errorf("told %v, deadlines %v: %v, want %v", c.told, c.deadlines, got, c.want)
+		}
+	}
+}
--- a/internal/soak/records_test.go
+++ b/internal/soak/records_test.go
@@ -129,7 +129,7 @@
 	case q.answers > 1:
 		v.breaks("duplicate: %s was answered %d times", q, q.answers)
 	case q.answers == 1:
-		if late := q.answered.Sub(q.written) - q.budget; late > answerSlack+machineSlack {
+		if late := q.answered.Sub(q.written) - q.budget; late > answerSlack+machineSlack+stalls.within(q.written, q.answered) {
 			v.breaks("late: %s was answered %v past its time", q, late)
 		}
 	case q.withdrawn || c.closed.ours:
@@ -186,6 +186,13 @@
 // Close ends the watch.
 func (s *stalls) Close() { close(s.stop) }
 
+// add notes a stall that was made on purpose.
+func (s *stalls) add(from, to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, stall{from, to})
+}
+
 // within sums the stalls between two times.
 func (s *stalls) within(from, to time.Time) (sum time.Duration) {
 	s.mu.Lock()
--- a/internal/sock/writequeue.go
+++ b/internal/sock/writequeue.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 const (
 	maxWaiting   = 1 << 20 // for a link; a server sets its own
 	writeTimeout = 2 * time.Second
+	writeTries   = 3                      // of writeTimeout, for a peer that reads slowly
+	standstill   = 100 * time.Millisecond // by which a write that fails later shows that the process stood still
 )
 
 // Budget bounds what waits to be written to all peers of a server together.
@@ -95,10 +98,7 @@
 		out, size := q.waiting, q.size
 		q.waiting = nil
 		q.mu.Unlock()
-		err := q.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if err == nil {
-			_, err = out.WriteTo(q.conn)
-		}
+		err := q.writeAll(out)
 		q.mu.Lock()
 		q.grow(-size) // until it is written it counts
 		if err != nil {
@@ -114,6 +114,22 @@
 	}
 }
 
+// writeAll writes what has waited. A peer that takes nothing for writeTimeout fails it, and one that takes so little that
+// it is not done after writeTries of that; a process that stood still itself for the time tries once more.
+func (q *WriteQueue) writeAll(out net.Buffers) error {
+	for tries := 1; ; tries++ {
+		began := time.Now()
+		if err := q.conn.SetWriteDeadline(began.Add(writeTimeout)); err != nil {
+			return err
+		}
+		written, err := out.WriteTo(q.conn)
+		stoodStill := time.Since(began) > writeTimeout+standstill
+		if !errors.Is(err, os.ErrDeadlineExceeded) || tries == writeTries || written == 0 && !stoodStill {
+			return err
+		}
+	}
+}
+
 // Close ends the connection once all that was queued is written. Of a server's connection that is the writing half:
 // reading is given up at once, and its goroutine closes it after a lingering close (see Server).
 func (q *WriteQueue) Close() {
