--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -154,6 +154,9 @@
 
 // whileItRuns does f, and does not begin it while the machine stands still.
 func (m *machine) whileItRuns(f func() error) error {
+	if m == nil {
+		return f()
+	}
 	m.runs.RLock()
 	defer m.runs.RUnlock()
 	return f()
--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -44,7 +44,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			left := make(chan times, 1)
-			go func() { left <- s.leave() }()
+			go func() { left <- s.leave(nil) }()
 			time.Sleep(grace + 100*time.Millisecond)
 			// More than the 128 refusals in a row after which a connection was read no further, while the run goes on.
 			for i := range 300 {
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -69,11 +69,17 @@
 	s.net.Set(faultnet.Fault{}, toPool)
 }
 
-// leave sends SIGTERM, and SIGKILL when the platform may, and returns once the process has ended.
-func (s *server) leave() times {
-	at := times{term: time.Now(), grace: s.grace}
+// leave sends SIGTERM, and SIGKILL when the platform may, and returns once the process has ended. Whoever sends SIGTERM
+// stands still with the machine; m is that, and may be nil.
+func (s *server) leave(m *machine) times {
+	at := times{grace: s.grace}
+	var ended <-chan struct{}
+	m.whileItRuns(func() error {
+		at.term = time.Now()
+		ended = s.Term()
+		return nil
+	})
 	at.kill = at.term.Add(s.killIn())
-	ended := s.Term()
 	select {
 	case <-ended:
 	case <-time.After(time.Until(at.kill)):
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,7 +63,7 @@
 		b.rush(p.seed, p.crowd)
 	}
 	p.signal(s)
-	at := s.leave()
+	at := s.leave(b.machine)
 	close(b.stopped)
 	<-faults
 	for _, c := range b.records.all() {
