A step of the wall clock loses no request and frees no key

A t0 ten minutes old or two seconds ahead was a bad message, so that a step by an hour closed every connection with a request in it; a lesser step made requests too old or too young. The files of keys expired by the wall clock: after a step forward a process that replaces another would have run its writes again. Change: internal/wallclock gives the real age of a stamp over the steps that it saw, and one that makes no sense counts from its reading; the processes of a key directory share an offset to the machine's monotonic clock (.clock).

--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -10,6 +10,7 @@
 
 	"larchscale/internal/core"
 	"larchscale/internal/sock"
+	"larchscale/internal/wallclock"
 )
 
 const (
@@ -28,13 +29,16 @@
 
 // Front turns lines into the core's events and its answers into lines.
 type Front struct {
-	site *core.Site
-	core *core.Core
-	log  *slog.Logger
+	site  *core.Site
+	core  *core.Core
+	clock *wallclock.Clock // of the machine, which stamps requests
+	log   *slog.Logger
 }
 
 // New makes the front; its Handle serves one connection.
-func New(site *core.Site, c *core.Core, log *slog.Logger) *Front { return &Front{site, c, log} }
+func New(site *core.Site, c *core.Core, log *slog.Logger) *Front {
+	return &Front{site, c, wallclock.New(), log}
+}
 
 // Handle reads one connection until it ends.
 //
@@ -92,7 +96,7 @@
 
 // message takes one line.
 func (f *Front) message(s *session, line []byte) {
-	m, complaint := parse(line, f.site)
+	m, complaint := parse(line, f.site, f.clock)
 	if complaint == nil && m.num > 0 {
 		complaint = s.take(m)
 	}
--- a/internal/jsonrpc/front_test.go
+++ b/internal/jsonrpc/front_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// A request that was stamped before a step of the wall clock by an hour, of which this server knows nothing, is a request
+// all the same: it counts from its reading, and what else is open on its connection goes on.
+func TestARequestStampedByASteppedClockIsServed(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 25 * time.Hour, -3 * time.Second} {
+		play(t, func(w *scenario.World, p *scenario.Peer) {
+			p.Send(ask(1, "quote", "a", ""))
+			w.Expect(ms, "run 000000000000000a quote body")
+			now := time.Now().UnixMilli()
+			p.Send(strings.Replace(ask(2, "quote", "b", ""), fmt.Sprint(now), fmt.Sprint(now+step.Milliseconds()), 1))
+			w.Expect(ms, "run 000000000000000b quote body")
+			w.Send(core.PoolFinished{Handle: "000000000000000b", End: control.OK, Body: []byte("x")})
+			p.Expect(`"id":2,"result"`)
+			w.Send(core.PoolFinished{Handle: "000000000000000a", End: control.OK, Body: []byte("x")})
+			p.Expect(`"id":1,"result"`)
+		})
+	}
+}
+
 // Answers come in any order, each with the free value; a result is the run's own, unchanged.
 func TestAnswers(t *testing.T) {
 	play(t, func(w *scenario.World, p *scenario.Peer) {
--- a/internal/jsonrpc/parse.go
+++ b/internal/jsonrpc/parse.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"larchscale/internal/core"
+	"larchscale/internal/wallclock"
 )
 
 // The codes of errors that a client makes, as JSON-RPC 2.0 has them.
@@ -24,12 +25,15 @@
 const (
 	maxLine = 8 << 10
 	maxBody = 2 << 10
-	maxName = 128              // of a token or an id
-	maxHeld = 2000             // kilobytes that a request may take
-	maxWait = 1 << 32          // milliseconds
-	maxID   = 1 << 53          // the largest whole number that any JSON reader keeps
-	stale   = 10 * time.Minute // older than any caller waits
-	ahead   = 2 * time.Second  // of this machine's clock
+	maxName = 128     // of a token or an id
+	maxHeld = 2000    // kilobytes that a request may take
+	maxWait = 1 << 32 // milliseconds
+	maxID   = 1 << 53 // the largest whole number that any JSON reader keeps
+	// maxStamp is no time in milliseconds that is written so.
+	maxStamp = 1e15
+	absurd   = 26 * time.Hour   // from now: no clock that is merely stepped or of another zone shows it
+	stale    = 10 * time.Minute // older than any caller waits
+	ahead    = 2 * time.Second  // of this machine's clock
 )
 
 // fault is a complaint about a message.
@@ -51,7 +55,7 @@
 }
 
 // parse reads one line. The message's id is good whenever it is not empty.
-func parse(line []byte, site *core.Site) (message, *fault) {
+func parse(line []byte, site *core.Site, clock *wallclock.Clock) (message, *fault) {
 	var m message
 	if !gjson.ValidBytes(line) {
 		return m, &fault{badJSON, "not JSON"}
@@ -97,7 +101,7 @@
 	if m.num = whole(m.id, maxID); m.num == 0 {
 		return m, &fault{badRequest, "a request whose id is no number from 1 up"}
 	}
-	return m, request(&m.req, params, site)
+	return m, request(&m.req, params, site, clock)
 }
 
 // whole reads digits alone; 0 = they are no number from 1 to limit.
@@ -110,7 +114,7 @@
 }
 
 // request reads the params of a request.
-func request(q *core.Incoming, params gjson.Result, site *core.Site) *fault {
+func request(q *core.Incoming, params gjson.Result, site *core.Site, clock *wallclock.Clock) *fault {
 	var peer, stamp, budget, mem, est, prio, acct, bytes gjson.Result
 	q.Tenant = -1
 	params.ForEach(func(k, v gjson.Result) bool {
@@ -145,8 +149,7 @@
 	switch {
 	case !isRID(q.Handle):
 		return bad("rid")
-	case stamp.Type != gjson.Number || !(stamp.Num > 0 && stamp.Num < 1e15) ||
-		time.Since(time.UnixMilli(int64(stamp.Num))) > stale || time.Until(time.UnixMilli(int64(stamp.Num))) > ahead:
+	case stamp.Type != gjson.Number || !(stamp.Num > 0 && stamp.Num < maxStamp):
 		return bad("t0")
 	case peer.Type != gjson.Number || !(peer.Num >= 0 && peer.Num <= math.MaxUint32) || peer.Num != math.Trunc(peer.Num):
 		return bad("peer")
@@ -170,7 +173,14 @@
 		return bad("bytes")
 	}
 	q.Body = body
-	q.Arrived = time.UnixMilli(int64(stamp.Num))
+	age := clock.Age(time.UnixMilli(int64(stamp.Num)))
+	if age.Abs() > absurd {
+		return bad("t0")
+	}
+	if age > stale || age < -ahead { // by a step of the clock that nobody has seen: it counts from now on
+		age = 0
+	}
+	q.Arrived = time.Now().Add(-age)
 	if budget.Exists() {
 		q.Budget = max(time.Duration(budget.Num*float64(time.Millisecond)), time.Millisecond)
 	}
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -33,7 +33,7 @@
 
 // Files is a core.Store in a directory that two processes of one server share, such as their $TMPDIR in a
 // replacement: a keyed write that ran in one of them is not run by the other. A key is a file named by the hash
-// of its class and token, holding its expiry (8 bytes, Unix ns, big-endian) and a value as the Redis store
+// of its class and token, holding its expiry (8 bytes, Unix ns on their shared clock, big-endian) and a value as the Redis store
 // writes it. Every change is done under an flock of the directory and replaces a file whole by a rename, so a
 // process that dies between two steps leaves either the old state or the new. The loop never waits: one
 // goroutine does the file work, and a claim that finds no room in its queue is a store that is down. So is one that
@@ -47,9 +47,9 @@
 	sink  func(core.Event)
 	log   *slog.Logger
 	work  chan job
-	ends  []job // that wait for the lock, waiting at the most; the goroutine's alone, as is stuck
-	stuck bool  // the lock did not come the last time
-	now   func() time.Time
+	ends  []job            // that wait for the lock, waiting at the most; the goroutine's alone, as is stuck
+	stuck bool             // the lock did not come the last time
+	now   func() time.Time // the clock that all processes of the directory share
 }
 
 // job is done with the directory's lock held. err tells that the lock did not come: nothing may be changed.
@@ -60,8 +60,12 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
+	now, err := sharedClock(dir, ofMachine())
+	if err != nil {
+		log.Warn("store", "do", "clock", "err", err)
+	}
 	return &Files{dir: dir, owner: owner, class: class, bound: bound, sink: sink, log: log,
-		work: make(chan job, waiting), now: time.Now}, nil
+		work: make(chan job, waiting), now: now}, nil
 }
 
 // Run works until ctx ends, and then does what was asked before.
@@ -164,7 +168,8 @@
 		if err != nil {
 			return nil, len(b), err
 		}
-		if s.now().Sub(info.ModTime()) < life {
+		// The system stamps a file by the wall clock, which may have been stepped since: the shorter age counts.
+		if written := info.ModTime(); min(s.now().Sub(written), time.Since(written)) < life {
 			return nil, len(b), fmt.Errorf("%s: %d bytes are no key", path, len(b))
 		}
 		return nil, len(b), nil
