Nobody waits for whoever reads the log, and its end does not end the server

Cause: the core's loop wrote its log lines itself, so a reader that stands still held up every request, and one that has gone ended the process by SIGPIPE at the next line. Found on reading what the incident's new log lines cost. All connections may linger once the listener is closed.

--- a/cmd/larchcontrol/main.go
+++ b/cmd/larchcontrol/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -18,12 +19,18 @@
 	"larchscale/internal/version"
 )
 
+// lastLines bounds the wait for whoever reads the log when the program ends.
+const lastLines = 20 * time.Millisecond
+
 const (
 	exitFailed = 1
 	exitBad    = 2
 )
 
-func main() { os.Exit(run(os.Args[1:], os.Stderr)) }
+func main() {
+	signal.Ignore(syscall.SIGPIPE) // the end of whoever reads the log must not end the program
+	os.Exit(run(os.Args[1:], os.Stderr))
+}
 
 // flags are the program's arguments.
 type flags struct {
@@ -55,7 +62,9 @@
 		return bad(err)
 	}
 	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * 3 / 4)
-	log := slog.New(logs.New(out)).With("node", settings.Name)
+	lines := logs.NewWriter(out)
+	defer lines.Close(lastLines)
+	log := slog.New(logs.New(lines)).With("node", settings.Name)
 	if err := serve(settings, leave, log); err != nil {
 		fmt.Fprintln(out, "larchcontrol:", err)
 		return exitFailed
--- a/cmd/larchscale/main.go
+++ b/cmd/larchscale/main.go
@@ -9,12 +9,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 	_ "time/tzdata" // the host may have none of its own
 
 	"larchscale/internal/config"
 	"larchscale/internal/logs"
 )
 
+// lastLines bounds the wait for whoever reads the log when the program ends.
+const lastLines = 20 * time.Millisecond
+
 // The exit codes of the program.
 const (
 	exitOK          = 0
@@ -47,7 +51,9 @@
 	if err != nil {
 		return fail(exitBadSettings, err)
 	}
-	log := slog.New(logs.New(out)).With("server", cfg.Name)
+	lines := logs.NewWriter(out)
+	defer lines.Close(lastLines)
+	log := slog.New(logs.New(lines)).With("server", cfg.Name)
 	ledger, err := openLedger(operator, cfg, log)
 	if err != nil {
 		return fail(exitBadSettings, err)
--- a/cmd/larchscale/signals.go
+++ b/cmd/larchscale/signals.go
@@ -11,8 +11,10 @@
 type signals struct{ leave, reload chan os.Signal }
 
 // catchSignals keeps the signals that the program answers from ending it by their default action, up to the very end:
-// one may arrive after run has released its own channels, and the exit code must still tell how run ended.
+// one may arrive after run has released its own channels, and the exit code must still tell how run ended. SIGPIPE is
+// ignored: the end of whoever reads the log must not end the program.
 func catchSignals() {
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 }
 
--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -58,6 +58,9 @@
 		s.Drain(0)
 		s.awaitAnswers()
 	}
+	if cut := outbound.Err(); cut != nil {
+		f.log.Warn("connection cut", "front", "jsonrpc", "open", s.count(), "err", cut)
+	}
 	f.logEnd(s, began, s.endReason(err))
 }
 
--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"larchscale/internal/standin"
 )
 
@@ -62,3 +65,64 @@
 		})
 	}
 }
+
+// Whoever reads the log goes away, or stands still: the server serves on, and drains.
+func TestALogThatNobodyReads(t *testing.T) {
+	for name, gone := range map[string]bool{"the reader is gone": true, "the reader stands still": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const deadline = time.Second
+			s := serve(t, deadline, 300*time.Millisecond, time.Millisecond)
+			read, write, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer read.Close()
+			s.Kill()
+			if _, err := unix.FcntlInt(write.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize()); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := write.Write(make([]byte, os.Getpagesize())); err != nil { // it is full
+				t.Fatal(err)
+			}
+			if err := s.StartLoggingTo(write); err != nil {
+				t.Fatal(err)
+			}
+			if gone {
+				read.Close()
+			}
+			stalls := watchStalls()
+			defer stalls.Close()
+			records := &records{}
+			random := rand.New(rand.NewPCG(1, 1))
+			var c *connection
+			for end := time.Now().Add(5 * time.Second); c == nil; time.Sleep(time.Millisecond) {
+				if c, err = dial(records, "balancer", s.Listen); err != nil && time.Now().After(end) {
+					t.Fatal(err)
+				}
+			}
+			for i := range 2000 { // each bad message is a line, and so is the end of each connection
+				one, err := dial(records, "garbling", s.Listen)
+				if err != nil {
+					t.Fatal(err)
+				}
+				one.raw("{\n")
+				<-one.over
+				if i%20 == 0 {
+					if _, err := c.send(draw(random, fmt.Sprint("request ", i), deadline), 1, 0); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			at := s.leave(nil)
+			<-c.over
+			v := judge(records.all(), at, stalls, s.site.Ran)
+			if t.Log(v); len(v.broken) > 0 || v.counts[served] == 0 {
+				t.Error("rules broken, or nothing served")
+			}
+			if !at.ended.Before(at.kill) {
+				t.Error("it had to be killed")
+			}
+		})
+	}
+}
--- a/internal/sock/serve.go
+++ b/internal/sock/serve.go
@@ -39,6 +39,7 @@
 	lingering []*WriteQueue // the oldest first
 	wanted    bool          // a newcomer waits for room
 	stopped   bool          // no connection waits for what may come
+	shut      bool          // the listener is closed
 }
 
 // NewServer serves up to limit connections at a time by handle, which returns when its connection is over.
@@ -128,7 +129,8 @@
 		return
 	}
 	s.mu.Lock()
-	stays := !s.wanted && len(s.lingering) < max(1, cap(s.room)/8)
+	// Once the server is shut no newcomer is kept out, and all may linger.
+	stays := !s.wanted && (s.shut || len(s.lingering) < max(1, cap(s.room)/8))
 	if stays {
 		s.lingering = append(s.lingering, q)
 	}
--- a/internal/sock/shut.go
+++ b/internal/sock/shut.go
@@ -43,7 +43,12 @@
 	}()
 }
 
-func (s *Server) closeListener() { s.closed.Do(func() { s.listener.Close() }) }
+func (s *Server) closeListener() {
+	s.closed.Do(func() { s.listener.Close() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shut = true
+}
 
 // awaitRoom returns once there may be room for a connection. One that lingers gives its place up.
 func (s *Server) awaitRoom() {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -186,12 +186,11 @@
 	return "", errors.Join(errors.New("no free address"), err)
 }
 
-// Start starts the process and returns once its pool is up.
-func (b *Box) Start() error {
+// begin starts the process, with its log to out.
+func (b *Box) begin(out io.Writer) error {
 	b.cmd = exec.Command(b.program, "--config", filepath.Join(b.home, "config.json"), "--operator", b.Operator())
-	b.cmd.Stderr = b.log
+	b.cmd.Stderr = out
 	b.cmd.Env = append(os.Environ(), "BALANCER_ADMIN="+b.Admin, "TMPDIR="+b.Tmp)
-	up := b.log.wait("worker pool up")
 	if err := b.cmd.Start(); err != nil {
 		return err
 	}
@@ -200,6 +199,20 @@
 		c.Wait()
 		close(ended)
 	}(b.cmd, b.ended)
+	return nil
+}
+
+// StartLoggingTo starts the process with a file for its log, which is closed here: nobody waits for its pool.
+func (b *Box) StartLoggingTo(out *os.File) error {
+	return errors.Join(b.begin(out), out.Close())
+}
+
+// Start starts the process and returns once its pool is up.
+func (b *Box) Start() error {
+	up := b.log.wait("worker pool up")
+	if err := b.begin(b.log); err != nil {
+		return err
+	}
 	select {
 	case <-up:
 		return nil
