Soak: handoffs, moves, half-closed and slow readers; a key directory that cannot be made at the start

Change: plans draw a newer process and configurations that move the worker pool's address; signals go to a process only while it lives. A directory of keys that a full disk or the like keeps from being made no longer ends the start: it is made with the first lock that can be, and keyed requests are refused until then.

--- a/internal/soak/connection_test.go
+++ b/internal/soak/connection_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,9 @@
 	room chan struct{} // one for each open request
 	over chan struct{} // closed by its reader
 	wmu  sync.Mutex    // of one writer at a time
+	rest atomic.Int64  // the reader waits for so long before it reads on
+
+	rested stalls // times in which its reader read nothing: what it saw after them had come before
 
 	mu       sync.Mutex
 	last     uint64
@@ -57,6 +61,10 @@
 	for {
 		line, err := in.ReadBytes('\n')
 		now := time.Now()
+		if rest := time.Duration(c.rest.Swap(0)); rest > 0 {
+			time.Sleep(rest)
+			c.rested.add(now, time.Now())
+		}
 		if err != nil {
 			c.mu.Lock()
 			if c.closed.at.IsZero() {
@@ -153,6 +161,9 @@
 	return sent, nil
 }
 
+// stopReading has the reader read nothing for a while, once it has read the next answer.
+func (c *connection) stopReading(span time.Duration) { c.rest.Store(int64(span)) }
+
 // withdraw gives a request up.
 func (c *connection) withdraw(q *request) {
 	c.mu.Lock()
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -159,6 +159,28 @@
 	return os.WriteFile(b.Operator(), []byte(text), 0o600)
 }
 
+// Rewrite changes what the box's config.json says; a process reads it at its start and at a SIGHUP.
+func (b *Box) Rewrite(change func(config map[string]any)) error {
+	path := filepath.Join(b.home, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	config := map[string]any{}
+	if err := json.Unmarshal(text, &config); err != nil {
+		return err
+	}
+	change(config)
+	if text, err = json.Marshal(config); err != nil {
+		return err
+	}
+	next := path + ".new"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
 // Operator is the path of its operator's file.
 func (b *Box) Operator() string { return filepath.Join(b.home, "operator.toml") }
 
@@ -257,6 +279,19 @@
 	return unix.Prlimit(b.Pid(), unix.RLIMIT_FSIZE, &none, nil)
 }
 
+// Signal sends the process a signal, unless it has ended.
+func (b *Box) Signal(sig syscall.Signal) error { return b.cmd.Process.Signal(sig) }
+
+// Ended reports whether the process has ended.
+func (b *Box) Ended() bool {
+	select {
+	case <-b.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Freeze stops the process where it is, and Thaw has it go on.
 func (b *Box) Freeze() { b.cmd.Process.Signal(syscall.SIGSTOP) }
 
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -55,9 +55,12 @@
 // job is done with the directory's lock held. err tells that the lock did not come: nothing may be changed.
 type job func(err error)
 
-// OpenFiles makes the directory, if it is not there, and a store in it of at most bound bytes.
+// OpenFiles makes the directory, if it is not there, and a store in it of at most bound bytes. A directory that cannot be
+// made for now, as on a full disk, is made with the first lock that can be: until then claims are refused.
 func OpenFiles(dir, owner string, class []string, bound int64, sink func(core.Event), log *slog.Logger) (*Files, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := os.MkdirAll(dir, 0o700); passing(err) {
+		log.Warn("store", "do", "open", "err", err)
+	} else if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	now, err := sharedClock(dir, ofMachine())
@@ -130,7 +133,12 @@
 // lock takes the directory's lock, which the file's Close gives up. It waits up to lockWait, and not at all where it
 // waited in vain the last time: what is asked meanwhile is told so at once.
 func (s *Files) lock() (*os.File, error) {
-	file, err := os.OpenFile(filepath.Join(s.dir, ".lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	file, err := s.openLock()
+	if errors.Is(err, fs.ErrNotExist) { // the directory could not be made at the start, or somebody has removed it
+		if err = os.MkdirAll(s.dir, 0o700); err == nil {
+			file, err = s.openLock()
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -147,6 +155,20 @@
 	}
 }
 
+func (s *Files) openLock() (*os.File, error) {
+	return os.OpenFile(filepath.Join(s.dir, ".lock"), os.O_CREATE|os.O_RDWR, 0o600)
+}
+
+// passing reports whether an error of a file system may be over a while later.
+func passing(err error) bool {
+	for _, one := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM} {
+		if errors.Is(err, one) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Files) path(k core.Key) string {
 	sum := sha256.Sum256([]byte(s.class[k.Class] + ":" + k.Token))
 	return filepath.Join(s.dir, hex.EncodeToString(sum[:16]))
--- a/internal/store/files_test.go
+++ b/internal/store/files_test.go
@@ -316,3 +316,28 @@
 		}
 	}
 }
+
+// A directory that is not there, as it could not be made at the start, is made with the first claim that can have it.
+func TestADirectoryThatComesLater(t *testing.T) {
+	a, b, events, _ := twoProcesses(t, 1<<20)
+	settle(a)
+	settle(b)
+	if err := os.RemoveAll(a.dir); err != nil {
+		t.Fatal(err)
+	}
+	key := core.Key{Class: 1, Token: "k"}
+	if got := claim(t, a, events, key, [32]byte{1}); got.State != core.ClaimWon {
+		t.Errorf("the first claim: %v", got.State)
+	}
+	if got := claim(t, b, events, key, [32]byte{1}); got.State != core.ClaimOther {
+		t.Errorf("the other process's: %v", got.State)
+	}
+	for _, err := range []error{syscall.ENOSPC, syscall.EIO, syscall.EMFILE} {
+		if !passing(&os.PathError{Op: "mkdir", Err: err}) {
+			t.Errorf("%v does not pass", err)
+		}
+	}
+	if passing(nil) || passing(syscall.EACCES) || passing(syscall.ENOTDIR) {
+		t.Error("what does not pass does")
+	}
+}
