--- a/internal/jsonrpc/endings_test.go
+++ b/internal/jsonrpc/endings_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// Half a line stands on a connection that is to end, as it is idle or had a bad message: its rest is waited for, and the
+// request is answered.
+func TestTheRestOfALineIsWaitedFor(t *testing.T) {
+	site := scenario.Site()
+	site.Control.IdleMax = 50 * ms
+	w, dial := front(t, site, nil)
+	w.Serve(ms)
+	for name, first := range map[string]string{"idle": "", "a bad message": "{\n"} {
+		p := dial()
+		line := ask(1, "quote", "a"+p.Name(), "")
+		p.Send(`{"jsonrpc":"2.0","id":1,"method":"status"}`, "\n", first, line[:40])
+		p.Expect(`"up":true`)
+		time.Sleep(4 * site.Control.IdleMax)
+		if n, err := p.Write(line[40:]); err != nil {
+			t.Errorf("%s: %d bytes, %v", name, n, err)
+		}
+		p.Expect(result)
+		p.Rest()
+	}
+}
+
 // A balancer that closes its writing half waits for its answer.
 func TestAClosedWritingHalfIsAnswered(t *testing.T) {
 	w, dial := front(t, scenario.Site(), nil)
--- a/internal/jsonrpc/session.go
+++ b/internal/jsonrpc/session.go
@@ -83,7 +83,7 @@
 func (s *session) endWhenQuiet(why core.CloseReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.final == "" {
+	if s.final == "" || why == endTimeLimit {
 		s.final = why
 	}
 }
@@ -95,14 +95,18 @@
 	}
 }
 
-// endAsked returns why the connection is to end now if nothing is there to be read; "" = it is not, or answers are owed.
-// The caller holds the lock.
+// endAsked returns why the connection is to end now if nothing is there to be read; "" = it is not, answers are owed, or
+// half a line stands on it, whose rest is waited for. The caller holds the lock, and is the reader.
 func (s *session) endAsked() core.CloseReason {
 	switch {
 	case s.outbound.Stopping():
 		return endProcess // the core has answered all that it will
 	case len(s.owed) > 0:
 		return ""
+	case s.final == endTimeLimit:
+		return s.final
+	case s.in.Buffered() > 0:
+		return ""
 	case s.final != "":
 		return s.final
 	}
@@ -131,6 +135,7 @@
 		ends := looks && nothing && why != ""
 		if ends {
 			s.ended = why
+			s.outbound.Close() // at once: what comes from here on crosses the end
 		}
 		s.mu.Unlock()
 		switch {
@@ -174,12 +179,12 @@
 	return lineWithin
 }
 
-// limit returns the time by which a line has to be whole: none once the connection is to end for that or another reason,
-// and only waits for answers.
+// limit returns the time by which a line has to be whole: none once that is over, and the connection only waits for
+// answers before it ends.
 func (s *session) limit(until time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.final != "" {
+	if s.final == endTimeLimit {
 		return time.Time{}
 	}
 	return until
