sock: a start waits where the system has no room for a socket for a moment

Change: Listen is tried again for up to 5 s; an address in use stays an error at once. Of a half-closed client, an error of getsockopt is no longer taken for its end.

--- a/internal/sock/listen.go
+++ b/internal/sock/listen.go
@@ -5,14 +5,35 @@
 	"fmt"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	listenWithin = 5 * time.Second       // an address is tried again where the system has no room for it for a while
+	listenEach   = 50 * time.Millisecond // between two tries
+)
+
 // Listen opens a TCP listener on addr with SO_REUSEPORT, so that the next process of the same server binds
 // the same address while this one serves. New connections go to the oldest listener of the address until
-// it hands off (Steer). A kernel that does not steer (EOPNOTSUPP) spreads them over both by a hash.
+// it hands off (Steer). A kernel that does not steer (EOPNOTSUPP) spreads them over both by a hash. It is tried again for
+// up to listenWithin where the system fails for a moment; an address in use is an error at once.
 func Listen(addr string) (net.Listener, error) {
+	return untilItPasses(func() (net.Listener, error) { return listen(addr) })
+}
+
+// untilItPasses tries to listen until that is done, or fails for good.
+func untilItPasses(listen func() (net.Listener, error)) (net.Listener, error) {
+	for end := time.Now().Add(listenWithin); ; time.Sleep(listenEach) {
+		l, err := listen()
+		if err == nil || !passes(err) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
+func listen(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		var err error
 		if cerr := rc.Control(func(fd uintptr) {
--- a/internal/sock/read.go
+++ b/internal/sock/read.go
@@ -66,7 +66,7 @@
 	broken := true
 	if rc.Control(func(fd uintptr) {
 		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-		broken = err != nil || code != 0
+		broken = code != 0 || errors.Is(err, unix.EBADF)
 	}) != nil {
 		return true
 	}
--- a/internal/sock/shut.go
+++ b/internal/sock/shut.go
@@ -136,11 +136,12 @@
 	return false
 }
 
-// passes reports whether an error of accept is for want of something that others may give back.
+// passes reports whether a system call on a socket failed for want of something that the system may have a moment later.
 func passes(err error) bool {
-	switch err {
-	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
-		return true
+	for _, one := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EINTR, unix.EAGAIN} {
+		if errors.Is(err, one) {
+			return true
+		}
 	}
 	return false
 }
