--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -35,6 +35,7 @@
 	pools    [2]string // the ways to the worker pool
 	deadline time.Duration
 	grace    time.Duration
+	killed   bool // by SIGKILL: it had not ended by then
 }
 
 const (
@@ -133,6 +134,7 @@
 	select {
 	case <-ended:
 	case <-time.After(time.Until(at.kill)):
+		s.killed = true
 		s.Kill()
 	}
 	at.ended = time.Now()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 
 var (
 	seeds     = flag.Int("seeds", 12, "runs of the soak")
+	shims     = flag.Int("shims", 0, "runs of the soak over failing system calls: they want a machine with little else to do")
 	firstSeed = flag.Uint64("first", 1, "the seed of the first")
 )
 
@@ -73,6 +74,7 @@
 	if next != nil {
 		time.Sleep(p.before / 2)
 		at = next.leave(nil)
+		s.killed = s.killed || next.killed
 	}
 	close(b.stopped)
 	<-faults
