jsonrpc: a reader looks ever less often whether the last answers are written

Found on reading the change once more: a connection that is to end while its peer does not read was looked at each millisecond for up to 2 s, which hundreds of such peers would make a load. Change: after twice as long each time, 200 ms at the most.

--- a/internal/jsonrpc/front.go
+++ b/internal/jsonrpc/front.go
@@ -23,7 +23,7 @@
 	openWithin  = 8 * time.Second         // or, where requests are open, which wait for the rest of the line
 	firstLook   = 5 * time.Millisecond    // whether the other side has gone altogether; then after twice as long
 	maxLook     = 200 * time.Millisecond
-	flushLook   = time.Millisecond // whether the last answers are written, before a connection is ended
+	flushLook   = time.Millisecond // whether the last answers are written, before a connection is ended; then after twice as long
 	// maxLoggedIDs bounds the unanswered requests that the log names of one connection.
 	maxLoggedIDs = 5
 )
--- a/internal/jsonrpc/session.go
+++ b/internal/jsonrpc/session.go
@@ -117,7 +117,7 @@
 // look that found nothing to be read: errEnd where the connection is to end, os.ErrDeadlineExceeded where the time is
 // over; others are those of a connection that has ended or failed.
 func (s *session) await(until time.Time) error {
-	for {
+	for flush := flushLook; ; {
 		s.mu.Lock()
 		looks := s.endAsked() != "" || !until.IsZero() && !time.Now().Before(until)
 		s.src.NoWait = looks
@@ -146,7 +146,8 @@
 			if s.outbound.Err() != nil {
 				return s.outbound.Err()
 			}
-			time.Sleep(flushLook)
+			time.Sleep(flush)
+			flush = min(2*flush, maxLook)
 		case looks && !until.IsZero() && !time.Now().Before(until):
 			return err
 		}
