Review case 1: a claim that outlives its withdrawn try lets a lost app server's work run twice

Cause: the homes of a key keep the handle of the try that claimed it. A caller that goes while the claim waits takes its entry with it and not the claim; the next try of the key at that app server is then started by the answer to the first claim, under its own handle. When that app server dies, its homes order the first handle at its worker pool, which has never seen it.

--- a/review/driver/box.go
+++ b/review/driver/box.go
@@ -22,6 +22,7 @@
 type box struct {
 	name, zone            string
 	listen, peers, admin  string
+	desk                  string // the uwsgi front
 	dir                   string
 	pool                  *pool
 	directory             net.Listener
@@ -56,7 +57,7 @@
 	if err := os.MkdirAll(b.dir, 0o700); err != nil {
 		return nil, err
 	}
-	for _, addr := range []*string{&b.listen, &b.peers, &b.admin} {
+	for _, addr := range []*string{&b.listen, &b.peers, &b.admin, &b.desk} {
 		if *addr, err = freeAddr(); err != nil {
 			return nil, err
 		}
@@ -218,8 +219,8 @@
 				others = append(others, strconv.Quote(other.name+"="+other.peers))
 			}
 		}
-		text := fmt.Sprintf("[ledger.peers]\nlisten = %q\nboxes = [%s]\n[fleet]\ndir = %q\nzone = %q\ntake_over = true\n",
-			b.peers, strings.Join(others, ", "), filepath.Join(b.dir, "fleet"), b.zone)
+		text := fmt.Sprintf("[uwsgi]\nlisten = %q\n[ledger.peers]\nlisten = %q\nboxes = [%s]\n[fleet]\ndir = %q\nzone = %q\ntake_over = true\n",
+			b.desk, b.peers, strings.Join(others, ", "), filepath.Join(b.dir, "fleet"), b.zone)
 		if err := os.WriteFile(b.operatorPath, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,10 +21,12 @@
 	root    string // of the repository
 	dir     string // for the files of the processes
 	run     string // the deploy file's command for the app server
-	trouble bool
-	noMove  bool // of pool-moved: the app server dies, and its pool has not moved
+	trouble string // "1" = all disruptions of the case, "0" = none, or the name of the only one
 }
 
+// causes reports whether a disruption is to be caused.
+func (o *options) causes(disruption string) bool { return o.trouble == "1" || o.trouble == disruption }
+
 // record is the file that says what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
@@ -39,10 +41,12 @@
 }
 
 var cases = map[string]func(*options, *record) error{
-	"first-notice": firstNotice,
-	"pool-moved":   poolMoved,
-	"pool-anew":    poolAnew,
-	"slow-store":   slowStore,
+	"first-notice":    firstNotice,
+	"pool-moved":      poolMoved,
+	"pool-anew":       poolAnew,
+	"bound-in-pieces": boundInPieces,
+	"slow-store":      slowStore,
+	"withdrawn-claim": withdrawnClaim,
 }
 
 func main() {
@@ -52,8 +56,7 @@
 	flag.StringVar(&o.root, "root", ".", "root of the repository")
 	flag.StringVar(&o.dir, "dir", "", "empty folder for the files of the processes")
 	flag.StringVar(&o.run, "run", "", "command that starts an app server")
-	flag.BoolVar(&o.trouble, "trouble", true, "cause the disruption")
-	flag.BoolVar(&o.noMove, "no-move", false, "leave out the new configuration of pool-moved")
+	flag.StringVar(&o.trouble, "trouble", "1", "1 = cause all disruptions, 0 = none, or the name of one: kill, still, move, slow, break, pieces")
 	flag.Parse()
 	os.Exit(play(&o, *recordPath))
 }
@@ -80,6 +83,6 @@
 		code = 2
 	}
 	r.note("exit %d: %v", code, err)
-	fmt.Printf("case %s, trouble %v: exit %d: %v\n", o.name, o.trouble, code, err)
+	fmt.Printf("case %s, trouble %s: exit %d: %v\n", o.name, o.trouble, code, err)
 	return code
 }
--- a/review/driver/pool.go
+++ b/review/driver/pool.go
@@ -57,6 +57,7 @@
 	notices  []string // of this start of the app server, numbered from 1
 	begun    map[string]bool
 	working  int
+	pause    time.Duration // between the two pieces of the first notice on a link
 }
 
 // command is a line from the app server.
@@ -121,6 +122,20 @@
 	return nil
 }
 
+// breakLink breaks the link, if it is to, and has the first notice on later ones come in two pieces, if it is to.
+func (p *pool) breakLink(breaks, pieces bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pieces {
+		p.pause = lateBound
+		p.log.note("from now on the first notice of the pool of %s on a link comes in two pieces, %v apart", p.name, lateBound)
+	}
+	if breaks && p.link != nil {
+		p.link.Close()
+		p.log.note("the link of the pool of %s breaks", p.name)
+	}
+}
+
 // die ends the pool with its runs. Connections to it are refused from then on.
 func (p *pool) die() {
 	p.mu.Lock()
@@ -176,7 +191,7 @@
 	if p.link != nil {
 		p.link.Close()
 	}
-	p.link = conn
+	p.link = nil // until the first notice is written
 	if cursor == 0 {
 		p.notices = nil
 	}
@@ -185,9 +200,17 @@
 		fate = "chilly"
 	}
 	p.log.note("pool of %s: a link binds at notice %d of %d", p.name, cursor, len(p.notices))
-	fmt.Fprintf(conn, `{"event":"bound","fate":%q,"lasted":%d}`+"\n", fate, time.Since(p.began).Milliseconds())
+	bound := fmt.Sprintf(`{"event":"bound","fate":%q,"lasted":%d}`+"\n", fate, time.Since(p.began).Milliseconds())
+	io.WriteString(conn, bound[:len(bound)/2])
+	if p.pause > 0 { // the pool goes on meanwhile
+		p.mu.Unlock()
+		time.Sleep(p.pause)
+		p.mu.Lock()
+	}
+	io.WriteString(conn, bound[len(bound)/2:])
 	from := max(min(cursor, len(p.notices)), len(p.notices)-keptNotices)
 	io.WriteString(conn, strings.Join(p.notices[from:], ""))
+	p.link = conn
 }
 
 // spawn begins a run.
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -54,7 +54,7 @@
 	if err := until(20*time.Second, func() bool { return !slices.ContainsFunc(boxes, func(b *box) bool { return !b.up() }) }); err != nil {
 		return fmt.Errorf("the servers do not come up: %w", err)
 	}
-	if o.trouble {
+	if o.causes("slow") {
 		for _, way := range ways {
 			way.slow.Store(true)
 		}
--- a/review/driver/takeover.go
+++ b/review/driver/takeover.go
@@ -9,10 +9,11 @@
 // The cases of keyed work that outlives its box.
 
 const (
-	runTime   = 400 * time.Millisecond // of a keyed request: 260 to 460 ms on average
-	poolDown  = time.Second            // that a killed worker pool takes to start anew
-	boxDown   = 8 * time.Second        // that a killed app server takes to come back: 6 to 19 s
-	intoTheir = 150 * time.Millisecond // when the box is killed, from the begin of the runs
+	runTime   = 400 * time.Millisecond  // of a keyed request: 260 to 460 ms on average
+	poolDown  = time.Second             // that a killed worker pool takes to start anew
+	boxDown   = 8 * time.Second         // that a killed app server takes to come back: 6 to 19 s
+	silence   = 1500 * time.Millisecond // that an app server stands still: a fifth of them for up to 6 s
+	intoTheir = 150 * time.Millisecond  // when the box is killed, from the begin of the runs
 )
 
 // waitRunning waits until all writes have begun to run.
@@ -55,7 +56,7 @@
 	if err := f.waitRunning(writes); err != nil {
 		return fmt.Errorf("the work does not begin: %w", err)
 	}
-	if o.trouble {
+	if o.causes("kill") {
 		time.Sleep(intoTheir)
 		victim.kill()
 	}
@@ -73,7 +74,7 @@
 	victim, others := f.boxes[4], f.boxes[:4]
 	before := []*write{newWrite("booking before", 1), newWrite("booking before", 2)}
 	followAll(before, victim, others, log)()
-	if o.trouble && !o.noMove {
+	if o.causes("move") {
 		if err := victim.pool.move(); err != nil {
 			return err
 		}
@@ -93,7 +94,7 @@
 	if err := f.waitRunning(writes); err != nil {
 		return fmt.Errorf("the work does not begin: %w", err)
 	}
-	if o.trouble {
+	if o.causes("kill") {
 		time.Sleep(intoTheir)
 		victim.kill()
 		time.Sleep(boxDown)
@@ -132,7 +133,7 @@
 	if err := f.waitRunning(writes); err != nil {
 		return fmt.Errorf("the work does not begin: %w", err)
 	}
-	if o.trouble {
+	if o.causes("kill") {
 		time.Sleep(intoTheir)
 		victim.pool.die()
 		victim.kill()
@@ -151,3 +152,47 @@
 	}
 	return nil
 }
+
+// withdrawnClaim: one app server stands still for a while, so that claims wait; the clients hang up and ask again; once it
+// goes on, the app server that they ask dies.
+func withdrawnClaim(o *options, log *record) error {
+	f, err := newFleet(o, log, runTime)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	victim, still, others := f.boxes[4], f.boxes[3], f.boxes[:4]
+	before := []*write{newWrite("booking before", 1), newWrite("booking before", 2)}
+	followDesks(before, victim, others, log)()
+	var writes []*write
+	for i := range 20 {
+		writes = append(writes, newWrite("booking", i))
+	}
+	if o.causes("still") {
+		if err := still.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		log.note("%s: its process stands still", still.name)
+	}
+	wait := followDesks(writes, victim, others, log)
+	time.Sleep(silence)
+	if o.causes("still") {
+		if err := still.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		log.note("%s: its process goes on", still.name)
+	}
+	if o.causes("kill") {
+		time.Sleep(intoTheir)
+		victim.kill()
+		time.Sleep(boxDown)
+		if err := victim.start(); err != nil {
+			return err
+		}
+	}
+	wait()
+	if twice, _ := f.account(append(before, writes...), log); twice > 0 {
+		return fmt.Errorf("%w: %d of %d keyed writes ran twice", errBroken, twice, len(before)+len(writes))
+	}
+	return nil
+}
