--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -17,8 +17,8 @@
 const (
 	storeLate   = 2 * time.Second         // that a part of what goes to the store and comes from it is late
 	storeShare  = 0.15                    // this part
-	storeWrites = 900                     // keyed requests
-	storeRate   = 15                      // a second, to all servers
+	storeWrites = 1400                    // keyed requests
+	storeRate   = 24                      // a second, to all servers
 	storeWork   = 1200 * time.Millisecond // of a run
 	repeatAfter = 3 * time.Second         // from the first answer on the client asks the other server
 )
@@ -34,7 +34,7 @@
 	go keystore.New().Serve(listener)
 	var boxes []*box
 	var ways []*slowLink
-	for _, name := range []string{"n1", "n2", "n3", "n4"} {
+	for _, name := range []string{"n1", "n2", "n3", "n4", "n5", "n6"} {
 		b, err := newBox(o, log, name, storeWork, ran)
 		if err != nil {
 			return err
