--- a/review/driver/box.go
+++ b/review/driver/box.go
@@ -31,6 +31,7 @@
 	log                   *record
 	root, run, configPath string
 	operatorPath          string
+	memoryMB, sockets     int // limits
 }
 
 // givenAddrs are the addresses that freeAddr has given.
@@ -52,7 +53,7 @@
 
 // newBox makes a box, with its folder, its worker pool and its directory. Its process is not started.
 func newBox(o *options, log *record, name string, work time.Duration, ran *runs) (b *box, err error) {
-	b = &box{name: name, log: log, root: o.root, run: o.run, dir: filepath.Join(o.dir, name)}
+	b = &box{name: name, log: log, root: o.root, run: o.run, dir: filepath.Join(o.dir, name), memoryMB: 192, sockets: 1024}
 	b.configPath, b.operatorPath = filepath.Join(b.dir, "config.json"), filepath.Join(b.dir, "operator.toml")
 	if err := os.MkdirAll(b.dir, 0o700); err != nil {
 		return nil, err
@@ -90,7 +91,7 @@
 		return map[string]any{"Name": name, "Fraction": share, "QuotaPerS": 200 * share}
 	}
 	config := map[string]any{"name": b.name, "listen": b.listen, "pool": b.pool.addr, "lookup": b.directory.Addr().String(),
-		"seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": map[string]any{"cores": 1.0, "memory_mb": b.memoryMB, "sockets": b.sockets},
 		"settings": map[string]any{"Servers": 5, "QuantumUs": 5000, "OverShareWorth": 0.1,
 			"RequestClasses": []any{class("fare-quote", "repeatable", 2900, 8700, 1, 5000), class("ride-status", "repeatable", 2900, 8700, 1, 5000),
 				class("book-ride", "by_key", 3500, 12000, 3, 34668)},
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -45,6 +45,7 @@
 	"pool-moved":      poolMoved,
 	"pool-anew":       poolAnew,
 	"bound-in-pieces": boundInPieces,
+	"same-again":      sameAgain,
 	"slow-store":      slowStore,
 	"withdrawn-claim": withdrawnClaim,
 }
@@ -56,7 +57,7 @@
 	flag.StringVar(&o.root, "root", ".", "root of the repository")
 	flag.StringVar(&o.dir, "dir", "", "empty folder for the files of the processes")
 	flag.StringVar(&o.run, "run", "", "command that starts an app server")
-	flag.StringVar(&o.trouble, "trouble", "1", "1 = cause all disruptions, 0 = none, or the name of one: kill, still, move, slow, break, pieces")
+	flag.StringVar(&o.trouble, "trouble", "1", "1 = cause all disruptions, 0 = none, or the name of one: kill, still, move, slow, break, pieces, bad")
 	flag.Parse()
 	os.Exit(play(&o, *recordPath))
 }
--- a/review/driver/pool.go
+++ b/review/driver/pool.go
@@ -48,6 +48,8 @@
 	log  *record
 	ran  *runs
 
+	quiet bool // no line in the record for each run
+
 	mu       sync.Mutex
 	listener net.Listener // nil while the pool is down
 	addr     string
@@ -225,8 +227,10 @@
 	raw, _ := base64.StdEncoding.DecodeString(c.Arg)
 	body, start, began := string(raw), p.starts, time.Now()
 	p.working++
-	p.ran.add(body, fmt.Sprintf("pool of %s, start %d", p.name, start+1))
-	p.log.note("pool of %s, start %d: RUN of %q begins, handle %s", p.name, start+1, body, c.Handle)
+	if !p.quiet {
+		p.ran.add(body, fmt.Sprintf("pool of %s, start %d", p.name, start+1))
+		p.log.note("pool of %s, start %d: RUN of %q begins, handle %s", p.name, start+1, body, c.Handle)
+	}
 	time.AfterFunc(p.work, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -238,7 +242,9 @@
 		notice := fmt.Sprintf(`{"event":"finished","cursor":%d,"handle":%q,"fate":"complete","lasted":%d,"arg":%q}`+"\n", number, c.Handle,
 			time.Since(began).Milliseconds(), base64.StdEncoding.EncodeToString([]byte(resultOf(body))))
 		p.notices = append(p.notices, notice)
-		p.log.note("pool of %s, start %d: run of %q is complete, notice %d", p.name, start+1, body, number)
+		if !p.quiet {
+			p.log.note("pool of %s, start %d: run of %q is complete, notice %d", p.name, start+1, body, number)
+		}
 		if p.link != nil {
 			io.WriteString(p.link, notice)
 		}
