--- a/review/driver/box.go
+++ b/review/driver/box.go
@@ -31,7 +31,8 @@
 	log                   *record
 	root, run, configPath string
 	operatorPath          string
-	memoryMB, sockets     int // limits
+	memoryMB, sockets     int    // limits
+	temp                  string // $TMPDIR of a process that shares it; "" = a new one for each start
 }
 
 // givenAddrs are the addresses that freeAddr has given.
@@ -119,9 +120,11 @@
 		return err
 	}
 	defer log.Close()
-	temp, err := os.MkdirTemp(b.dir, "tmp")
-	if err != nil {
-		return err
+	temp := b.temp
+	if temp == "" {
+		if temp, err = os.MkdirTemp(b.dir, "tmp"); err != nil {
+			return err
+		}
 	}
 	b.cmd = exec.Command("/bin/sh", "-c", b.run)
 	b.cmd.Dir, b.cmd.Stdout, b.cmd.Stderr = b.root, log, log
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -46,6 +46,10 @@
 	"pool-anew":       poolAnew,
 	"bound-in-pieces": boundInPieces,
 	"same-again":      sameAgain,
+	"second-loss":     secondLoss,
+	"back-at-once":    backAtOnce,
+	"ledger-replaced": ledgerReplaced,
+	"silent-link":     silentLink,
 	"slow-store":      slowStore,
 	"withdrawn-claim": withdrawnClaim,
 }
--- a/review/driver/pool.go
+++ b/review/driver/pool.go
@@ -54,6 +54,7 @@
 	listener net.Listener // nil while the pool is down
 	addr     string
 	link     net.Conn
+	silent   net.Conn // a link that brings nothing any longer; nil = none
 	starts   int
 	began    time.Time
 	notices  []string // of this start of the app server, numbered from 1
@@ -138,6 +139,14 @@
 	}
 }
 
+// silence has the link stay open and bring nothing any longer, neither way.
+func (p *pool) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent, p.link = p.link, nil
+	p.log.note("the link of the pool of %s goes silent", p.name)
+}
+
 // die ends the pool with its runs. Connections to it are refused from then on.
 func (p *pool) die() {
 	p.mu.Lock()
@@ -169,6 +178,12 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		silent := p.silent == conn
+		p.mu.Unlock()
+		if silent {
+			continue
+		}
 		var c command
 		if json.Unmarshal(line, &c) != nil {
 			return
