--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -132,8 +132,8 @@
 // concurrently.
 func (d *Server) AppendMetrics(extra func() []byte) { d.extra = extra }
 
-// Lines formats the metrics: svc.ok.C, svc.shed.C, svc.errors.C and svc.tries.C for each class C, then svc.active and
-// the metrics of downstream calls, one name=value per line.
+// Lines formats the metrics: svc.ok.C, svc.shed.C, svc.errors.C and svc.tries.C for each class C, then svc.active, the
+// metrics of downstream calls and what the core keeps in memory, one name=value per line.
 func Lines(classes []string, f *core.Metrics) []byte {
 	var out bytes.Buffer
 	out.Grow(len(classes) * linesPerClass * expectedLineLen)
@@ -153,6 +153,9 @@
 	}
 	out.WriteString("svc.active=" + strconv.Itoa(f.Active) + "\n")
 	fmt.Fprintf(&out, "calls.hand=%d\ncalls.wait=%d\ncalls.lost=%d\n", f.Calls, f.Waiting, f.Lost)
+	r := f.Retained
+	fmt.Fprintf(&out, "core.connections=%d\ncore.timers=%d\ncore.results_pending=%d\ncore.keys=%d\ncore.key_bytes=%d\n",
+		r.Connections, r.Timers, r.PendingResults, r.Keys, r.KeyBytes)
 	return out.Bytes()
 }
 
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -25,6 +25,17 @@
 	KeyedUntil            time.Time // until then a repeat may ask for a result that this process has
 	ConfigurationRevision uint64    // revision of the configuration documents in effect; 0 = none yet
 	Serving               bool      // the worker pool is up and the server is not draining
+	Retained              Retained  // what the loop keeps in memory
+}
+
+// Retained counts what the loop keeps in memory, as of the last publication. A request that is over must be in none of
+// these figures; only its key may be, for its window.
+type Retained struct {
+	Connections    int // open connections, whatever they carry
+	Timers         int // timers that are set; idle connections and kept keys have one each
+	PendingResults int // results that wait for their ledger entries
+	Keys           int // keys of keyed requests, with those in flight
+	KeyBytes       int // accounted size of these keys and of their results
 }
 
 // metricsPublisher holds the loop's counters and the copy that readers see.
@@ -91,6 +102,8 @@
 	if c.keyedUntil > 0 {
 		c.metrics.counts.KeyedUntil = c.start.Add(c.keyedUntil)
 	}
+	c.metrics.counts.Retained = Retained{Connections: len(c.sessions), Timers: len(c.timers.list),
+		PendingResults: len(c.pendingResults), Keys: len(c.keys.entries), KeyBytes: c.keys.bytes}
 	c.metrics.counts.Calls, c.metrics.counts.Waiting = 0, 0
 	for _, r := range c.byID {
 		switch r.state {
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -9,6 +9,7 @@
 	sess := &session{Session: e.Session, single: e.Single}
 	sess.idleTimer.callback = func() { c.requestClose(sess, CloseIdle) }
 	c.sessions[e.Session] = sess
+	c.metricsChanged()
 	c.startIdle(sess)
 	c.evictIdle(sess)
 }
@@ -66,6 +67,7 @@
 	}
 	c.timers.remove(&sess.idleTimer)
 	delete(c.sessions, conn)
+	c.metricsChanged()
 }
 
 // startIdle starts a connection's idle time if no request is open on it.
