A request that is refused leaves memory at once, not when it was due

What callers saw: under clients that send refused keyed requests again at once, the server was killed for memory within 2 s of the first refusal, with all that it had in hand.

Cause: reject ended a request by itself instead of by retire. A request whose claim the store had refused kept its timer, set for its due time (12 s here), and with it its body, its reply and the buffers of a connection that had ended.

A heap profile of a trial copy after a forced collection showed 62 MB live: 26.8 MB of readers' buffers, 15.7 MB of request lines, 6.5 MB of bodies, with 77 goroutines. So it was no garbage, no open connections and no kept keys.

Change: every request now ends in retire, which removes it from all tables and stops its timer; reject calls it, and the separate removals of the handle go.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -51,11 +51,10 @@
 	return !sess.single && sess.unserved >= maxUnserved
 }
 
-// reject answers a request that is known to nothing else.
+// reject answers a request that the controller does not know, and removes it.
 func (c *Core) reject(r *request, kind Kind, reason string) {
-	r.state = stateEnded
 	c.answer(r, Answer{Kind: kind, Why: reason, RetryAfter: c.site.Control.MaxAdvice})
-	c.recordUsage(r)
+	c.retire(r)
 }
 
 const maxRecentHandles = 8192
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -136,20 +136,16 @@
 	}
 }
 
-// forgetHandle frees the handle of a request.
-func (c *Core) forgetHandle(r *request) {
-	if c.byHandle[r.Handle] == r {
-		delete(c.byHandle, r.Handle)
-		c.metricsChanged()
-	}
-}
-
-// retire removes a request that is over from the core's tables and records its usage.
+// retire removes a request that is over from the core's tables and records its usage. Every request ends here: what is
+// left in a table or a timer keeps the request, with its connection's buffers, in memory.
 func (c *Core) retire(r *request) {
 	r.state = stateEnded
 	c.timers.remove(&r.waitTimer)
 	delete(c.byID, r.id)
-	c.forgetHandle(r)
+	if c.byHandle[r.Handle] == r {
+		delete(c.byHandle, r.Handle)
+		c.metricsChanged()
+	}
 	c.recordUsage(r)
 }
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -96,7 +96,6 @@
 func (c *Core) routeKeyed(r *request) {
 	if e := c.keys.entries[Key{r.Class, r.Token}]; c.now-r.arrived > windowMargin &&
 		(e == nil || !e.ran && (e.phase == phaseClaiming || e.phase == phaseOpen)) {
-		c.forgetHandle(r)
 		c.reject(r, Refused, whyReadLate)
 		return
 	}
@@ -112,7 +111,6 @@
 	switch {
 	case e == nil:
 		if !c.newEntry(r, key, sum) {
-			c.forgetHandle(r)
 			c.reject(r, Refused, whyNoRoom)
 			return
 		}
@@ -125,7 +123,6 @@
 		c.awaitClaim(r)
 		c.claimKey(e)
 	case e.sum != sum:
-		c.forgetHandle(r)
 		c.reject(r, Conflict, "the token belongs to another body")
 	case e.phase == phaseClaiming:
 		r.entry = e
@@ -376,7 +373,6 @@
 		e.waiters, e.owner = nil, nil
 		c.releaseKey(e)
 		for _, r := range tries {
-			c.forgetHandle(r)
 			c.reject(r, kind, reason)
 		}
 	}
