An answered request keeps neither its connection nor, after its run, its body in memory

A run may go on after its request was answered or canceled, and as long as it did the request kept the reply and with it the line and the buffers of a connection that had ended, some 12 KB for each of up to 2,048 requests on a box of 64 MB. A result that waited for the store kept the body until the request was due.

Cause: detach took the request off the count of its connection, but left the reference to it; the body stayed for as long as the request was in the tables, though a run that has ended is never requested again.

Change: detach drops session and reply, the end of a run drops both bodies, and the ledger takes the size of a body from the request's usage. Waiters are removed in one function, which leaves none behind the end of the slice. /stats follows the removal of keys.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"larchscale/control"
@@ -70,10 +71,13 @@
 	c.observer.RequestEnded(r.Handle, outcome)
 }
 
-// detach removes an answered request from its connection.
+// detach removes an answered request from its connection. Its run may go on, and does not keep the buffers of a
+// connection in memory that ends meanwhile.
 func (c *Core) detach(r *request) {
-	r.session.openRequests--
-	c.startIdle(r.session)
+	sess := r.session
+	r.session, r.reply = nil, nil
+	sess.openRequests--
+	c.startIdle(sess)
 }
 
 // refuse refuses a request that never ran.
@@ -120,7 +124,8 @@
 		case previous == stateFinishing:
 			e.owner = nil // the store's confirmation is still to come, for the requests that repeat this one
 		case !e.ran && previous == stateClaiming && e.phase == phaseClaiming && len(e.waiters) > 0:
-			e.owner, e.waiters = e.waiters[0], e.waiters[1:] // the store's answer is still to come
+			e.owner = e.waiters[0] // the store's answer is still to come
+			e.waiters = slices.Delete(e.waiters, 0, 1)
 		case !e.ran:
 			c.releaseKey(e)
 		default: // stopped for good after its run had begun
@@ -128,12 +133,7 @@
 		}
 		return
 	}
-	for i, w := range e.waiters {
-		if w == r {
-			e.waiters = append(e.waiters[:i:i], e.waiters[i+1:]...)
-			break
-		}
-	}
+	e.removeWaiter(r)
 }
 
 // retire removes a request that is over from the core's tables and records its usage. Every request ends here: what is
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -93,6 +93,7 @@
 func (c *Core) removeEntry(e *entry) {
 	c.timers.remove(&e.expiryTimer)
 	c.keys.remove(e)
+	c.metricsChanged()
 }
 
 // disown drops all claims, and all requests that wait for a claim: they may belong to another server.
@@ -149,10 +150,9 @@
 	} else if c.byHandle[p.Handle] != nil || c.recentHandles.has(p.Handle) { // indistinguishable from the other run
 		reason = "its handle is in use here"
 	}
-	r := &request{IncomingRequest: IncomingRequest{Handle: p.Handle, Class: p.Key.Class, Tenant: p.Tenant, Caller: p.Caller,
-		Rank: p.Rank, Memory: p.Memory, Work: p.Work, Token: p.Key.Token, Subject: p.Subject, Body: p.Body},
-		arrived: c.now, due: c.now + p.Left, session: &session{single: true}, adopted: true}
-	r.waitTimer.callback = func() { c.waitExpired(r) }
+	r := c.newRequest(IncomingRequest{Handle: p.Handle, Class: p.Key.Class, Tenant: p.Tenant, Caller: p.Caller,
+		Rank: p.Rank, Memory: p.Memory, Work: p.Work, Token: p.Key.Token, Subject: p.Subject, Body: p.Body})
+	r.arrived, r.due, r.adopted = c.now, c.now+p.Left, true
 	if reason == "" && !c.newEntry(r, p.Key, p.Sum) {
 		reason = whyNoRoom
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,8 +124,8 @@
 	id               uint32
 	arrived          time.Duration
 	due              time.Duration // when its answer is due
-	session          *session
-	reply            Reply
+	session          *session      // nil once it has its final answer or is canceled, and if it is adopted
+	reply            Reply         // nil likewise
 	state            state
 	ran              bool          // a run command has been sent
 	answered         bool          // has its final answer, or was canceled
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -132,19 +132,27 @@
 	req := e.Req
 	sess.openRequests++
 	waited := max(0, time.Since(req.Arrived))
-	r := &request{IncomingRequest: req, session: sess, reply: e.Reply, arrived: c.now - waited}
+	r := c.newRequest(req)
+	r.session, r.reply, r.arrived = sess, e.Reply, c.now-waited
 	budget := req.Budget
 	if budget <= 0 {
 		budget = c.site.Control.Classes[req.Class].Deadline
 	}
 	r.due = r.arrived + budget
-	r.waitTimer.callback = func() { c.waitExpired(r) }
 	c.admit(r)
 }
 
+// newRequest returns a request that is in none of the core's tables yet.
+func (c *Core) newRequest(req IncomingRequest) *request {
+	r := &request{IncomingRequest: req}
+	r.usage.bytesIn = int64(len(req.Body))
+	r.waitTimer.callback = func() { c.waitExpired(r) }
+	return r
+}
+
 // cancel handles a caller's cancellation of one of its own requests.
 func (c *Core) cancel(conn Session, handle string) {
-	if r := c.byHandle[handle]; r != nil && r.session.Session == conn {
+	if r := c.byHandle[handle]; r != nil && r.session != nil && r.session.Session == conn {
 		c.callerGone(r)
 	}
 	if sess := c.countEvent(conn); sess != nil {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -20,6 +20,7 @@
 	earnsWorth bool // its answer is the first with this result
 	calls      int64
 	lostCalls  int64 // calls that brought no reply
+	bytesIn    int64
 	bytesOut   int64
 	runTime    time.Duration // of its runs, as measured by the worker pool
 	runStarted time.Duration // when its run began
@@ -116,7 +117,7 @@
 	metrics[ledger.Held] = int64(heldBytes * (float64((span - busy).Microseconds()) +
 		c.site.Control.RunFactor*float64(busy.Microseconds())) / 1e6)
 	metrics[ledger.Run] = used.runTime.Microseconds()
-	metrics[ledger.Calls], metrics[ledger.In], metrics[ledger.Out] = used.calls, int64(len(r.Body)), used.bytesOut
+	metrics[ledger.Calls], metrics[ledger.In], metrics[ledger.Out] = used.calls, used.bytesIn, used.bytesOut
 	return Usage{Class: r.Class, Tenant: r.Tenant, Began: r.arrived, Ended: used.recordedAt, End: used.end,
 		Replay: used.replay, Figures: metrics}
 }
--- a/internal/core/retention_test.go
+++ b/internal/core/retention_test.go
@@ -1,13 +1,16 @@
 package core_test
 
 import (
+	"maps"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 	"weak"
 
+	"larchscale/control"
 	"larchscale/internal/core"
 	"larchscale/internal/scenario"
 )
@@ -81,6 +84,11 @@
 	time.Sleep(ms)
 }
 
+// cancel cancels a request.
+func (m *retention) cancel(handle string) {
+	m.send(core.RequestCanceled{Session: m.requests[handle].session, Handle: handle})
+}
+
 // hangUp ends the connection of a request.
 func (m *retention) hangUp(handle string) {
 	r := m.requests[handle]
@@ -95,6 +103,16 @@
 	return core.ClaimAnswered{Key: core.Key{Class: 1, Token: token}, State: state, Result: []byte("earlier")}
 }
 
+func stored(token string, ok bool) core.Event {
+	return core.FinishConfirmed{Key: core.Key{Class: 1, Token: token}, OK: ok}
+}
+
+// occupy has both cores of the worker pool run requests that never end, so that further ones are held.
+func (m *retention) occupy() {
+	m.ask("busy 1", "quote", "")
+	m.ask("busy 2", "quote", "")
+}
+
 // expectReleased fails the test for each request of the given ones whose reply or connection is still in memory, and,
 // with bodies, for each whose body is.
 func (m *retention) expectReleased(handles []string, bodies bool) {
@@ -113,6 +131,20 @@
 	}
 }
 
+// expectEmpty fails the test unless the core keeps nothing of any request. It waits until all connections are idle and
+// all windows of keys are over.
+func (m *retention) expectEmpty() {
+	m.t.Helper()
+	time.Sleep(time.Minute)
+	const ownTimers = 2 // the polls of the gauges and the reports to the directory
+	metrics := m.w.Core.Metrics()
+	left := metrics.Retained
+	left.Timers = max(0, left.Timers-ownTimers)
+	if metrics.Active != 0 || left != (core.Retained{}) {
+		m.t.Errorf("%d requests and %+v are left", metrics.Active, left)
+	}
+}
+
 // observe runs steps in a bubble. With events the shared store, if there is one, answers by the test's events.
 func observe(t *testing.T, site core.Config, shared bool, with []func(*scenario.World), steps func(m *retention)) {
 	t.Helper()
@@ -123,6 +155,219 @@
 	})
 }
 
+// way is a way in which requests end.
+type way struct {
+	shared bool // keys are claimed in a shared store
+	site   func(*core.Config)
+	with   []func(*scenario.World)
+	steps  func(m *retention)
+	want   map[string]core.Kind // the answers; a request without one was canceled
+	runs   []string             // requests whose run goes on
+}
+
+func confirms(w *scenario.World) { w.Waits = true }
+
+func fullStore(w *scenario.World) { w.FullStore() }
+
+func strictLedger(sendsOverdue bool) func(*scenario.World) {
+	return scenario.KeepLedger(&scenario.Ledger{IsStrict: true, LetsOverdue: sendsOverdue})
+}
+
+// waysWithoutStore are ways in which requests end whose keys are known to this server alone.
+func waysWithoutStore() map[string]way {
+	one := func(kind core.Kind) map[string]core.Kind { return map[string]core.Kind{"a": kind} }
+	return map[string]way{
+		"served":        {steps: func(m *retention) { m.ask("a", "quote", ""); m.send(runSucceeded("a", "x")) }, want: one(core.Served)},
+		"failed":        {steps: func(m *retention) { m.ask("a", "quote", ""); m.send(runFinished("a", control.Errored, "")) }, want: one(core.Failed)},
+		"keyed, served": {steps: func(m *retention) { m.ask("a", "book", "k"); m.send(runSucceeded("a", "x")) }, want: one(core.Served)},
+		"keyed, failed": {steps: func(m *retention) { m.ask("a", "book", "k"); m.send(runFinished("a", control.Errored, "")) }, want: one(core.Failed)},
+		"never begun":   {steps: func(m *retention) { m.ask("a", "book", "k"); m.send(runFinished("a", control.NotStarted, "")) }, want: one(core.Failed)},
+		"command in vain": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.send(core.PoolCommandUnknown{Command: "spawn", Handle: "a"})
+		}, want: one(core.Invalid)},
+		"no room for its key": {site: func(s *core.Config) { s.Bounds.Table = 100 },
+			steps: func(m *retention) { m.ask("a", "book", "k") }, want: one(core.Refused)},
+		"too many requests": {site: func(s *core.Config) { s.Bounds.Open = 0 },
+			steps: func(m *retention) { m.ask("a", "book", "k") }, want: one(core.Refused)},
+		"read too late": {steps: func(m *retention) {
+			m.ask("a", "book", "k", func(r *core.IncomingRequest) { r.Arrived = time.Now().Add(-3 * time.Second) })
+		}, want: one(core.Refused)},
+		"handle in use": {steps: func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"))
+			m.ask("b", "quote", "", func(r *core.IncomingRequest) { r.Handle = "a" })
+		}, want: map[string]core.Kind{"a": core.Served, "b": core.Invalid}},
+		"another body": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.ask("b", "book", "k", func(r *core.IncomingRequest) { r.Body = []byte("other") })
+			m.send(runSucceeded("a", "x"))
+		}, want: map[string]core.Kind{"a": core.Served, "b": core.Conflict}},
+		"repeats": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.ask("b", "book", "k")
+			m.send(runSucceeded("a", "x"))
+			m.ask("c", "book", "k")
+		}, want: map[string]core.Kind{"a": core.Served, "b": core.Served, "c": core.Served}},
+		"canceled in its run": {steps: func(m *retention) { m.ask("a", "book", "k"); m.cancel("a") }, runs: []string{"a"}},
+		"hung up in its run":  {steps: func(m *retention) { m.ask("a", "book", "k"); m.hangUp("a") }, runs: []string{"a"}},
+		"a repeat canceled in the run": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.ask("b", "book", "k")
+			m.cancel("b")
+		}, runs: []string{"a"}, want: map[string]core.Kind{}},
+		"out of time in its run": {steps: func(m *retention) { m.ask("a", "book", "k"); time.Sleep(4 * time.Second) },
+			want: one(core.TimedOut), runs: []string{"a"}},
+		"canceled before its run": {steps: func(m *retention) { m.occupy(); m.ask("a", "book", "k"); m.cancel("a") }, runs: []string{"busy 1", "busy 2"}},
+		"refused before its run": {steps: func(m *retention) {
+			m.occupy()
+			m.ask("a", "book", "k", func(r *core.IncomingRequest) { r.Budget = 20 * ms })
+			time.Sleep(20 * ms)
+		}, want: one(core.Refused), runs: []string{"busy 1", "busy 2"}},
+		"canceled in a call": {steps: func(m *retention) { m.ask("a", "book", "k"); m.send(runBlocked("a", "x")); m.cancel("a") }, runs: []string{"a"}},
+		"a call that fails": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.send(runBlocked("a", "x"))
+			m.send(core.CallEnded{Handle: "a", Outcome: control.Errored})
+			time.Sleep(10 * ms)
+		}, want: one(core.Failed), runs: []string{"a"}},
+		"a call without a reply": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.send(runBlocked("a", "x"))
+			time.Sleep(4 * time.Second)
+		}, want: one(core.TimedOut), runs: []string{"a"}},
+		"the pool starts anew": {steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.send(core.PoolLost{}, core.PoolBound{Cold: true})
+		}, want: one(core.Failed)},
+		"its ledger entry is written": {with: []func(*scenario.World){strictLedger(false)}, steps: func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"), core.LedgerWritten{Through: 1})
+		}, want: one(core.Served)},
+		"its ledger entry is late, failed": {with: []func(*scenario.World){strictLedger(false)}, steps: func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"))
+			time.Sleep(4 * time.Second)
+		}, want: one(core.TimedOut)},
+		"its ledger entry is late, sent": {with: []func(*scenario.World){strictLedger(true)}, steps: func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"))
+			time.Sleep(4 * time.Second)
+		}, want: one(core.Served)},
+	}
+}
+
+// waysWithStore are ways in which requests end whose keys are claimed in a shared store.
+func waysWithStore() map[string]way {
+	answeredBy := func(state core.Claim, kind core.Kind) way {
+		return way{shared: true, steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.ask("b", "book", "k")
+			m.send(claimed("k", state))
+		}, want: map[string]core.Kind{"a": kind, "b": kind}}
+	}
+	elsewhere := func(m *retention) {
+		m.ask("a", "book", "k")
+		m.send(claimed("k", core.ClaimOther))
+	}
+	run := func(m *retention) {
+		m.ask("a", "book", "k")
+		m.send(claimed("k", core.ClaimWon))
+	}
+	finished := func(m *retention) {
+		run(m)
+		m.send(runSucceeded("a", "x"))
+	}
+	one := func(kind core.Kind) map[string]core.Kind { return map[string]core.Kind{"a": kind} }
+	confirming := []func(*scenario.World){confirms}
+	return map[string]way{
+		"the store does not answer a claim": answeredBy(core.ClaimUnavailable, core.Refused),
+		"the key has another body":          answeredBy(core.ClaimConflict, core.Conflict),
+		"it ran elsewhere":                  answeredBy(core.ClaimDone, core.Served),
+		"it failed elsewhere":               answeredBy(core.ClaimFailed, core.Failed),
+		"the store has no room":             {shared: true, with: []func(*scenario.World){fullStore}, steps: func(m *retention) { m.ask("a", "book", "k") }, want: one(core.Refused)},
+		"never claimed":                     {shared: true, steps: func(m *retention) { m.ask("a", "book", "k"); time.Sleep(4 * time.Second) }, want: one(core.TimedOut)},
+		"canceled in its claim":             {shared: true, steps: func(m *retention) { m.ask("a", "book", "k"); m.cancel("a") }},
+		"canceled before a repeat claims": {shared: true, steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			m.ask("b", "book", "k")
+			m.cancel("a")
+			m.send(claimed("k", core.ClaimUnavailable))
+		}, want: map[string]core.Kind{"b": core.Refused}},
+		"elsewhere, out of time":    {shared: true, steps: func(m *retention) { elsewhere(m); time.Sleep(4 * time.Second) }, want: one(core.TimedOut)},
+		"elsewhere, canceled":       {shared: true, steps: func(m *retention) { elsewhere(m); m.cancel("a") }},
+		"elsewhere, then no answer": {shared: true, steps: func(m *retention) { elsewhere(m); m.send(claimed("k", core.ClaimUnavailable)) }, want: one(core.Refused)},
+		"won too late": {shared: true, steps: func(m *retention) {
+			m.ask("a", "book", "k")
+			time.Sleep(3 * time.Second)
+			m.send(claimed("k", core.ClaimWon))
+		}, want: one(core.Refused)},
+		"disowned in its claim": {shared: true, steps: func(m *retention) { m.ask("a", "book", "k"); m.send(core.Disown{}) }, want: one(core.Failed)},
+		"disowned in its run":   {shared: true, steps: func(m *retention) { run(m); m.send(core.Disown{}) }, want: one(core.Failed), runs: []string{"a"}},
+		"not owned at its end": {shared: true, steps: func(m *retention) {
+			run(m)
+			m.w.Lose(true)
+			m.send(runSucceeded("a", "x"), core.Disown{})
+		}, want: one(core.Failed)},
+		"stored":                    {shared: true, with: confirming, steps: func(m *retention) { finished(m); m.send(stored("k", true)) }, want: one(core.Served)},
+		"taken over":                {shared: true, with: confirming, steps: func(m *retention) { finished(m); m.send(stored("k", false)) }, want: one(core.Failed)},
+		"never stored":              {shared: true, with: confirming, steps: func(m *retention) { finished(m); time.Sleep(4 * time.Second) }, want: one(core.TimedOut)},
+		"canceled before it stored": {shared: true, with: confirming, steps: func(m *retention) { finished(m); m.cancel("a") }},
+		"disowned before it stored": {shared: true, with: confirming, steps: func(m *retention) { finished(m); m.send(core.Disown{}) }, want: one(core.Failed)},
+		"canceled, then run to its end": {shared: true, with: confirming, steps: func(m *retention) {
+			run(m)
+			m.cancel("a")
+			m.send(runSucceeded("a", "x"))
+		}},
+	}
+}
+
+// Guards against requests that stay in memory after their end, as refused keyed requests did until they were due (review
+// case 1): in whatever way a request ends, the core then keeps neither its reply nor its connection, and once its run is
+// over not its body either.
+func TestEndedRequestsAreReleased(t *testing.T) {
+	ways := waysWithoutStore()
+	maps.Copy(ways, waysWithStore())
+	for name, c := range ways {
+		t.Run(name, func(t *testing.T) {
+			site := scenario.Site()
+			if c.site != nil {
+				c.site(&site)
+			}
+			observe(t, site, c.shared, c.with, func(m *retention) {
+				c.steps(m)
+				m.expectAnswers(c.want)
+				var over []string
+				for handle := range m.requests {
+					m.hangUp(handle)
+					if !slices.Contains(c.runs, handle) {
+						over = append(over, handle)
+					}
+				}
+				m.expectReleased(slices.Collect(maps.Keys(m.requests)), false)
+				m.expectReleased(over, true)
+				m.send(core.PoolLost{}, core.PoolBound{Cold: true}) // the runs that go on end
+				m.expectReleased(c.runs, true)
+				m.send(core.LedgerWritten{Through: 100})
+				m.expectEmpty()
+			})
+		})
+	}
+}
+
+// expectAnswers compares all final answers.
+func (m *retention) expectAnswers(want map[string]core.Kind) {
+	m.t.Helper()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for handle := range m.requests {
+		kind, answered := want[handle]
+		if got := m.answers[handle]; answered && !slices.Equal(got, []core.Kind{kind}) || !answered && len(got) > 0 {
+			m.t.Errorf("answers to %s: %v, want %v (%v)", handle, got, kind, answered)
+		}
+	}
+}
+
 // Guards against keyed requests that stay in memory until they are due after the store refused their claims (review case
 // 1): under clients that send the same again at once, the process ran out of memory within seconds.
 func TestRefusedClaimsAreReleased(t *testing.T) {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"time"
 
 	"larchscale/control"
@@ -54,6 +55,11 @@
 	expiryTimer    timer
 }
 
+// removeWaiter removes a request that no longer waits for the entry's owner.
+func (e *entry) removeWaiter(r *request) {
+	e.waiters = slices.DeleteFunc(e.waiters, func(w *request) bool { return w == r })
+}
+
 // keyTable holds the entries of all known keys.
 type keyTable struct {
 	entries    map[Key]*entry
@@ -243,8 +249,7 @@
 	if !c.owns(e) { // it may run elsewhere by now
 		return
 	}
-	c.timers.remove(&e.expiryTimer)
-	c.keys.remove(e)
+	c.removeEntry(e)
 	if e.claimHeld {
 		c.store.Release(e.key)
 	}
@@ -285,7 +290,7 @@
 		c.timers.set(&e.expiryTimer, c.now+windowMargin)
 		return
 	}
-	c.keys.remove(e)
+	c.removeEntry(e)
 	for len(c.keys.withResult) > 0 && c.keys.withResult[0].result == nil {
 		c.keys.withResult = c.keys.withResult[1:]
 	}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -238,7 +238,7 @@
 		repeatOf := uint32(0)
 		if r.entry != nil && r.entry.owner != r {
 			repeatOf = 1
-			r.entry.waiters = slices.DeleteFunc(r.entry.waiters, func(w *request) bool { return w == r })
+			r.entry.removeWaiter(r)
 		}
 		c.submit(r, repeatOf)
 	}
@@ -322,6 +322,7 @@
 		}
 	}
 	r.state = stateFinishing
+	r.Body, r.callBody = nil, nil // the run is not requested again
 	switch {
 	case r.entry == nil:
 		c.answer(r, answer)
