Results that were sent or whose caller is gone wait for the ledger in memory no longer

With on_failure = gap a result whose entry is not written by its due time is sent, but stayed in the list until the disk wrote the entry: with a disk that does not respond, for ever. A connection that ended before its entry was written stayed until then.

Cause: the list of pending results was shortened by written entries alone.

Change: the list holds the pending results themselves; expirePending takes out what is sent, and the end of a connection releases the reply and the result that waits on it. An entry that is not written in time is reversed as before.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -30,7 +30,7 @@
 	c.setEnd(r, a.Kind)
 	c.reportOutcome(r, a.Kind)
 	if c.ledger != nil && a.Kind == Served && c.ledger.Strict() {
-		r.usage.pending = &pendingResult{answer: a}
+		r.usage.pending = &pendingResult{request: r, answer: a}
 		return
 	}
 	a.Hint = c.level
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -111,9 +111,9 @@
 		c.loseClaim(e, whyElsewhere)
 		c.removeEntry(e)
 	}
-	for _, r := range c.pendingResults {
-		if r.entry != nil && r.entry.claimHeld {
-			c.failPending(r, Answer{Kind: Failed, Why: whyElsewhere})
+	for _, pending := range c.pendingResults {
+		if e := pending.request.entry; e != nil && e.claimHeld {
+			c.failPending(pending, Answer{Kind: Failed, Why: whyElsewhere})
 		}
 	}
 	c.log.Warn("disowned", "keys", len(lost))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,9 +68,9 @@
 	keyedUntil    time.Duration
 	recentHandles recentHandles // handles used recently
 
-	pendingResults []*request // results that wait for their ledger entries, by ticket
-	pendingTimer   timer      // fires when the first of them may wait no longer
-	usageRecorded  bool       // entries were recorded in this iteration
+	pendingResults []*pendingResult // results that wait for their ledger entries, by ticket
+	pendingTimer   timer            // fires when the first of them may wait no longer
+	usageRecorded  bool             // entries were recorded in this iteration
 
 	metrics    metricsPublisher
 	deepChecks deepCheckState
@@ -266,8 +266,8 @@
 	if c.ledger == nil {
 		return
 	}
-	for _, r := range c.pendingResults {
-		c.resolveOverdue(r)
+	for _, pending := range c.pendingResults {
+		c.resolveOverdue(pending)
 	}
 	for _, r := range c.byHandle {
 		if r.ran && r.state != stateFinishing {
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -64,6 +64,7 @@
 				c.callerGone(r)
 			}
 		}
+		c.dropPendingReplies(sess)
 	}
 	c.timers.remove(&sess.idleTimer)
 	delete(c.sessions, conn)
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"larchscale/internal/ledger"
@@ -31,6 +32,7 @@
 
 // pendingResult is a result that waits for its ledger entry.
 type pendingResult struct {
+	request   *request
 	answer    Answer
 	sent      bool
 	ticket    uint64
@@ -93,7 +95,7 @@
 	ticket := c.ledger.Record(c.usageOf(r))
 	if pending := r.usage.pending; pending != nil {
 		pending.ticket, pending.waitUntil = ticket, r.due-ledgerWaitMargin
-		c.pendingResults = append(c.pendingResults, r)
+		c.pendingResults = append(c.pendingResults, pending)
 		if len(c.pendingResults) == 1 || pending.waitUntil < c.pendingTimer.at {
 			c.timers.set(&c.pendingTimer, pending.waitUntil)
 		}
@@ -128,72 +130,90 @@
 // ledgerWritten sends the results whose entries are written.
 func (c *Core) ledgerWritten(through uint64) {
 	written := 0
-	for written < len(c.pendingResults) && c.pendingResults[written].usage.pending.ticket <= through {
-		r := c.pendingResults[written]
+	for written < len(c.pendingResults) && c.pendingResults[written].ticket <= through {
+		pending := c.pendingResults[written]
 		written++
-		c.sendPending(r, r.usage.pending.answer)
+		c.sendPending(pending, pending.answer)
 	}
-	clear(c.pendingResults[:written])
-	if c.pendingResults = c.pendingResults[written:]; len(c.pendingResults) == 0 {
-		c.pendingResults = nil
+	c.pendingResults = slices.Delete(c.pendingResults, 0, written)
+	c.metricsChanged()
+	if len(c.pendingResults) == 0 {
 		c.timers.remove(&c.pendingTimer)
 	}
 }
 
-// expirePending ends the wait of results that are due. One timer serves all of them, since almost none expire.
+// expirePending ends the wait of results that are due. One timer serves all of them, since almost none expire. What is
+// sent waits no longer, so that a disk that does not respond keeps none of it in memory.
 func (c *Core) expirePending() {
 	next := time.Duration(math.MaxInt64)
-	for _, r := range c.pendingResults {
-		if pending := r.usage.pending; pending.waitUntil <= c.now {
-			c.resolveOverdue(r)
+	for _, pending := range c.pendingResults {
+		if pending.waitUntil <= c.now {
+			c.resolveOverdue(pending)
 		} else if !pending.sent {
 			next = min(next, pending.waitUntil)
 		}
 	}
+	c.pendingResults = slices.DeleteFunc(c.pendingResults, func(pending *pendingResult) bool { return pending.sent })
+	c.metricsChanged()
 	if next < math.MaxInt64 {
 		c.timers.set(&c.pendingTimer, next)
 	}
 }
 
+// dropPendingReplies releases the connection of results that wait for their entries: it has ended. The entries are still
+// reversed if they are not written in time.
+func (c *Core) dropPendingReplies(sess *session) {
+	for _, pending := range c.pendingResults {
+		if r := pending.request; !pending.sent && r.session == sess {
+			c.detach(r)
+			pending.answer.Body = nil
+		}
+	}
+}
+
 // resolveOverdue handles a result whose entry is not written by the time it has to be sent: depending on the ledger's
 // mode, the result is sent anyway or the request fails.
-func (c *Core) resolveOverdue(r *request) {
-	if r.usage.pending.sent {
+func (c *Core) resolveOverdue(pending *pendingResult) {
+	if pending.sent {
 		return
 	}
 	if c.ledger.SendOverdue() {
-		c.sendPending(r, r.usage.pending.answer)
+		c.sendPending(pending, pending.answer)
 		return
 	}
-	c.failPending(r, Answer{Kind: TimedOut, Why: "the ledger could not be written"})
+	c.failPending(pending, Answer{Kind: TimedOut, Why: "the ledger could not be written"})
 }
 
 // failPending fails a request whose result is pending: its entry, wherever that is by now, is reversed, and an entry
 // for the failure is recorded.
-func (c *Core) failPending(r *request, answer Answer) {
-	if r.usage.pending.sent {
+func (c *Core) failPending(pending *pendingResult, answer Answer) {
+	if pending.sent {
 		return
 	}
+	r := pending.request
 	reversal := c.usageOf(r)
 	reversal.Figures, _ = reversal.Figures.Neg() // the sums of one request are far from overflowing
 	c.ledger.Record(reversal)
 	r.usage.end, r.usage.bytesOut = ledger.Failed, 0
 	c.ledger.Record(c.usageOf(r))
 	c.usageRecorded = true
-	c.sendPending(r, answer)
+	c.sendPending(pending, answer)
 }
 
 // sendPending sends a delayed answer, once.
-func (c *Core) sendPending(r *request, answer Answer) {
-	pending := r.usage.pending
+func (c *Core) sendPending(pending *pendingResult, answer Answer) {
 	if pending.sent {
 		return
 	}
+	r := pending.request
 	if answer.Kind == Served && !c.owns(r.entry) {
-		c.failPending(r, Answer{Kind: Failed, Why: whyElsewhere})
+		c.failPending(pending, Answer{Kind: Failed, Why: whyElsewhere})
 		return
 	}
 	pending.sent, pending.answer = true, Answer{}
+	if r.reply == nil { // its connection has ended
+		return
+	}
 	answer.Hint = c.level
 	r.reply.Answer(answer)
 	c.detach(r)
--- a/internal/core/retention_test.go
+++ b/internal/core/retention_test.go
@@ -254,6 +254,11 @@
 			m.send(runSucceeded("a", "x"))
 			time.Sleep(4 * time.Second)
 		}, want: one(core.Served)},
+		"hung up before its ledger entry is written": {with: []func(*scenario.World){strictLedger(false)}, steps: func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"))
+			m.hangUp("a")
+		}},
 	}
 }
 
@@ -386,3 +391,24 @@
 		})
 	}
 }
+
+// Guards against results that stay in memory after they were sent, for as long as the disk of the ledger does not respond.
+func TestOverdueResultsAreReleasedWithoutTheDisk(t *testing.T) {
+	for _, sendsOverdue := range []bool{false, true} {
+		observe(t, scenario.Site(), false, []func(*scenario.World){strictLedger(sendsOverdue)}, func(m *retention) {
+			m.ask("a", "quote", "")
+			m.send(runSucceeded("a", "x"))
+			m.expectPending(1)
+			m.expectPending(0)
+		})
+	}
+}
+
+// expectPending lets requests come due and compares how many results wait for their ledger entries.
+func (m *retention) expectPending(want int) {
+	m.t.Helper()
+	time.Sleep(3 * time.Second)
+	if got := m.w.Core.Metrics().Retained.PendingResults; got != want {
+		m.t.Errorf("%d results are pending, want %d", got, want)
+	}
+}
