A deep check whose connection has ended is forgotten at once

A client that asks for a deep check and hangs up left its connection's buffers in memory until the worker pool's verification was over or 0.8 s had passed, and kept a place among the waiting checks, so that beyond their bound a sound client was told no.

Cause: the end of a connection did not look at the waiting checks.

Change: it removes them; an answer then always finds its connection open.

Measured: TestDeepChecksOfEndedConnectionsAreReleased failed before and passes; internal/core passes.

--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -91,9 +92,12 @@
 	}
 	for _, w := range waiting {
 		w.session.openRequests--
-		if c.sessions[w.session.Session] == w.session {
-			c.answerCheck(w.reply, ok && c.healthy && !c.drainAnnounced && !c.heldByOperator)
-			c.startIdle(w.session)
-		}
+		c.answerCheck(w.reply, ok && c.healthy && !c.drainAnnounced && !c.heldByOperator)
+		c.startIdle(w.session)
 	}
 }
+
+// dropDeepChecks forgets the waiting checks of a connection that has ended.
+func (c *Core) dropDeepChecks(sess *session) {
+	c.deepChecks.waiting = slices.DeleteFunc(c.deepChecks.waiting, func(w waitingCheck) bool { return w.session == sess })
+}
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -65,6 +65,7 @@
 			}
 		}
 		c.dropPendingReplies(sess)
+		c.dropDeepChecks(sess)
 	}
 	c.timers.remove(&sess.idleTimer)
 	delete(c.sessions, conn)
--- a/internal/core/retention_test.go
+++ b/internal/core/retention_test.go
@@ -412,3 +412,16 @@
 		m.t.Errorf("%d results are pending, want %d", got, want)
 	}
 }
+
+// Guards against deep checks that keep ended connections in memory until the worker pool's verification is over.
+func TestDeepChecksOfEndedConnectionsAreReleased(t *testing.T) {
+	observe(t, scenario.Site(), false, nil, func(m *retention) {
+		session := new(trackedSession)
+		reply := &trackedReply{retention: m, handle: "check"}
+		m.requests["check"] = &tracked{session: session, reply: weak.Make(reply), conn: weak.Make(session)}
+		m.send(core.SessionOpened{Session: session}, core.HealthCheck{Session: session, Reply: reply, Deep: true})
+		session, reply = nil, nil
+		m.hangUp("check")
+		m.expectReleased([]string{"check"}, false)
+	})
+}
