A key that is removed leaves neither a timer nor its entry in memory

A key that another server holds is claimed again every 100 ms by a timer of its own; a try that was canceled left it, with the entry, until it fired. An expired key with a result stayed in the list of results, uncounted, for as long as the oldest result there: up to the longest window of any class.

Cause: the list and the retry had no link back to their entry, so that its removal could not reach them.

Change: the entry holds the retry's timer and its place in the list, and removeEntry, through which all keys go, clears both.

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -35,7 +35,9 @@
 // because until then a new try cannot be told from the repeat of one that ran here.
 func (c *Core) loseClaim(e *entry, reason string) {
 	owner, waiters := e.owner, e.waiters
-	e.phase, e.owner, e.waiters, e.result = phaseLost, nil, nil, nil
+	e.phase, e.owner, e.waiters = phaseLost, nil, nil
+	c.keys.dropResult(e)
+	c.timers.remove(&e.claimTimer)
 	c.keys.resize(e, entryOverheadBytes+len(e.key.Token))
 	if owner != nil {
 		c.failLost(owner, reason)
@@ -92,6 +94,7 @@
 // removeEntry removes an entry that nobody uses any longer.
 func (c *Core) removeEntry(e *entry) {
 	c.timers.remove(&e.expiryTimer)
+	c.timers.remove(&e.claimTimer)
 	c.keys.remove(e)
 	c.metricsChanged()
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"container/list"
 	"crypto/sha256"
 	"slices"
 	"time"
@@ -53,6 +54,8 @@
 	size           int
 	keepUntil      time.Duration
 	expiryTimer    timer
+	claimTimer     timer         // claims the key again; set while another server holds it
+	resultElement  *list.Element // its place in keyTable.withResult; nil without a result
 }
 
 // removeWaiter removes a request that no longer waits for the entry's owner.
@@ -63,8 +66,8 @@
 // keyTable holds the entries of all known keys.
 type keyTable struct {
 	entries    map[Key]*entry
-	bytes      int      // accounted size of all entries
-	withResult []*entry // entries with a result, the oldest first
+	bytes      int       // accounted size of all entries
+	withResult list.List // entries with a result, the oldest first
 }
 
 // resize changes the accounted size of an entry that is in the table.
@@ -76,23 +79,33 @@
 }
 
 func (t *keyTable) remove(e *entry) {
+	t.dropResult(e)
 	if t.entries[e.key] == e {
 		delete(t.entries, e.key)
 		t.bytes -= e.size
-		e.result = nil
+	}
+}
+
+// keepResult records that an entry has its result.
+func (t *keyTable) keepResult(e *entry) { e.resultElement = t.withResult.PushBack(e) }
+
+// dropResult drops the result of an entry, if it has one. Its accounted size stays.
+func (t *keyTable) dropResult(e *entry) {
+	e.result = nil
+	if e.resultElement != nil {
+		t.withResult.Remove(e.resultElement)
+		e.resultElement = nil
 	}
 }
 
 // evictResults drops the oldest results until the table fits the limit. That a try has run is still remembered for
 // its window, so a repeat then fails, which costs less than refusing new requests.
 func (t *keyTable) evictResults(limit int) {
-	for t.bytes > limit && len(t.withResult) > 0 {
-		e := t.withResult[0]
-		t.withResult = t.withResult[1:]
-		if e.phase == phaseDone && e.result != nil {
-			t.resize(e, e.size-len(e.result))
-			e.phase, e.result = phaseFailed, nil
-		}
+	for t.bytes > limit && t.withResult.Len() > 0 {
+		e := t.withResult.Front().Value.(*entry)
+		t.resize(e, e.size-len(e.result))
+		t.dropResult(e)
+		e.phase = phaseFailed
 	}
 }
 
@@ -148,6 +161,7 @@
 	}
 	e := &entry{key: key, sum: sum, owner: r, phase: phaseOpen, size: size}
 	e.expiryTimer.callback = func() { c.expireEntry(e) }
+	e.claimTimer.callback = func() { c.claimKey(e) }
 	c.keys.entries[key] = e
 	c.keys.bytes += size
 	r.entry = e
@@ -227,7 +241,7 @@
 	answer := Answer{Kind: Failed, Why: whyRunFailed}
 	if e.succeeded {
 		e.phase, answer = phaseDone, Answer{Kind: Served, Body: e.result}
-		c.keys.withResult = append(c.keys.withResult, e)
+		c.keys.keepResult(e)
 	}
 	if r != nil {
 		c.answer(r, answer)
@@ -291,9 +305,6 @@
 		return
 	}
 	c.removeEntry(e)
-	for len(c.keys.withResult) > 0 && c.keys.withResult[0].result == nil {
-		c.keys.withResult = c.keys.withResult[1:]
-	}
 }
 
 // ClaimLife returns the maximum time for which a claim of a class is kept.
@@ -344,6 +355,7 @@
 		}
 		return
 	}
+	c.timers.remove(&e.claimTimer)
 	switch claim.State {
 	case ClaimWon:
 		e.phase, e.claimHeld = phaseOpen, true
@@ -355,12 +367,7 @@
 		}
 	case ClaimOther:
 		e.otherOwnerSeen = c.now
-		retry := &timer{callback: func() {
-			if c.keys.entries[claim.Key] == e && e.phase == phaseClaiming {
-				c.claimKey(e)
-			}
-		}}
-		c.timers.set(retry, c.now+claimRetryInterval)
+		c.timers.set(&e.claimTimer, c.now+claimRetryInterval)
 	case ClaimDone, ClaimFailed:
 		owner := e.owner
 		e.owner, e.waiters = nil, append([]*request{owner}, e.waiters...)
