A request's id, handle and token no longer keep its whole line in memory

Change: it copies the three strings that outlive a message.

Measured: TestIDHandleAndTokenDoNotKeepTheLine failed before (3,074 bytes for each message, 512 allowed) and passes.

--- a/internal/jsonrpc/parse.go
+++ b/internal/jsonrpc/parse.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -53,7 +54,8 @@
 	deep   bool   // status: a deep health check, which runs work
 }
 
-// parse parses one line. The id of the message is valid whenever it is not empty, even with an error.
+// parse parses one line. The id of the message is valid whenever it is not empty, even with an error. Strings that outlive
+// the message are copies: a part of the line would keep all of it in memory, for as long as the key of a request is known.
 func parse(line []byte, site *core.Config, clock *wallclock.Clock) (message, *requestError) {
 	var m message
 	if !gjson.ValidBytes(line) {
@@ -70,7 +72,7 @@
 			version = v
 		case "id":
 			if v.Type == gjson.Number || v.Type == gjson.String && len(v.Raw) <= maxName {
-				m.id = v.Raw
+				m.id = strings.Clone(v.Raw)
 			}
 		case "method":
 			method = v
@@ -119,7 +121,7 @@
 	params.ForEach(func(k, v gjson.Result) bool {
 		switch k.Str {
 		case "rid":
-			q.Handle = v.Str
+			q.Handle = strings.Clone(v.Str)
 		case "t0":
 			stamp = v
 		case "peer":
@@ -136,7 +138,7 @@
 		case "prio":
 			prio = v
 		case "token":
-			q.Token = v.Str
+			q.Token = strings.Clone(v.Str)
 		case "obj":
 			q.Subject = hashSubject(v.Str)
 		case "bytes":
--- a/internal/jsonrpc/parse_test.go
+++ b/internal/jsonrpc/parse_test.go
@@ -1,7 +1,11 @@
 package jsonrpc
 
 import (
+	"encoding/base64"
+	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	"larchscale/control"
 	"larchscale/internal/core"
@@ -27,3 +31,39 @@
 		}
 	})
 }
+
+// Guards against request lines that stay in memory with the id, the handle or the token of a request: a key is known for
+// its window, and its size is bounded as if it kept its token alone.
+func TestIDHandleAndTokenDoNotKeepTheLine(t *testing.T) {
+	const (
+		messages = 1000
+		limit    = 512 // bytes for each message, as the core accounts for a key without its result
+	)
+	site := core.Config{Classes: []string{"book"}, Control: control.Config{Classes: []control.Class{{Effect: control.Keyed}}}}
+	body := base64.StdEncoding.EncodeToString(make([]byte, maxBody))
+	clock := wallclock.New()
+	kept := make([][3]string, messages)
+	before := heapInUse()
+	for i := range kept {
+		line := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"book","params":{"rid":"%016x","t0":%d,"peer":1,"mem":24.5,"prio":0.6,`+
+			`"token":"token %d","bytes":%q}}`, i+1, i, time.Now().UnixMilli(), i, body)
+		m, problem := parse(line, &site, clock)
+		if problem != nil {
+			t.Fatal(problem)
+		}
+		kept[i] = [3]string{m.id, m.req.Handle, m.req.Token}
+	}
+	if grown := int(heapInUse()) - int(before); grown > messages*limit {
+		t.Errorf("%d bytes for each message are in memory, at most %d are allowed", grown/messages, limit)
+	}
+	runtime.KeepAlive(kept)
+}
+
+// heapInUse returns the bytes of all objects that can still be reached.
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
