Requests in hand are bounded by their bytes, not by their number alone

Up to 32 requests for each MB of memory were taken whatever their size: with uwsgi.max_body = 1 MB a box of 64 MB would have held 2 GB. Results that wait for their ledger entries were in no bound at all.

Cause: Bounds.Open counts requests, and a request that waits for the ledger is no longer among them.

Change: Bounds.OpenBytes, an eighth of the memory, of requests and of pending results, which count among the open ones too; at it new requests are refused as over the number. With bodies of 2 KB the number is met first, as before. /stats has core.open_bytes.

--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -71,7 +71,7 @@
 func site() core.Config {
 	k := control.Class{Aim: 3 * time.Second, Deadline: 8 * time.Second, Worth: 1}
 	return core.Config{Classes: []string{"quote"}, Tenants: standin.Stands, StopTime: 4 * time.Second,
-		Bounds: core.Bounds{Sessions: 8, Open: 4096, Table: 1 << 20},
+		Bounds: core.Bounds{Sessions: 8, Open: 4096, OpenBytes: 64 << 20, Table: 1 << 20},
 		Control: control.Config{Seed: 1, Cores: 64, Servers: 1, Callers: 1, Advert: control.AdvertLevel, Stopping: control.StopRequeues,
 			Memory: 1e9, RunFactor: 8, Crowd: 64, CrowdFor: time.Second, DrainGrace: 2 * time.Second, Slack: 80 * time.Millisecond,
 			HeardFor: time.Second, MaxAdvice: time.Second, IdleMax: 30 * time.Second, Quantum: 5 * time.Millisecond, Classes: []control.Class{k}}}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -154,8 +154,8 @@
 	out.WriteString("svc.active=" + strconv.Itoa(f.Active) + "\n")
 	fmt.Fprintf(&out, "calls.hand=%d\ncalls.wait=%d\ncalls.lost=%d\n", f.Calls, f.Waiting, f.Lost)
 	r := f.Retained
-	fmt.Fprintf(&out, "core.connections=%d\ncore.timers=%d\ncore.results_pending=%d\ncore.keys=%d\ncore.key_bytes=%d\n",
-		r.Connections, r.Timers, r.PendingResults, r.Keys, r.KeyBytes)
+	fmt.Fprintf(&out, "core.connections=%d\ncore.timers=%d\ncore.open_bytes=%d\ncore.results_pending=%d\ncore.keys=%d\ncore.key_bytes=%d\n",
+		r.Connections, r.Timers, r.OpenBytes, r.PendingResults, r.Keys, r.KeyBytes)
 	return out.Bytes()
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -191,7 +191,7 @@
 		return fmt.Errorf("limits: %d sockets, at least %d are needed", l.Sockets, minSocks)
 	}
 	l.Calls = min(max(16, int(k.Crowd*float64(max(1, k.Cores)))), l.Sockets/5)
-	c.Site.Bounds = core.Bounds{Open: min(4096, l.MemoryMB*32), Table: l.MemoryMB << 20 / 4}
+	c.Site.Bounds = core.Bounds{Open: min(4096, l.MemoryMB*32), OpenBytes: l.MemoryMB << 20 / 8, Table: l.MemoryMB << 20 / 4}
 	c.SetConns(l.Conns(0))
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -160,7 +160,7 @@
 			t.Fatal(err)
 		}
 		l, b := p.Limits, p.Site.Bounds
-		if l.Conns(0) != c.conns || l.Calls != c.calls || l.GoMemory() != c.memory || b != (core.Bounds{Sessions: c.conns - c.conns/8, Open: c.open, Table: c.table}) {
+		if l.Conns(0) != c.conns || l.Calls != c.calls || l.GoMemory() != c.memory || b != (core.Bounds{Sessions: c.conns - c.conns/8, Open: c.open, OpenBytes: c.table / 2, Table: c.table}) {
 			t.Errorf("%s: %d connections, %+v, %+v", c.limits, l.Conns(0), l, b)
 		}
 	}
--- a/internal/config/sites_test.go
+++ b/internal/config/sites_test.go
@@ -67,7 +67,7 @@
 			}
 		}
 		if l := c.Limits; l.Conns(0) != want.conns || l.Calls != want.calls ||
-			c.Site.Bounds != (core.Bounds{Sessions: want.conns - want.conns/8, Open: want.open, Table: l.MemoryMB << 18}) {
+			c.Site.Bounds != (core.Bounds{Sessions: want.conns - want.conns/8, Open: want.open, OpenBytes: l.MemoryMB << 17, Table: l.MemoryMB << 18}) {
 			t.Errorf("%s: %d connections, %+v, %+v", name, l.Conns(0), l, c.Site.Bounds)
 		}
 	}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -2,6 +2,8 @@
 
 import "hash/maphash"
 
+const requestOverheadBytes = 1 << 10 // of a request, without its body, token and handle
+
 // Admission: requests that cannot be accepted are answered here, without the controller.
 
 // admit accepts or rejects a request that has arrived.
@@ -31,7 +33,7 @@
 		return "the server ends"
 	case c.ledger != nil && !c.ledger.Ready():
 		return "the ledger cannot be written"
-	case len(c.byHandle) >= c.site.Bounds.Open:
+	case len(c.byHandle)+len(c.pendingResults) >= c.site.Bounds.Open, c.openBytes >= c.site.Bounds.OpenBytes:
 		return "too many requests in hand"
 	}
 	return ""
@@ -40,10 +42,17 @@
 // register makes a request known by its handle.
 func (c *Core) register(r *request) {
 	c.byHandle[r.Handle] = r
+	c.resize(r, requestOverheadBytes+len(r.Handle)+len(r.Token)+len(r.Body))
 	c.recentHandles.add(r.Handle)
 	c.metricsChanged()
 }
 
+// resize changes the accounted size of a request.
+func (c *Core) resize(r *request, size int) {
+	c.openBytes += size - r.size
+	r.size = size
+}
+
 // tooManyUnserved reports whether too many consecutive requests on a connection were not served. It protects the
 // controller's view of the load from a client that repeats a request as soon as it is refused, or cancels all that it
 // sends. Cost: under heavy overload a balancer's connection is occasionally replaced.
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -220,9 +220,10 @@
 
 // Bounds limits the size of the core's tables, as derived from the platform's limits.
 type Bounds struct {
-	Sessions int // connections kept open; above this, idle ones are closed
-	Open     int // requests in flight
-	Table    int // bytes of keys and results
+	Sessions  int // connections kept open; above this, idle ones are closed
+	Open      int // requests in flight, with results that wait for the ledger
+	OpenBytes int // their bytes; at or above this, new ones are refused
+	Table     int // bytes of keys and results
 }
 
 // IndexNames builds the indexes for lookups by name. It is called once Classes and Tenants are complete, and
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -144,6 +144,7 @@
 	delete(c.byID, r.id)
 	if c.byHandle[r.Handle] == r {
 		delete(c.byHandle, r.Handle)
+		c.resize(r, 0)
 		c.metricsChanged()
 	}
 	c.recordUsage(r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,7 @@
 	lastID       uint32
 	byID         map[uint32]*request
 	byHandle     map[string]*request
+	openBytes    int // accounted size of the requests in byHandle and of pendingResults
 	sessions     map[Session]*session
 	keys         keyTable
 	// keyedUntil is the time until which a repeat may still ask for one of the keys.
@@ -143,6 +144,7 @@
 	commandStartsRun bool          // the last command is a run command
 	stopRequested    bool          // a stop was requested, and the run has not ended
 	usage            usage
+	size             int // its part of Core.openBytes
 }
 
 // New returns a core; Run starts its loop.
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -33,6 +33,7 @@
 type Retained struct {
 	Connections    int // open connections, whatever they carry
 	Timers         int // timers that are set; idle connections and kept keys have one each
+	OpenBytes      int // accounted size of requests in flight and of pending results
 	PendingResults int // results that wait for their ledger entries
 	Keys           int // keys of keyed requests, with those in flight
 	KeyBytes       int // accounted size of these keys and of their results
@@ -103,7 +104,7 @@
 		c.metrics.counts.KeyedUntil = c.start.Add(c.keyedUntil)
 	}
 	c.metrics.counts.Retained = Retained{Connections: len(c.sessions), Timers: len(c.timers.list),
-		PendingResults: len(c.pendingResults), Keys: len(c.keys.entries), KeyBytes: c.keys.bytes}
+		OpenBytes: c.openBytes, PendingResults: len(c.pendingResults), Keys: len(c.keys.entries), KeyBytes: c.keys.bytes}
 	c.metrics.counts.Calls, c.metrics.counts.Waiting = 0, 0
 	for _, r := range c.byID {
 		switch r.state {
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -23,7 +23,7 @@
 		time.Sleep(100 * ms)
 		want := core.Metrics{OK: []uint64{0, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 0}, Tries: []uint64{1, 0},
 			Active: 1, Serving: true, WarmAt: metricsOf(w).WarmAt,
-			Retained: core.Retained{Connections: 1, Timers: 2}} // the polls of the gauges and the reports to the directory
+			Retained: core.Retained{Connections: 1, Timers: 2, OpenBytes: 1024 + len("a") + len("body")}} // the polls of the gauges and the reports to the directory
 		if up := want.WarmAt; up.IsZero() || up.After(time.Now()) {
 			t.Fatalf("a warm pool has WarmAt %v", up)
 		}
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -96,6 +96,7 @@
 	if pending := r.usage.pending; pending != nil {
 		pending.ticket, pending.waitUntil = ticket, r.due-ledgerWaitMargin
 		c.pendingResults = append(c.pendingResults, pending)
+		c.resize(r, requestOverheadBytes+len(pending.answer.Body))
 		if len(c.pendingResults) == 1 || pending.waitUntil < c.pendingTimer.at {
 			c.timers.set(&c.pendingTimer, pending.waitUntil)
 		}
@@ -211,6 +212,7 @@
 		return
 	}
 	pending.sent, pending.answer = true, Answer{}
+	c.resize(r, 0)
 	if r.reply == nil { // its connection has ended
 		return
 	}
--- a/internal/core/retention_test.go
+++ b/internal/core/retention_test.go
@@ -628,3 +628,25 @@
 		}
 	}
 }
+
+// Guards against large bodies that fill the memory while their number is within its bound. The bytes are free again once
+// the requests are over.
+func TestOpenRequestsAreBoundedByBytes(t *testing.T) {
+	site := scenario.Site()
+	const bodies = 3
+	large := func(r *core.IncomingRequest) { r.Body = make([]byte, site.Bounds.OpenBytes/bodies) }
+	observe(t, site, true, nil, func(m *retention) {
+		for i := range bodies + 1 {
+			m.ask(fmt.Sprint("a", i), "book", fmt.Sprint("a", i), large)
+		}
+		m.expectAnswers(map[string]core.Kind{"a3": core.Refused})
+		for i := range bodies + 1 {
+			m.hangUp(fmt.Sprint("a", i))
+		}
+		m.ask("b", "book", "b", large)
+		m.send(claimed("b", core.ClaimUnavailable))
+		m.hangUp("b")
+		m.expectReleased([]string{"b"}, true)
+		m.expectEmpty()
+	})
+}
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -23,7 +23,7 @@
 // Site is a small server: quote may be repeated, book is keyed, and both may call below.
 func Site() core.Config {
 	return core.Config{Classes: []string{"quote", "book"}, Tenants: []string{"north", "south"}, Gauges: []string{"core_use", "on_cores"},
-		StopTime: 4 * time.Second, Bounds: core.Bounds{Sessions: 8, Open: 100, Table: 1 << 20},
+		StopTime: 4 * time.Second, Bounds: core.Bounds{Sessions: 8, Open: 100, OpenBytes: 1 << 20, Table: 1 << 20},
 		Control: control.Config{Seed: 1, Cores: 2, Servers: 1, Callers: 1, Advert: control.AdvertLevel,
 			Stopping: control.StopRequeues, DownstreamSheds: true, Memory: 100000, RunFactor: 8, KeyMemory: 1, Crowd: 8,
 			CrowdFor: time.Second, DrainGrace: 2 * time.Second, Slack: 80 * time.Millisecond, HeardFor: time.Second,
