Replicas count a record's own bytes, not its body and result alone

Limits.Bytes, an eighth of the memory, counted bodies and results; a record or claim itself, some 700 bytes, was free, so that small writes could take several times the bound.

Cause: size() left out the records, their keys, candidates and places in tables.

Change: 768 bytes for each record and claim; the size of a copy's messages is counted as before. A box takes fewer keys than before until claims are refused for want of room: with bodies of 2 KB about a quarter fewer.

--- a/internal/core/retention_test.go
+++ b/internal/core/retention_test.go
@@ -457,7 +457,7 @@
 	long.Window = time.Hour
 	site.Control.Classes, site.Classes = append(site.Control.Classes, long), append(site.Classes, "reserve")
 	observe(t, site, false, nil, func(m *retention) {
-		before := heapInUse()
+		before := scenario.HeapInUse()
 		book := func(handle string, class int) {
 			m.w.Send(core.RequestArrived{Session: m.w.Session("c"), Reply: discardReply{}, Req: core.IncomingRequest{Handle: handle, Class: class,
 				Arrived: time.Now(), Budget: 4 * time.Second, Rank: 0.9, Memory: 10, Token: handle, Body: []byte("body")}})
@@ -472,21 +472,12 @@
 		if left := m.w.Core.Metrics().Retained; left.Keys != 1 {
 			t.Errorf("%+v are left", left)
 		}
-		if grown := int(heapInUse()) - int(before); grown > limit {
+		if grown := int(scenario.HeapInUse()) - int(before); grown > limit {
 			t.Errorf("%d bytes more are in memory, at most %d are allowed", grown, limit)
 		}
 	})
 }
 
-// heapInUse returns the bytes of all objects that can still be reached.
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
-
 // discardReply drops answers.
 type discardReply struct{}
 
--- a/internal/fleet/takeover/hand.go
+++ b/internal/fleet/takeover/hand.go
@@ -72,7 +72,7 @@
 // Limits are bounds and times. Zero fields take the values of Defaults.
 type Limits struct {
 	Records       int           // at this replica, and of this server's own claims; further claims are refused
-	Bytes         int64         // of bodies and results, at this replica and again for this server's own claims
+	Bytes         int64         // of records with their bodies and results, at this replica and again for this server's own claims
 	MaxRetention  time.Duration // maximum KeyedRequest.Life
 	MaxViewLag    time.Duration // maximum time that a server whose lease holds can be behind a view
 	MaxAdopted    int           // maximum number of requests that are taken over and in flight at this server
@@ -84,6 +84,7 @@
 	MaxAdopted: 32, RetryInterval: 100 * time.Millisecond}
 
 const (
+	recordOverheadBytes      = 768                    // of a record or claim, without its body and result
 	unconfirmedQueryInterval = 300 * time.Millisecond // a replica queries the owner of an unconfirmed claim after it
 	confirmedQueryInterval   = 5 * time.Second        // and of a confirmed claim
 	probeInterval            = 500 * time.Millisecond // between two probes for one key
--- a/internal/fleet/takeover/holder.go
+++ b/internal/fleet/takeover/holder.go
@@ -29,8 +29,9 @@
 	stateEnded
 )
 
+// size returns the accounted size.
 func (c *claim) size() int64 {
-	total := int64(len(c.request.Body))
+	total := recordOverheadBytes + int64(len(c.request.Body))
 	if c.outcome != nil {
 		total += int64(len(c.outcome.Result))
 	}
@@ -72,7 +73,7 @@
 	case len(replicas) == 0:
 		h.verdict(request.Key, Unavailable, nil, retryAfter, "the shard of the key has no replica")
 		return
-	case len(h.claims) >= h.limits.Records || h.claimBytes+int64(len(request.Body)) > h.limits.Bytes:
+	case len(h.claims) >= h.limits.Records || h.claimBytes+recordOverheadBytes+int64(len(request.Body)) > h.limits.Bytes:
 		h.verdict(request.Key, Unavailable, nil, retryAfter, "the maximum number of keys or bytes is in flight on this server")
 		return
 	case request.Life > h.limits.MaxRetention:
@@ -104,8 +105,9 @@
 		h.adoptedCount--
 		h.takeoverDue = true // another request can be taken over
 	}
-	h.claimBytes += int64(len(result)) - claim.size()
+	h.claimBytes -= claim.size()
 	claim.state, claim.storedBy, claim.outcome, claim.request.Body = stateEnded, nil, &Outcome{OK: ok, Result: result, Why: why}, nil
+	h.claimBytes += claim.size()
 	h.sendClaim(now, claim)
 	h.deliverLoopback(now)
 }
--- a/internal/fleet/takeover/home.go
+++ b/internal/fleet/takeover/home.go
@@ -28,7 +28,11 @@
 	return slices.IndexFunc(r.candidates, func(candidate Candidate) bool { return candidate.Owner == owner })
 }
 
-func (r *storedRecord) size() int64 {
+// size returns the accounted size.
+func (r *storedRecord) size() int64 { return recordOverheadBytes + r.contentSize() }
+
+// contentSize returns the size of the body and the result.
+func (r *storedRecord) contentSize() int64 {
 	total := int64(len(r.request.Body))
 	if r.outcome != nil {
 		total += int64(len(r.outcome.Result))
@@ -36,10 +40,11 @@
 	return total
 }
 
-// hasRoom reports whether a replica can store one more record. factor is 1 for new claims; records that others already
+// hasRoom reports whether a replica can store one more record, of contentSize bytes. factor is 1 for new claims; records that others already
 // hold are accepted up to twice the limit.
-func (h *Machine) hasRoom(size int64, factor int) bool {
-	return h.recordCount < factor*h.limits.Records && h.recordBytes+size <= int64(factor)*h.limits.Bytes
+func (h *Machine) hasRoom(contentSize int64, factor int) bool {
+	return h.recordCount < factor*h.limits.Records &&
+		h.recordBytes+recordOverheadBytes+contentSize <= int64(factor)*h.limits.Bytes
 }
 
 // newRecord creates a record.
--- a/internal/fleet/takeover/whole.go
+++ b/internal/fleet/takeover/whole.go
@@ -165,7 +165,7 @@
 func (h *Machine) continueCopy(now time.Duration, shard int, to string, transfer *shardCopy) {
 	bytes := int64(0)
 	for _, record := range transfer.unacknowledged {
-		bytes += record.size()
+		bytes += record.contentSize()
 	}
 	for len(transfer.remaining) > 0 && len(transfer.unacknowledged) < maxCopyRecords && bytes < maxCopyBytes {
 		record := transfer.remaining[0]
@@ -176,7 +176,7 @@
 		h.lastTry++
 		transfer.unacknowledged[h.lastTry] = record
 		h.copiesInFlight++
-		bytes += record.size()
+		bytes += record.contentSize()
 		transfer.sentAt = now
 		h.send(to, Item{Kind: kindPut, Key: record.request.Key, Try: h.lastTry, Record: h.recordMessage(now, record)})
 	}
--- a/internal/jsonrpc/parse_test.go
+++ b/internal/jsonrpc/parse_test.go
@@ -9,6 +9,7 @@
 
 	"larchscale/control"
 	"larchscale/internal/core"
+	"larchscale/internal/scenario"
 	"larchscale/internal/wallclock"
 )
 
@@ -43,7 +44,7 @@
 	body := base64.StdEncoding.EncodeToString(make([]byte, maxBody))
 	clock := wallclock.New()
 	kept := make([][3]string, messages)
-	before := heapInUse()
+	before := scenario.HeapInUse()
 	for i := range kept {
 		line := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%d,"method":"book","params":{"rid":"%016x","t0":%d,"peer":1,"mem":24.5,"prio":0.6,`+
 			`"token":"token %d","bytes":%q}}`, i+1, i, time.Now().UnixMilli(), i, body)
@@ -53,17 +54,8 @@
 		}
 		kept[i] = [3]string{m.id, m.req.Handle, m.req.Token}
 	}
-	if grown := int(heapInUse()) - int(before); grown > messages*limit {
+	if grown := int(scenario.HeapInUse()) - int(before); grown > messages*limit {
 		t.Errorf("%d bytes for each message are in memory, at most %d are allowed", grown/messages, limit)
 	}
 	runtime.KeepAlive(kept)
 }
-
-// heapInUse returns the bytes of all objects that can still be reached.
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
