Messages that wait for peers are bounded by their bytes

A peer that stands still for a moment is sent the claims that wait for it again every 100 ms, with their bodies; up to 64 such messages of any size waited for each peer, after the requests in them had their answers too, and 32 at a time were encoded as one request. Shared replies waited likewise, 256 of up to 16 KB for each peer.

Cause: the streams bounded the number of messages, not their size.

Change: transport.Options.Size, MaxQueuedBytes for all peers together and MaxBatchBytes for a request. Claims may queue half of what the claims of a server may take, kept replies as much as is kept. A message without room is dropped, as one beyond the number was: claims are sent again, questions for replies go below.

--- a/internal/fleet/claimstore/streams.go
+++ b/internal/fleet/claimstore/streams.go
@@ -14,13 +14,15 @@
 	maxWaiting = 64      // messages to one server; further ones are dropped, and sent again later
 	maxBody    = 8 << 20 // bytes in one request
 	maxBatch   = 32      // messages in one request
-	path       = "/hand/messages"
+	// maxBatchBytes leaves room in a request for the message that passes it.
+	maxBatchBytes = 1 << 20
+	path          = "/hand/messages"
 )
 
 // newStreams returns the streams to other servers.
 func (d *Store) newStreams(link *link.Link) *transport.Streams[*takeover.Message] {
 	return transport.New(transport.Options[*takeover.Message]{Server: d.opt.Server, Path: path, Link: link, Waiting: maxWaiting,
-		Batch:  maxBatch,
+		Batch: maxBatch, Size: (*takeover.Message).Size, MaxQueuedBytes: d.maxQueuedBytes(), MaxBatchBytes: maxBatchBytes,
 		Within: 2 * time.Second, Rest: tickInterval, // a server that refuses at once is not asked again at full speed
 		Addr: func(server string) string { return cmp.Or(d.opt.Addresses[server], d.membership.Addr(server)) },
 		Lost: func(to string, messages []*takeover.Message, err error) {
@@ -28,6 +30,11 @@
 		}})
 }
 
+// maxQueuedBytes bounds what waits for all peers, by half of what the claims of this server may take.
+func (d *Store) maxQueuedBytes() int {
+	return int(cmp.Or(d.opt.Limits.Bytes, takeover.Defaults.Bytes) / 2)
+}
+
 // Handler returns the HTTP handler for the messages of other servers.
 func (d *Store) Handler() http.Handler {
 	return transport.Handler(path, maxBatch, maxBody, func(from string, messages []*takeover.Message) bool {
--- a/internal/fleet/replycache/cache.go
+++ b/internal/fleet/replycache/cache.go
@@ -58,20 +58,22 @@
 	below core.Downstream
 
 	// Of the loop.
-	kept    *callcache.Cache
-	lasts   map[string]int64 // ms, by kept class
-	who     uint64
-	wants   map[uint64]*want
-	handles map[string]*want
-	spoilt  *simplelru.LRU[string, struct{}] // a reply that was on its way must not pass for that of the handle's next call
-	remotes map[uint64]*remote
-	led     map[callcache.Key]uint64 // keys of this home that another box makes the call of, with who
-	homes   []uint16                 // nil = no placement yet
-	epoch   uint64
-	numbers map[string]uint16
-	names   []string         // by number
-	streams sender           // nil = there is nobody else
-	rests   map[string]int64 // boxes that are asked nothing, until when
+	kept *callcache.Cache
+	// maxQueuedBytes bounds the messages that wait for all other servers: as much as the replies that are kept.
+	maxQueuedBytes int64
+	lasts          map[string]int64 // ms, by kept class
+	who            uint64
+	wants          map[uint64]*want
+	handles        map[string]*want
+	spoilt         *simplelru.LRU[string, struct{}] // a reply that was on its way must not pass for that of the handle's next call
+	remotes        map[uint64]*remote
+	led            map[callcache.Key]uint64 // keys of this home that another box makes the call of, with who
+	homes          []uint16                 // nil = no placement yet
+	epoch          uint64
+	numbers        map[string]uint16
+	names          []string         // by number
+	streams        sender           // nil = there is nobody else
+	rests          map[string]int64 // boxes that are asked nothing, until when
 
 	hits, home, calls, served, bytes atomic.Int64
 }
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Cache{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
+	return &Cache{box: box, sink: sink, log: log, wake: make(chan struct{}, 1), kept: store, maxQueuedBytes: opt.Bytes, lasts: opt.Classes, spoilt: spoilt, wants: map[uint64]*want{}, handles: map[string]*want{},
 		remotes: map[uint64]*remote{}, led: map[callcache.Key]uint64{}, numbers: map[string]uint16{box: self}, names: []string{box}, rests: map[string]int64{}}, nil
 }
 
--- a/internal/fleet/replycache/streams.go
+++ b/internal/fleet/replycache/streams.go
@@ -14,9 +14,11 @@
 	maxWaiting = 256     // messages to one box; for more it counts as out of reach
 	batch      = 32      // messages of one request
 	maxBody    = 1 << 20 // bytes of one request
-	speakFor   = time.Second
-	restFor    = 500 * time.Millisecond // a box that was late or not reached is not asked
-	path       = "/kept/messages"
+	// messageOverheadBytes is the size of a message without its reply.
+	messageOverheadBytes = 256
+	speakFor             = time.Second
+	restFor              = 500 * time.Millisecond // a box that was late or not reached is not asked
+	path                 = "/kept/messages"
 )
 
 // sender brings a message to a box; false = it does not get there.
@@ -26,7 +28,8 @@
 
 // newStreams makes the streams to other servers. A question that does not get there is as one that was not asked.
 func (k *Cache) newStreams(l *link.Link, where func(string) string, ways map[string]string) sender {
-	return transport.New(transport.Options[message]{Server: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch, Within: speakFor, Rest: 0, // only questions rest, see pause
+	return transport.New(transport.Options[message]{Server: k.box, Path: path, Link: l, Waiting: maxWaiting, Batch: batch,
+		Size: message.size, MaxQueuedBytes: int(k.maxQueuedBytes), MaxBatchBytes: maxBody / 4, Within: speakFor, Rest: 0, // only questions rest, see pause
 		Addr: func(box string) string { return cmp.Or(ways[box], where(box)) },
 		Lost: func(to string, list []message, err error) {
 			k.enter(func(ctx context.Context) {
@@ -40,6 +43,9 @@
 		}})
 }
 
+// size returns the approximate bytes of a message.
+func (m message) size() int { return messageOverheadBytes + len(m.Reply) }
+
 // post brings a message to a box; false = it does not get there, or it is a question, of which it rests.
 func (k *Cache) post(ctx context.Context, box string, m message) bool {
 	return k.streams != nil && box != k.box && !(m.Kind == question && now() < k.rests[box]) && k.streams.Send(ctx, box, m)
--- a/internal/fleet/takeover/msg.go
+++ b/internal/fleet/takeover/msg.go
@@ -73,6 +73,37 @@
 	Cursor uint64 `cbor:",omitempty"`
 }
 
+// Size returns the approximate bytes of a message in memory, and as sent.
+func (m *Message) Size() int {
+	total := 0
+	for i := range m.Items {
+		total += m.Items[i].size()
+	}
+	return total
+}
+
+const (
+	itemOverheadBytes    = 256 // of an item, without what it points to
+	requestOverheadBytes = 256 // of a KeyedRequest, without its body
+)
+
+func (item *Item) size() int {
+	total := itemOverheadBytes
+	if item.Piece != nil {
+		total += requestOverheadBytes + len(item.Piece.Body)
+	}
+	if item.End != nil {
+		total += len(item.End.Result)
+	}
+	if item.Record != nil {
+		total += requestOverheadBytes + len(item.Record.Piece.Body)
+		if item.Record.End != nil {
+			total += len(item.Record.End.Result)
+		}
+	}
+	return total
+}
+
 func (h *Machine) send(to string, item Item) {
 	if to == h.view.Self {
 		h.loopback = append(h.loopback, item)
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -25,8 +25,12 @@
 	Addr    func(peer string) string // returns the address of a peer; "" = unknown
 	Waiting int                      // maximum number of queued messages to one peer
 	Batch   int                      // maximum number of messages in one request
-	Within  time.Duration            // timeout of one request
-	Rest    time.Duration            // after a failed request, messages to the peer are refused for so long
+	// Size returns the bytes of a message; nil = messages are small, and only their number is bounded.
+	Size           func(M) int
+	MaxQueuedBytes int           // of messages to all peers; at or above this, further ones are dropped
+	MaxBatchBytes  int           // a request that has reached this gets no further message
+	Within         time.Duration // timeout of one request
+	Rest           time.Duration // after a failed request, messages to the peer are refused for so long
 	// Lost is called with messages that did not arrive, on the stream's goroutine; nil = they are ignored.
 	Lost func(to string, messages []M, err error)
 }
@@ -34,8 +38,9 @@
 // Streams are the streams of a server to all its peers. They are not safe for concurrent use. Received messages are
 // passed to Handler's accept function, on other goroutines.
 type Streams[M any] struct {
-	opt    Options[M]
-	byPeer map[string]*stream[M]
+	opt         Options[M]
+	byPeer      map[string]*stream[M]
+	queuedBytes atomic.Int64 // of messages that are queued or being sent
 }
 
 // envelope is the content of one request.
@@ -46,7 +51,7 @@
 
 // stream is the connection to one peer: a queue, and a goroutine that sends its messages.
 type stream[M any] struct {
-	opt         *Options[M]
+	streams     *Streams[M]
 	name        string
 	addr        string
 	queue       chan M
@@ -58,7 +63,9 @@
 var processStart = time.Now()
 
 // New returns streams. Connections are made as messages are sent.
-func New[M any](opt Options[M]) *Streams[M] { return &Streams[M]{opt, map[string]*stream[M]{}} }
+func New[M any](opt Options[M]) *Streams[M] {
+	return &Streams[M]{opt: opt, byPeer: map[string]*stream[M]{}}
+}
 
 // Send queues a message to a peer; false = it is dropped. The stream lasts until ctx ends or the peer's address
 // changes.
@@ -75,46 +82,80 @@
 	}
 	if s == nil {
 		ctx, stop := context.WithCancel(ctx)
-		s = &stream[M]{opt: &streams.opt, name: peer, addr: addr, queue: make(chan M, streams.opt.Waiting), stop: stop}
+		s = &stream[M]{streams: streams, name: peer, addr: addr, queue: make(chan M, streams.opt.Waiting), stop: stop}
 		streams.byPeer[peer] = s
 		go s.run(ctx, streams.opt.Link.Dial(peer, addr))
 	}
 	if int64(time.Since(processStart)) < s.refuseUntil.Load() {
 		return false
 	}
+	if streams.opt.Size != nil && streams.queuedBytes.Load() >= int64(streams.opt.MaxQueuedBytes) {
+		return false
+	}
 	select {
 	case s.queue <- m:
+		streams.queuedBytes.Add(streams.sizeOf(m))
 		return true
 	default:
 		return false
 	}
 }
 
+// sizeOf returns the bytes of messages; 0 if they are not bounded.
+func (streams *Streams[M]) sizeOf(messages ...M) (total int64) {
+	if streams.opt.Size == nil {
+		return 0
+	}
+	for _, m := range messages {
+		total += int64(streams.opt.Size(m))
+	}
+	return total
+}
+
 func (s *stream[M]) run(ctx context.Context, c *link.Client) {
 	defer c.Close()
+	opt := &s.streams.opt
 	for {
-		out := envelope[M]{From: s.opt.Server}
+		out := envelope[M]{From: opt.Server}
 		select {
 		case <-ctx.Done():
+			s.streams.queuedBytes.Add(-s.streams.sizeOf(s.takeQueue()...))
 			return
 		case m := <-s.queue:
 			out.Messages = append(out.Messages, m)
 		}
-		for len(out.Messages) < s.opt.Batch && len(s.queue) > 0 {
-			out.Messages = append(out.Messages, <-s.queue)
-		}
+		s.fill(&out)
 		err := s.send(ctx, c, &out)
-		if err == nil || ctx.Err() != nil {
-			continue
+		if err != nil && ctx.Err() == nil {
+			s.refuseUntil.Store(int64(time.Since(processStart) + opt.Rest))
+			out.Messages = append(out.Messages, s.takeQueue()...) // they would arrive too late
+			if opt.Lost != nil {
+				opt.Lost(s.name, out.Messages, err)
+			}
 		}
-		s.refuseUntil.Store(int64(time.Since(processStart) + s.opt.Rest))
-		for len(s.queue) > 0 { // they would arrive too late
-			out.Messages = append(out.Messages, <-s.queue)
-		}
-		if s.opt.Lost != nil {
-			s.opt.Lost(s.name, out.Messages, err)
+		s.streams.queuedBytes.Add(-s.streams.sizeOf(out.Messages...))
+	}
+}
+
+// fill adds queued messages to a request, up to its bounds.
+func (s *stream[M]) fill(out *envelope[M]) {
+	opt := &s.streams.opt
+	for bytes := s.streams.sizeOf(out.Messages...); len(out.Messages) < opt.Batch && len(s.queue) > 0; {
+		if opt.Size != nil && bytes >= int64(opt.MaxBatchBytes) {
+			return
 		}
+		m := <-s.queue
+		bytes += s.streams.sizeOf(m)
+		out.Messages = append(out.Messages, m)
+	}
+}
+
+// takeQueue empties the queue.
+func (s *stream[M]) takeQueue() (messages []M) {
+	for len(s.queue) > 0 {
+		messages = append(messages, <-s.queue)
 	}
+	return messages
 }
 
 func (s *stream[M]) send(ctx context.Context, c *link.Client, out *envelope[M]) error {
@@ -122,9 +163,9 @@
 	if err != nil {
 		return fmt.Errorf("messages to %s: %w", s.name, err)
 	}
-	ctx, stop := context.WithTimeout(ctx, s.opt.Within)
+	ctx, stop := context.WithTimeout(ctx, s.streams.opt.Within)
 	defer stop()
-	_, err = c.Post(ctx, s.opt.Path, body)
+	_, err = c.Post(ctx, s.streams.opt.Path, body)
 	return err
 }
 
