Results that wait for the store are bounded by their bytes

While Redis or the lock of the key files does not answer, the results of runs whose callers have their answers wait: up to 512 for the files and 2,048 for Redis, and with Redis those between two attempts in no bound. A worker pool's result may have 48 KB, so that a box of 64 MB could hold 96 MB.

Cause: the queues counted changes, not bytes, and a retry waited outside of them.

--- a/cmd/larchscale/store.go
+++ b/cmd/larchscale/store.go
@@ -49,7 +49,7 @@
 
 // openRedis keeps the keys in a Redis database.
 func (s *server) openRedis(ctx context.Context) {
-	db := store.NewRedis(s.operator.Store, store.NewOwnerID(s.config.Name), s.config.Site.Classes, s.core.Send, s.log)
+	db := store.NewRedis(s.operator.Store, store.NewOwnerID(s.config.Name), s.config.Site.Classes, s.config.Limits.KeyFiles(), s.core.Send, s.log)
 	s.store = db
 	s.runStore(ctx, db.Run)
 }
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -51,6 +51,7 @@
 	sink       func(core.Event)
 	log        *slog.Logger
 	queue      chan lockedJob
+	waiting    byteBudget // of results
 	// Ends of runs that wait for the lock, at most queueLimit. Like lockFailed, used by the goroutine of Run only.
 	pendingEnds []lockedJob
 	lockFailed  bool             // the last attempt to take the lock failed
@@ -63,7 +64,7 @@
 
 // OpenFiles creates the directory if needed and opens a store of at most maxBytes bytes in it. If the directory cannot
 // be created because of a transient error, such as a full disk, it is created when the lock is first taken; claims
-// are refused until then.
+// are refused until then. Results that wait to be stored take up to maxBytes of memory; beyond that they are dropped.
 func OpenFiles(dir, owner string, classNames []string, maxBytes int64, sink func(core.Event),
 	log *slog.Logger) (*Files, error) {
 	if err := os.MkdirAll(dir, 0o700); isTransient(err) {
@@ -76,7 +77,7 @@
 		log.Warn("store", "do", "clock", "err", err)
 	}
 	return &Files{dir: dir, owner: owner, classNames: classNames, maxBytes: maxBytes, sink: sink, log: log,
-		queue: make(chan lockedJob, queueLimit), now: now}, nil
+		queue: make(chan lockedJob, queueLimit), waiting: byteBudget{limit: maxBytes}, now: now}, nil
 }
 
 // Run processes the queue until ctx ends, and then completes the work that is already queued.
@@ -280,22 +281,29 @@
 		mark = markDone
 	}
 	end := encodeValue(mark, sum, result)
-	s.replace(k, "finish", func(path string, oldSize int) error { return s.save(path, end, max(lifetime, time.Second), oldSize) })
+	s.replace(k, "finish", len(end), func(path string, oldSize int) error {
+		return s.save(path, end, max(lifetime, time.Second), oldSize)
+	})
 	return false
 }
 
 // Release removes this process's claim on a request that never ran.
 func (s *Files) Release(k core.Key) {
-	s.replace(k, "release", func(path string, oldSize int) error {
+	s.replace(k, "release", 0, func(path string, oldSize int) error {
 		s.usedBytes -= int64(oldSize)
 		return os.Remove(path)
 	})
 }
 
-// replace changes a key only while it holds this process's claim. A change that finds no room in the queue is
-// dropped: repeats at the other process then get no answer until their deadline, because the result is not shared.
-func (s *Files) replace(k core.Key, operation string, change func(path string, size int) error) {
-	logDropped := func() { s.log.Warn("store", "do", operation, "err", "the queue is full") }
+// replace changes a key only while it holds this process's claim. waitingBytes is what the change keeps in memory until
+// then. A change that finds no room is dropped: repeats at the other process then get no answer until their deadline,
+// because the result is not shared.
+func (s *Files) replace(k core.Key, operation string, waitingBytes int, change func(path string, size int) error) {
+	logDropped := func() { s.log.Warn("store", "do", operation, "err", errNoRoom) }
+	if !s.waiting.take(waitingBytes) {
+		logDropped()
+		return
+	}
 	var end lockedJob
 	end = func(unlocked error) {
 		path := s.path(k)
@@ -306,14 +314,17 @@
 			err = change(path, size)
 		case len(s.pendingEnds) < queueLimit:
 			s.pendingEnds = append(s.pendingEnds, end)
+			return
 		default:
 			logDropped()
 		}
+		s.waiting.give(waitingBytes)
 		if err != nil {
 			s.log.Warn("store", "do", operation, "err", err)
 		}
 	}
 	if !s.enqueue(end) {
+		s.waiting.give(waitingBytes)
 		logDropped()
 	}
 }
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -36,6 +36,9 @@
 	finishAttempts = 4   // attempts to store a result; if it is lost, repeats on other servers get no answer
 )
 
+// errNoRoom is logged for a change that is dropped.
+var errNoRoom = errors.New("no room for the changes that wait")
+
 // A value consists of a mark, the body's checksum in hex, and the owner of a claim or the result of a run.
 const (
 	markClaim  = 'c'
@@ -59,13 +62,15 @@
 	log        *slog.Logger
 	client     *redis.Client
 	queues     [workerCount]chan func()
+	waiting    byteBudget // of results
 	seed       maphash.Seed
 }
 
-// NewRedis returns a store that passes the answers to claims to sink. class lists the class names used in keys.
-func NewRedis(opt Options, owner string, class []string, sink func(core.Event), log *slog.Logger) *Redis {
+// NewRedis returns a store that passes the answers to claims to sink. class lists the class names used in keys. Results that
+// wait to be stored take up to maxBytes; beyond that they are dropped.
+func NewRedis(opt Options, owner string, class []string, maxBytes int64, sink func(core.Event), log *slog.Logger) *Redis {
 	timeout := time.Duration(opt.TimeoutMs) * time.Millisecond
-	s := &Redis{options: opt, owner: owner, classNames: class, sink: sink, log: log, seed: maphash.MakeSeed(),
+	s := &Redis{options: opt, owner: owner, classNames: class, sink: sink, log: log, seed: maphash.MakeSeed(), waiting: byteBudget{limit: maxBytes},
 		client: redis.NewClient(&redis.Options{Addr: opt.Redis, DialTimeout: timeout, ReadTimeout: timeout,
 			WriteTimeout: timeout, PoolSize: workerCount, MaxRetries: -1, DisableIdentity: true, Protocol: 2,
 			ContextTimeoutEnabled: true})}
@@ -186,19 +191,38 @@
 		result = nil
 	}
 	end := encodeValue(mark, sum, result)
-	s.replace(k, "finish", finishAttempts, func(ctx context.Context, tx redis.Pipeliner, key string) {
-		tx.Set(ctx, key, end, max(lifetime, time.Second))
-	})
+	s.replace(k, replacement{operation: "finish", attempts: finishAttempts, size: len(end),
+		change: func(ctx context.Context, tx redis.Pipeliner, key string) {
+			tx.Set(ctx, key, end, max(lifetime, time.Second))
+		}})
 	return false
 }
 
 // Release removes this process's claim on a request that never ran.
 func (s *Redis) Release(k core.Key) {
-	s.replace(k, "release", 1, func(ctx context.Context, tx redis.Pipeliner, key string) { tx.Del(ctx, key) })
+	s.replace(k, replacement{operation: "release", attempts: 1,
+		change: func(ctx context.Context, tx redis.Pipeliner, key string) { tx.Del(ctx, key) }})
 }
 
-// replace changes a key only while it holds this process's claim.
-func (s *Redis) replace(k core.Key, operation string, triesLeft int, change func(context.Context, redis.Pipeliner, string)) {
+// replacement changes a key that holds this process's claim.
+type replacement struct {
+	operation string // for the log
+	attempts  int    // that are left
+	size      int    // bytes that it keeps in memory
+	change    func(ctx context.Context, tx redis.Pipeliner, key string)
+}
+
+// replace changes a key only while it holds this process's claim. A change without room is dropped.
+func (s *Redis) replace(k core.Key, r replacement) {
+	if !s.waiting.take(r.size) {
+		s.log.Warn("store", "do", r.operation, "err", errNoRoom)
+		return
+	}
+	s.attempt(k, r)
+}
+
+// attempt queues one attempt of a replacement, whose bytes are reserved until its last one.
+func (s *Redis) attempt(k core.Key, r replacement) {
 	queued := s.enqueue(k, func(ctx context.Context, key string) {
 		err := s.client.Watch(ctx, func(tx *redis.Tx) error {
 			current, err := tx.Get(ctx, key).Bytes()
@@ -212,20 +236,23 @@
 				return nil
 			}
 			_, err = tx.TxPipelined(ctx, func(p redis.Pipeliner) error {
-				change(ctx, p, key)
+				r.change(ctx, p, key)
 				return nil
 			})
 			return err
 		}, key)
-		switch {
-		case err == nil:
-		case triesLeft > 1:
-			time.AfterFunc(time.Duration(s.options.TimeoutMs)*time.Millisecond, func() { s.replace(k, operation, triesLeft-1, change) })
-		default:
-			s.log.Warn("store", "do", operation, "err", err)
+		if err != nil && r.attempts > 1 {
+			r.attempts--
+			time.AfterFunc(time.Duration(s.options.TimeoutMs)*time.Millisecond, func() { s.attempt(k, r) })
+			return
+		}
+		s.waiting.give(r.size)
+		if err != nil {
+			s.log.Warn("store", "do", r.operation, "err", err)
 		}
 	})
 	if !queued {
-		s.log.Warn("store", "do", operation, "err", "the queue is full")
+		s.waiting.give(r.size)
+		s.log.Warn("store", "do", r.operation, "err", errNoRoom)
 	}
 }
--- a/internal/store/redis_test.go
+++ b/internal/store/redis_test.go
@@ -26,7 +26,7 @@
 	opt := store.Defaults()
 	opt.Redis, opt.TimeoutMs = addr, timeoutMs
 	b := &testServer{t: t, events: make(chan core.Event, 8)}
-	b.store = store.NewRedis(opt, owner, []string{"book"}, func(e core.Event) { b.events <- e }, slog.New(slog.DiscardHandler))
+	b.store = store.NewRedis(opt, owner, []string{"book"}, 1<<20, func(e core.Event) { b.events <- e }, slog.New(slog.DiscardHandler))
 	go b.store.Run(t.Context())
 	return b
 }
@@ -123,7 +123,7 @@
 	go s.Serve(backend.Listener())
 	opt := store.Defaults()
 	opt.Redis, opt.TimeoutMs = backend.Addr, longTimeoutMs
-	last := store.NewRedis(opt, "last", []string{"book"}, func(core.Event) {}, slog.New(slog.DiscardHandler))
+	last := store.NewRedis(opt, "last", []string{"book"}, 1<<20, func(core.Event) {}, slog.New(slog.DiscardHandler))
 	last.Claim(core.KeyedRequest{Key: key, Sum: sum, Life: time.Minute})
 	last.Finish(key, sum, true, []byte("ride 7"), -time.Minute) // the run ended after its window, with no lifetime left
 	ctx, stop := context.WithCancel(t.Context())
