--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -233,6 +233,13 @@
 	}
 }
 
+// Discard drops what the core did since the last Expect.
+func (w *World) Discard() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines = nil
+}
+
 // Await waits until the core has done what a line says since the last Expect or Await, in a test without a bubble.
 func (w *World) Await(line string) {
 	w.t.Helper()
