What other servers send is bounded by its bytes while it waits to be handled

Up to 4,096 requests of up to 8 MB waited for the loop.

Cause: the queue counted calls, not bytes.

Change: the bytes of messages are reserved from their receipt until they are handled, up to half of what the claims of a server may take; beyond that the peer hears "not now" and sends again.

--- a/internal/fleet/claimstore/desk.go
+++ b/internal/fleet/claimstore/desk.go
@@ -39,6 +39,7 @@
 	sink           func(core.Event)
 	log            *slog.Logger
 	queue          chan func()
+	receivedBytes  atomic.Int64                              // of messages of other servers that are queued
 	pendingDisowns atomic.Int64                              // Disowns that the core has not processed yet
 	machineToken   atomic.Uint64                             // the fencing token under which machine acts
 	coreToken      atomic.Uint64                             // token of the core's claims; 0 = the core must give them up
--- a/internal/fleet/claimstore/streams.go
+++ b/internal/fleet/claimstore/streams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"time"
 
 	"larchscale/internal/fleet/takeover"
@@ -30,20 +31,36 @@
 		}})
 }
 
-// maxQueuedBytes bounds what waits for all peers, by half of what the claims of this server may take.
+// maxQueuedBytes bounds what waits for all peers, and what waits here of theirs, each by half of what the claims of this
+// server may take.
 func (d *Store) maxQueuedBytes() int {
 	return int(cmp.Or(d.opt.Limits.Bytes, takeover.Defaults.Bytes) / 2)
 }
 
 // Handler returns the HTTP handler for the messages of other servers.
 func (d *Store) Handler() http.Handler {
-	return transport.Handler(path, maxBatch, maxBody, func(from string, messages []*takeover.Message) bool {
-		return d.enqueue(func() {
-			for _, message := range messages {
-				if message != nil {
-					d.machine.Receive(d.now(), from, message)
-				}
-			}
-		})
+	return transport.Handler(path, maxBatch, maxBody, d.receive)
+}
+
+// receive queues the messages of another server; false = there is no room for them now.
+func (d *Store) receive(from string, messages []*takeover.Message) bool {
+	messages = slices.DeleteFunc(messages, func(message *takeover.Message) bool { return message == nil })
+	size := int64(0)
+	for _, message := range messages {
+		size += int64(message.Size())
+	}
+	if waiting := d.receivedBytes.Add(size); waiting > max(size, int64(d.maxQueuedBytes())) {
+		d.receivedBytes.Add(-size)
+		return false
+	}
+	queued := d.enqueue(func() {
+		d.receivedBytes.Add(-size)
+		for _, message := range messages {
+			d.machine.Receive(d.now(), from, message)
+		}
 	})
+	if !queued {
+		d.receivedBytes.Add(-size)
+	}
+	return queued
 }
