Bodies that are being read at the uwsgi front are bounded by their bytes together

Each of up to 200 connections of the uwsgi front could have a body of max_body, up to 1 MB, allocated from the length that its client names.

Cause: the bound of the bytes in hand is the core's, which sees a request once it is read.

Measured: TestBodiesBeingReadAreBoundedByBytes fails with the check taken out and passes; internal/uwsgi passes.

--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"larchscale/internal/core"
@@ -34,11 +35,23 @@
 	bands rankBands
 	core  *core.Core
 	log   *slog.Logger
+	// bodyBytes counts the bytes of bodies that are being read. Those of requests are bounded by the core.
+	bodyBytes atomic.Int64
 }
 
-// New returns a front; its Handle serves one connection.
+// New returns a front; its Handle serves one connection. Bodies that are being read take as many bytes as the core's open
+// requests may have.
 func New(opt Options, site *core.Config, c *core.Core, log *slog.Logger) *Front {
-	return &Front{opt, site, newRankBands(site.Control.Classes), c, log}
+	return &Front{opt: opt, site: site, bands: newRankBands(site.Control.Classes), core: c, log: log}
+}
+
+// reserveBody reserves memory for a body that is to be read; false = there is none.
+func (f *Front) reserveBody(bytes int) bool {
+	if f.bodyBytes.Add(int64(bytes)) <= int64(f.site.Bounds.OpenBytes) {
+		return true
+	}
+	f.bodyBytes.Add(-int64(bytes))
+	return false
 }
 
 // session is one connection, which carries one request.
@@ -93,7 +106,7 @@
 	f.core.Send(core.SessionOpened{Session: s, Single: true})
 	defer f.core.Send(core.SessionClosed{Session: s})
 	in := bufio.NewReaderSize(conn, 4<<10)
-	variables, body, err := readPacket(in, f.opt.MaxBody)
+	variables, body, err := f.read(in)
 	draining := s.endRead()
 	if err != nil {
 		f.answerBadPacket(outbound, err, draining)
@@ -118,6 +131,18 @@
 	f.awaitEnd(s, in, request.Handle)
 }
 
+// read reads a packet. The memory of its body is reserved until it is read or has failed.
+func (f *Front) read(in *bufio.Reader) (vars, []byte, error) {
+	reserved := 0
+	defer func() { f.bodyBytes.Add(-int64(reserved)) }()
+	return readPacket(in, f.opt.MaxBody, func(bytes int) bool {
+		if f.reserveBody(bytes) {
+			reserved = bytes
+		}
+		return reserved == bytes
+	})
+}
+
 // awaitEnd drops further input until the connection ends, by the answer or by a client that hangs up. It then cancels
 // the request, which has no effect on one that has been answered.
 func (f *Front) awaitEnd(s *session, in *bufio.Reader, handle string) {
@@ -144,6 +169,8 @@
 		outbound.Send(response(503, "leaving", []byte(headerNotRun+": 1\r\nRetry-After: 1\r\n")))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		outbound.Send(response(408, "the packet did not come in time", nil))
+	case errors.Is(err, ErrNoRoom):
+		outbound.Send(response(503, err.Error(), []byte(headerNotRun+": 1\r\nRetry-After: 1\r\n")))
 	case errors.Is(err, ErrBodyTooLarge):
 		outbound.Send(response(413, "body too large", nil))
 	default:
--- a/internal/uwsgi/front_test.go
+++ b/internal/uwsgi/front_test.go
@@ -103,6 +103,38 @@
 	}
 }
 
+// Guards against large bodies that fill the memory while they are read: beyond the bytes for them a request is refused, and
+// room is free again once a body is read or its client has gone.
+func TestBodiesBeingReadAreBoundedByBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := scenario.Site()
+		w := scenario.NewWorld(t, site, false)
+		w.Serve(ms)
+		options := uwsgi.Defaults()
+		options.MaxBody = site.Bounds.OpenBytes
+		dial := w.Front(uwsgi.New(options, &site, w.Core, slog.New(slog.DiscardHandler)).Handle)
+		body := strings.Repeat("b", site.Bounds.OpenBytes*2/3)
+		head := string(uwsgi.EncodeHead("PATH_INFO", "/quote", "CONTENT_LENGTH", strconv.Itoa(len(body))))
+		slow := dial()
+		slow.Send(head)
+		time.Sleep(ms)
+		refused := dial()
+		refused.Send(head)
+		if got := refused.Rest(); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "X-Not-Run: 1\r\n") {
+			t.Errorf("without room: %q", got)
+		}
+		slow.Close()
+		time.Sleep(ms)
+		for range 3 {
+			next := dial()
+			next.Send(head, body)
+			if got := next.Rest(); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+				t.Errorf("with room: %q", got)
+			}
+		}
+	})
+}
+
 // Tries with one key, sent in a burst over both fronts, lead to one run, and the key accepts only one body.
 func TestOneKeyRunsOnceOverBothFronts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/uwsgi/packet.go
+++ b/internal/uwsgi/packet.go
@@ -20,6 +20,8 @@
 	ErrPacket = errors.New("malformed uwsgi packet")
 	// ErrBodyTooLarge reports a body over the limit.
 	ErrBodyTooLarge = errors.New("body too large")
+	// ErrNoRoom reports that the bodies of other requests take all memory that there is for them.
+	ErrNoRoom = errors.New("no memory for the body")
 )
 
 const headLen = 4 // bytes of modifier1, size and modifier2
@@ -63,8 +65,9 @@
 }
 
 // readPacket reads one request and returns its variables and body. If the input ends before the first byte it returns
-// io.EOF. If the body is too large, the variables are valid.
-func readPacket(in *bufio.Reader, maxBody int) (vars, []byte, error) {
+// io.EOF. If the body is too large, the variables are valid. reserve is asked before memory is taken for a body of so many
+// bytes; if it returns false, the body is not read.
+func readPacket(in *bufio.Reader, maxBody int, reserve func(bytes int) bool) (vars, []byte, error) {
 	var head [headLen]byte
 	if _, err := io.ReadFull(in, head[:1]); err != nil {
 		return nil, nil, err
@@ -93,6 +96,9 @@
 	if bodySize > uint64(maxBody) {
 		return variables, nil, fmt.Errorf("%w: %d bytes, at most %d", ErrBodyTooLarge, bodySize, maxBody)
 	}
+	if !reserve(int(bodySize)) {
+		return variables, nil, ErrNoRoom
+	}
 	body := make([]byte, bodySize)
 	if _, err := io.ReadFull(in, body); err != nil {
 		return variables, nil, fmt.Errorf("%w: body cut short: %w", ErrPacket, err)
--- a/internal/uwsgi/packet_test.go
+++ b/internal/uwsgi/packet_test.go
@@ -20,7 +20,7 @@
 	f.Add(append(EncodeHead("PATH_INFO", "/book", "CONTENT_LENGTH", "2", opt.Vars.Token, "k", opt.Vars.Rank, "0.5"), "ab"...))
 	f.Add([]byte("\x00\x04\x00\x00\x09\x00ab"))
 	f.Fuzz(func(t *testing.T, p []byte) {
-		variables, body, err := readPacket(bufio.NewReader(bytes.NewReader(p)), opt.MaxBody)
+		variables, body, err := readPacket(bufio.NewReader(bytes.NewReader(p)), opt.MaxBody, func(int) bool { return true })
 		if err != nil {
 			return
 		}
