--- a/internal/index/index.go
+++ b/internal/index/index.go
@@ -123,7 +123,7 @@
 	c.waiting = append(c.waiting, pending)
 	if len(c.idleConns) > 0 { // closing it makes room for a new connection
 		c.idleConns[0].outbound.Kill()
-		c.idleConns = c.idleConns[1:]
+		c.idleConns = slices.Delete(c.idleConns, 0, 1)
 	}
 }
 
