trials: a test asks a second server once that server has heard of the first trial

Cause: TestATrialOverRealProcessesStopsByItself failed once in the whole check: 'not every box's program knows of trials yet' where the refusal of an unknown address was wanted. Each server tells for itself whether all know of trials, by what it has applied (DecodeCommand in trials.go: Initialized, SupportedByAll). The test asked Members[2] in the instant in which Members[1] had accepted the first trial, which the other need not have applied. Neither trials nor the driver was changed here.

Change: the same assertion, after the wait in which every server shows the first trial.

--- a/internal/fleet/trials/fleet_test.go
+++ b/internal/fleet/trials/fleet_test.go
@@ -138,13 +138,13 @@
 	w.wait("all have leases", 20*time.Second, w.all(f.Members, leased))
 	f.Call(12)
 	w.wait("the fleet is ready", 10*time.Second, func() bool { return w.start(f.Members[1], "better", bad.Addr, good.Addr, 0) == nil })
-	if err := w.start(f.Members[2], "other", "index", "127.0.0.1:9", 0); err == nil || !strings.Contains(err.Error(), `"127.0.0.1:9" of arm B`) || strings.Contains(err.Error(), "\n") {
-		t.Errorf("an address that no box knows: %v", err)
-	}
 	counts := func(m *standin.Member) bool {
 		return m.Figures()["fleet.trials"] == 1 && m.Figures()["fleet.trial_b"] > 5
 	}
 	w.wait("units are counted", 10*time.Second, w.all(f.Members, counts))
+	if err := w.start(f.Members[2], "other", "index", "127.0.0.1:9", 0); err == nil || !strings.Contains(err.Error(), `"127.0.0.1:9" of arm B`) || strings.Contains(err.Error(), "\n") {
+		t.Errorf("an address that no box knows: %v", err)
+	}
 	if code, err := f.Members[4].Stop(); code != 0 || err != nil { // in order: it is none that was lost
 		t.Fatal(code, err)
 	}
