Logs and /stats tell what happens to commands on the links to the worker pool

Whether a run was asked for again, on how many links, from which notice, and whether an end came that nobody waits for, was in no figure; of repeated commands five lines a second were kept, without their age.

Change: /stats has pool.links, pool.commands_in_doubt, pool.commands_repeated, pool.unknown_ends. The log has 'worker pool bound' (cursor, age, restarted), 'run ended that nobody waits for', the number of commands in doubt at the loss of a link, the time of the resync, and the age and doubt of each repeated command. No decision changes.

Measured: go test of core, admin, pool, capacity pass; docs/CAPACITY.md comes out the same.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -133,7 +133,8 @@
 func (d *Server) AppendMetrics(extra func() []byte) { d.extra = extra }
 
 // Lines formats the metrics: svc.ok.C, svc.shed.C, svc.errors.C and svc.tries.C for each class C, then svc.active, the
-// metrics of downstream calls and what the core keeps in memory, one name=value per line.
+// metrics of downstream calls, what the core keeps in memory and what happened on the links to the worker pool, one
+// name=value per line.
 func Lines(classes []string, f *core.Metrics) []byte {
 	var out bytes.Buffer
 	out.Grow(len(classes) * linesPerClass * expectedLineLen)
@@ -156,6 +157,9 @@
 	r := f.Retained
 	fmt.Fprintf(&out, "core.connections=%d\ncore.timers=%d\ncore.open_bytes=%d\ncore.results_pending=%d\ncore.keys=%d\ncore.key_bytes=%d\n",
 		r.Connections, r.Timers, r.OpenBytes, r.PendingResults, r.Keys, r.KeyBytes)
+	p := f.Pool
+	fmt.Fprintf(&out, "pool.links=%d\npool.commands_in_doubt=%d\npool.commands_repeated=%d\npool.unknown_ends=%d\n",
+		p.Links, p.InDoubt, p.Repeated, p.UnknownEnds)
 	return out.Bytes()
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,7 @@
 	pollCount    uint64        // requests for the gauges so far
 	linkUp       bool          // commands reach the worker pool
 	resyncTicket string        // ticket of the gauge request that follows a new link
+	boundAt      time.Duration // when the last link was bound
 	lastID       uint32
 	byID         map[uint32]*request
 	byHandle     map[string]*request
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -26,6 +26,7 @@
 	ConfigurationRevision uint64    // revision of the configuration documents in effect; 0 = none yet
 	Serving               bool      // the worker pool is up and the server is not draining
 	Retained              Retained  // what the loop keeps in memory
+	Pool                  PoolCounts
 }
 
 // Retained counts what the loop keeps in memory, as of the last publication. A request that is over must be in none of
@@ -39,6 +40,14 @@
 	KeyBytes       int // accounted size of these keys and of their results
 }
 
+// PoolCounts counts what happened on the links to the worker pool since the start of the process.
+type PoolCounts struct {
+	Links       uint64 // links on which the pool answered the bind
+	InDoubt     uint64 // commands of which it is not known whether they arrived before their link ended
+	Repeated    uint64 // commands that were sent again on a new link
+	UnknownEnds uint64 // ends of runs that no open request waits for
+}
+
 // metricsPublisher holds the loop's counters and the copy that readers see.
 type metricsPublisher struct {
 	counts       Metrics
--- a/internal/core/figures_test.go
+++ b/internal/core/figures_test.go
@@ -23,7 +23,7 @@
 		time.Sleep(100 * ms)
 		want := core.Metrics{OK: []uint64{0, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 0}, Tries: []uint64{1, 0},
 			Active: 1, Serving: true, WarmAt: metricsOf(w).WarmAt,
-			Retained: core.Retained{Connections: 1, Timers: 2, OpenBytes: 1024 + len("a") + len("body")}} // the polls of the gauges and the reports to the directory
+			Retained: core.Retained{Connections: 1, Timers: 2, OpenBytes: 1024 + len("a") + len("body")}, Pool: core.PoolCounts{Links: 1}} // the polls of the gauges and the reports to the directory
 		if up := want.WarmAt; up.IsZero() || up.After(time.Now()) {
 			t.Fatalf("a warm pool has WarmAt %v", up)
 		}
@@ -39,7 +39,7 @@
 		time.Sleep(100 * ms)
 		want = core.Metrics{OK: []uint64{1, 0}, Shed: []uint64{0, 0}, Errors: []uint64{0, 1}, Tries: []uint64{1, 1},
 			CoreUse: 0.1, Serving: true, WarmAt: want.WarmAt, KeyedUntil: metricsOf(w).KeyedUntil,
-			Retained: core.Retained{Connections: 1, Timers: 4, Keys: 1, KeyBytes: 513}} // and of the idle connection and the key
+			Retained: core.Retained{Connections: 1, Timers: 4, Keys: 1, KeyBytes: 513}, Pool: core.PoolCounts{Links: 1}} // and of the idle connection and the key
 		// The window from t0, plus its margin.
 		if d := time.Until(want.KeyedUntil); d < 20*time.Second || d > 23*time.Second {
 			t.Fatalf("KeyedUntil is %v ahead", d)
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -162,18 +162,24 @@
 		return // commands sent since then are marked already
 	}
 	c.linkUp = false
-	c.log.Info("worker pool link", "up", false, "open", len(c.byID))
+	inDoubt := 0
 	for _, r := range c.byID {
 		if r.resendCommand != nil && r.commandSent >= c.now-commandLossWindow {
 			r.commandMayBeLost = true
+			inDoubt++
 		}
 	}
+	c.metrics.counts.Pool.InDoubt += uint64(inDoubt)
+	c.metricsChanged()
+	c.log.Info("worker pool link", "up", false, "open", len(c.byID), "commands_in_doubt", inDoubt)
 }
 
 // poolBound handles a new link to the worker pool; the first one creates the controller.
 func (c *Core) poolBound(e PoolBound) {
 	started, lastSeen := c.now-e.Age, c.poolLastSeen
-	c.poolLastSeen = c.now
+	c.poolLastSeen, c.boundAt = c.now, c.now
+	c.metrics.counts.Pool.Links++
+	c.metricsChanged()
 	if c.controller == nil {
 		c.linkUp = true
 		c.startController(e.Cold, started)
@@ -256,10 +262,12 @@
 		// Repeating a run command is harmless. If a lost one were not repeated, the run would never start, and its end
 		// would never be reported.
 		if r.resendCommand != nil && (r.commandMayBeLost || r.commandStartsRun) {
+			c.log.Info("command repeated", "id", r.Handle, "class", c.className(r.Class), "spawn", r.commandStartsRun,
+				"sent_ms_ago", (c.now - r.commandSent).Milliseconds(), "in_doubt", r.commandMayBeLost,
+				"why", "new link to the worker pool")
+			c.metrics.counts.Pool.Repeated++
 			r.commandSent, r.commandMayBeLost = c.now, false
 			r.resendCommand()
-			c.log.Info("command repeated", "id", r.Handle, "spawn", r.commandStartsRun,
-				"why", "new link to the worker pool")
 		}
 		if r.stopRequested {
 			c.runner.Stop(r.Handle)
@@ -270,7 +278,7 @@
 		}
 	}
 	c.linkUp = true
-	c.log.Info("worker pool link", "up", true, "open", len(c.byID))
+	c.log.Info("worker pool link", "up", true, "open", len(c.byID), "resync_ms", (c.now - c.boundAt).Milliseconds())
 }
 
 // commandUnknown handles a command that was not carried out. A run that was requested once and rejected by the worker
@@ -302,6 +310,7 @@
 	c.poolLastSeen = c.now
 	r := c.byHandle[e.Handle]
 	if r == nil || !r.ran || r.state == stateFinishing {
+		c.unknownEnd(e)
 		return
 	}
 	r.resendCommand, r.stopRequested = nil, false
@@ -339,6 +348,14 @@
 	}
 }
 
+// unknownEnd records the end of a run that no open request waits for. The end of a run that was started twice is one.
+func (c *Core) unknownEnd(e PoolFinished) {
+	c.metrics.counts.Pool.UnknownEnds++
+	c.metricsChanged()
+	c.log.Info("run ended that nobody waits for", "id", e.Handle, "completed", e.Outcome == control.OK,
+		"run_ms", e.RunTime.Milliseconds(), "known_id", c.recentHandles.has(e.Handle))
+}
+
 // gaugesOf converts the reported values to gauges; an infinite value is unknown.
 func gaugesOf(names []string, values []float64) control.Gauges {
 	for i, value := range values {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -250,6 +250,7 @@
 		// Prevents the notices of a restarted pool, which numbers them from 1, from being dropped as duplicates.
 		l.restarted = l.restarted || time.Now().Add(-n.lasted).After(l.bound)
 		l.bound = l.dialed
+		l.log.Info("worker pool bound", "cursor", l.lastRead.Load(), "age_ms", n.lasted.Milliseconds(), "restarted", l.restarted)
 		l.sink(core.PoolBound{Cold: n.fate == "chilly", Age: n.lasted})
 	case "polled":
 		l.sink(core.PoolGauges{Ticket: n.ticket, Values: n.figures})
