--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -52,10 +52,14 @@
 	cold    bool     // the worker pool has started anew
 	begun   map[string]string
 	waiting map[string]chan string // runs at a call, by handle
+	spawned int                    // runs begun
 	asks    int                    // different calls that runs make; 0 = one, by every third
-	below   time.Duration          // that a call below takes
-	asked   map[string]int         // made below, by body
-	wrong   int                    // runs that were given the reply to another call
+	// callsEach is how many calls every run makes, one after the other and each with a body of its own; 0 = as asks says.
+	callsEach   int
+	rerunsEnded bool           // a handle whose run is over is run again, as the protocol page has it
+	below       time.Duration  // that a call below takes
+	asked       map[string]int // made below, by body
+	wrong       int            // runs that were given the reply to another call
 }
 
 // NewSite starts a site on loopback. A run takes work, and every third makes a call below.
@@ -120,6 +124,20 @@
 	s.asks, s.below = n, took
 }
 
+// SetCalls has every run make n calls below, one after the other, each with a body of its own.
+func (s *Site) SetCalls(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callsEach = n
+}
+
+// RerunEnded has a handle whose run is over be run again: only for a request that runs nothing happens.
+func (s *Site) RerunEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rerunsEnded = true
+}
+
 // Asked tells how often each call was made below, by its body, and how many runs were given the reply to another one.
 func (s *Site) Asked() (calls map[string]int, wrong int) {
 	s.mu.Lock()
@@ -238,67 +256,101 @@
 	}
 }
 
+// run is a run of the worker pool.
+type run struct {
+	handle, body string
+	start        int // of the worker pool
+	began        time.Time
+	work         time.Duration // without its waits
+	calls        []string      // bodies of its calls below, one after the other
+	within       time.Duration // how long it waits for each reply
+}
+
+// spawn begins a run, unless one of the same handle is in hand, or is over and RerunEnded was not called.
 func (s *Site) spawn(handle, class, arg string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	start := s.starts
 	if _, ok := s.begun[handle]; ok {
 		return
 	}
 	s.begun[handle] = class
-	body, _ := base64.StdEncoding.DecodeString(arg)
-	began, work := time.Now(), s.work
-	s.runs[string(body)] = append(s.runs[string(body)], began)
-	calls, number, within := len(s.begun)%3 == 0, "", callWithin
-	if s.asks > 0 {
-		calls, number, within = true, fmt.Sprintf(" %d", xxhash.Sum64(body)%uint64(s.asks)), asksWithin
-	}
-	var supplied chan string
-	if calls {
-		supplied = make(chan string, 1)
-		s.waiting[handle] = supplied
-		s.notice(`"event":"blocked","handle":%q,"arg":%q`, handle, base64.StdEncoding.EncodeToString([]byte(callBody+number)))
+	s.spawned++
+	text, _ := base64.StdEncoding.DecodeString(arg)
+	r := run{handle: handle, body: string(text), start: s.starts, began: time.Now(), work: s.work, within: callWithin}
+	s.runs[r.body] = append(s.runs[r.body], r.began)
+	switch {
+	case s.callsEach > 0:
+		r.within = asksWithin
+		for n := range s.callsEach {
+			r.calls = append(r.calls, fmt.Sprintf("%s %s %d", callBody, handle, n))
+		}
+	case s.asks > 0:
+		r.within = asksWithin
+		r.calls = []string{fmt.Sprintf("%s %d", callBody, xxhash.Sum64(text)%uint64(s.asks))}
+	case s.spawned%3 == 0:
+		r.calls = []string{callBody}
 	}
-	go func() {
-		fate := "complete"
-		if calls {
-			select {
-			case arg, ok := <-supplied:
-				switch got, _ := base64.StdEncoding.DecodeString(arg); {
-				case !ok:
-					fate = "cancelled"
-				case string(got) == noTaxi:
-					fate = "error"
-				case string(got) != callReply+number:
-					s.mu.Lock()
-					s.wrong++
-					s.mu.Unlock()
-				}
-			case <-time.After(within): // its request is over, as far as anybody can tell
-				fate = "cancelled"
-				s.mu.Lock()
-				delete(s.waiting, handle)
-				s.mu.Unlock()
-			}
+	go s.play(r)
+}
+
+// play plays a run to its end, and tells of it.
+func (s *Site) play(r run) {
+	worked, fate := time.Duration(0), "complete"
+	for i := 0; i < max(1, len(r.calls)) && fate == "complete"; i++ {
+		if i < len(r.calls) {
+			fate = s.call(r, r.calls[i])
 		}
 		starts := time.Now()
-		time.Sleep(work)
-		worked := time.Since(starts)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.starts != start { // it went with its worker pool
-			return
-		}
-		s.worked[string(body)] = worked
-		if fate == "cancelled" { // as the worker pool has it: only one that runs is not run again
-			delete(s.begun, handle)
-		}
-		result := base64.StdEncoding.EncodeToString([]byte("done: " + string(body)))
-		if fate != "complete" {
-			result = ""
+		time.Sleep(r.work / time.Duration(max(1, len(r.calls))))
+		worked += time.Since(starts)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.starts != r.start { // it went with its worker pool
+		return
+	}
+	s.worked[r.body] = worked
+	if s.rerunsEnded || fate == "cancelled" {
+		delete(s.begun, r.handle)
+	}
+	result := base64.StdEncoding.EncodeToString([]byte("done: " + r.body))
+	if fate != "complete" {
+		result = ""
+	}
+	s.notice(`"event":"finished","handle":%q,"fate":%q,"lasted":%d,"arg":%q`, r.handle, fate, time.Since(r.began).Milliseconds(), result)
+}
+
+// call has a run wait for the reply to a call, and gives what its fate is then.
+func (s *Site) call(r run, body string) (fate string) {
+	supplied := make(chan string, 1)
+	s.mu.Lock()
+	if s.starts != r.start {
+		s.mu.Unlock()
+		return "cancelled"
+	}
+	s.waiting[r.handle] = supplied
+	s.notice(`"event":"blocked","handle":%q,"arg":%q`, r.handle, base64.StdEncoding.EncodeToString([]byte(body)))
+	s.mu.Unlock()
+	select {
+	case arg, ok := <-supplied:
+		got, _ := base64.StdEncoding.DecodeString(arg)
+		switch {
+		case !ok:
+			return "cancelled"
+		case string(got) == noTaxi:
+			return "error"
+		case string(got) != callReply+strings.TrimPrefix(body, callBody):
+			s.mu.Lock()
+			s.wrong++
+			s.mu.Unlock()
 		}
-		s.notice(`"event":"finished","handle":%q,"fate":%q,"lasted":%d,"arg":%q`, handle, fate, time.Since(began).Milliseconds(), result)
-	}()
+		return "complete"
+	case <-time.After(r.within): // its request is over, as far as anybody can tell
+		s.mu.Lock()
+		delete(s.waiting, r.handle)
+		s.mu.Unlock()
+		return "cancelled"
+	}
 }
 
 // index answers calls below.
