A write's run is requested once: a command in doubt is not repeated on a new link

Cause: core.resendCommands asked again, on each new link to the worker pool, for every run of which nothing was heard, as 'repeating a run command is harmless'. A run that ended while the repeat was on its way was run again. The repeat follows the notices that had been read, not those under way.

Runner says whether a command was written to a link at all; one that never was is sent on the next link. The answer to a later poll, or a notice of the run, shows that it arrived, in place of a time window by the loop's clock. What remains in doubt is repeated only if a second copy does no harm whenever it arrives: the run of a safe class, and the leaving out of a call, which names its notice. A write in doubt is waited for as long as it is of use, and then counts as run and failed, so that it holds no core for ever. A run that was never sent and that nobody waits for is not sent late.

--- a/cmd/measure/ledger.go
+++ b/cmd/measure/ledger.go
@@ -120,10 +120,14 @@
 }
 
 // The rig plays all other parties.
-func (g *rig) Run(handle, _ string, _ []byte)                                   { g.pool <- handle }
+func (g *rig) Run(handle, _ string, _ []byte) bool {
+	g.pool <- handle
+	return true
+}
+
 func (g *rig) Stop(string)                                                      {}
-func (g *rig) Supply(string, []byte)                                            {}
-func (g *rig) SkipCall(string, uint64)                                          {}
+func (g *rig) Supply(string, []byte) bool                                       { return true }
+func (g *rig) SkipCall(string, uint64) bool                                     { return true }
 func (g *rig) Verify(string)                                                    {}
 func (g *rig) Poll(string)                                                      {}
 func (g *rig) Call(string, uint64, string, uint64, time.Duration, bool, []byte) {}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -158,8 +158,8 @@
 	fmt.Fprintf(&out, "core.connections=%d\ncore.timers=%d\ncore.open_bytes=%d\ncore.results_pending=%d\ncore.keys=%d\ncore.key_bytes=%d\n",
 		r.Connections, r.Timers, r.OpenBytes, r.PendingResults, r.Keys, r.KeyBytes)
 	p := f.Pool
-	fmt.Fprintf(&out, "pool.links=%d\npool.commands_in_doubt=%d\npool.commands_repeated=%d\npool.unknown_ends=%d\n",
-		p.Links, p.InDoubt, p.Repeated, p.UnknownEnds)
+	fmt.Fprintf(&out, "pool.links=%d\npool.commands_in_doubt=%d\npool.commands_repeated=%d\npool.runs_given_up=%d\npool.unknown_ends=%d\n",
+		p.Links, p.InDoubt, p.Repeated, p.GivenUp, p.UnknownEnds)
 	return out.Bytes()
 }
 
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -88,13 +88,14 @@
 	Conns() int
 }
 
-// Runner sends commands to the worker pool. Its methods must not block.
+// Runner sends commands to the worker pool. Its methods must not block. Sent is false if there was no link to write the
+// command to, so that it cannot arrive; otherwise it may arrive even if its link ends.
 type Runner interface {
-	Run(handle, class string, body []byte)
+	Run(handle, class string, body []byte) (sent bool)
 	Stop(handle string)
-	Supply(handle string, body []byte)
+	Supply(handle string, body []byte) (sent bool)
 	// SkipCall lets a run continue without the call that the notice asked for.
-	SkipCall(handle string, notice uint64)
+	SkipCall(handle string, notice uint64) (sent bool)
 	Poll(ticket string)
 	// Verify asks the worker pool to do the work of a deep health check.
 	Verify(ticket string)
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -59,7 +59,7 @@
 		c.finish(r, control.Errored, 0)
 		return
 	}
-	r.resendCommand = nil
+	r.command.settle()
 	c.controller.Canceled(c.now, r.id)
 	if c.site.Control.Stopping != control.StopNever {
 		c.stopRun(r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"strconv"
 	"sync"
 	"time"
 
@@ -25,7 +24,6 @@
 	exitMargin            = 150 * time.Millisecond // before the kill, when the loop ends and rejects queued input
 	earlyExitDelay        = 500 * time.Millisecond // after the grace period, when an idle server exits early
 	callTimeoutMargin     = 100 * time.Millisecond // added to the timeout of a call before the core gives it up
-	commandLossWindow     = 100 * time.Millisecond // a broken link may lose the commands of its last 50 ms
 )
 
 // Core owns the controller and the state of all requests. All fields belong to the goroutine that calls Run.
@@ -57,6 +55,7 @@
 	reportTimer  timer
 	lastPoll     time.Duration // when the gauges were last requested
 	pollCount    uint64        // requests for the gauges so far
+	answeredPoll uint64        // number of the last one that was answered
 	linkUp       bool          // commands reach the worker pool
 	resyncTicket string        // ticket of the gauge request that follows a new link
 	boundAt      time.Duration // when the last link was bound
@@ -123,29 +122,26 @@
 // request is one try. Its answered field is set once, by the functions in book.go and intake.go.
 type request struct {
 	IncomingRequest
-	id               uint32
-	arrived          time.Duration
-	due              time.Duration // when its answer is due
-	session          *session      // nil once it has its final answer or is canceled, and if it is adopted
-	reply            Reply         // nil likewise
-	state            state
-	ran              bool          // a run command has been sent
-	answered         bool          // has its final answer, or was canceled
-	adopted          bool          // taken over from a failed server: no caller waits for its answer
-	entry            *entry        // the key that it owns or repeats
-	waitTimer        timer         // limits the wait for a call or for the shared store
-	callStarted      time.Duration // when the call in flight was made
-	callNumber       uint64        // of the call in flight, or of the last one
-	callBody         []byte
-	callNotice       uint64        // notice that asked for the call
-	resendCommand    func()        // sends its last command again on a new link to the worker pool
-	commandSent      time.Duration // when that command was sent
-	runCommands      int           // number of run commands sent
-	commandMayBeLost bool          // the last command may not have arrived
-	commandStartsRun bool          // the last command is a run command
-	stopRequested    bool          // a stop was requested, and the run has not ended
-	usage            usage
-	size             int // its part of Core.openBytes
+	id            uint32
+	arrived       time.Duration
+	due           time.Duration // when its answer is due
+	session       *session      // nil once it has its final answer or is canceled, and if it is adopted
+	reply         Reply         // nil likewise
+	state         state
+	ran           bool          // a run command has been sent
+	answered      bool          // has its final answer, or was canceled
+	adopted       bool          // taken over from a failed server: no caller waits for its answer
+	entry         *entry        // the key that it owns or repeats
+	waitTimer     timer         // limits the wait for a call, for the shared store, or for a notice of a run in doubt
+	callStarted   time.Duration // when the call in flight was made
+	callNumber    uint64        // of the call in flight, or of the last one
+	callBody      []byte
+	callNotice    uint64 // notice that asked for the call
+	command       command
+	runCommands   int  // number of run commands sent
+	stopRequested bool // a stop was requested, and the run has not ended
+	usage         usage
+	size          int // its part of Core.openBytes
 }
 
 // New returns a core; Run starts its loop.
@@ -393,8 +389,7 @@
 		return
 	}
 	c.lastPoll = c.now
-	c.pollCount++
-	c.runner.Poll(strconv.FormatUint(c.pollCount, 10))
+	c.sendPoll("")
 }
 
 // gaugesPolled passes the gauges to the controller.
@@ -402,6 +397,7 @@
 	if c.controller == nil {
 		return
 	}
+	c.pollAnswered(e.Ticket)
 	if e.Ticket == c.resyncTicket {
 		c.resendCommands()
 	}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -45,6 +45,7 @@
 	Links       uint64 // links on which the pool answered the bind
 	InDoubt     uint64 // commands of which it is not known whether they arrived before their link ended
 	Repeated    uint64 // commands that were sent again on a new link
+	GivenUp     uint64 // runs of which nothing was heard after their command was in doubt
 	UnknownEnds uint64 // ends of runs that no open request waits for
 }
 
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -43,7 +43,9 @@
 		w.Send(runFinished("b", control.OK, "x"))
 		w.Expect(ms, "served b x")
 		w.Send(core.PoolLost{}, core.PoolBound{Age: 401 * ms})
-		w.Expect(ms, "run a book body")
+		w.Expect(ms)
+		w.Send(runFinished("a", control.OK, "y"))
+		w.Expect(ms, "served a y")
 	})
 }
 
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -15,7 +15,8 @@
 	if r == nil || r.state != stateRunning {
 		return
 	}
-	r.resendCommand = nil
+	r.command.settle()
+	c.timers.remove(&r.waitTimer)
 	r.state = stateBlocked
 	r.callBody, r.callNotice = e.Body, e.Notice
 	c.controller.Blocked(c.now, r.id)
@@ -47,7 +48,7 @@
 	}
 	r.state = stateRunning
 	notice := r.callNotice
-	c.sendCommand(r, func() { c.runner.SkipCall(r.Handle, notice) })
+	c.sendCommand(r, commandSkip, func() bool { return c.runner.SkipCall(r.Handle, notice) })
 }
 
 // abandonCall gives up the call in flight.
@@ -69,16 +70,18 @@
 	r.state = stateBlocked
 	if e.Outcome == control.OK && c.owns(r.entry) {
 		r.state = stateRunning
-		c.sendCommand(r, func() { c.runner.Supply(r.Handle, e.Body) })
+		c.sendCommand(r, commandSupply, func() bool { return c.runner.Supply(r.Handle, e.Body) })
 	} else {
 		r.usage.lostCalls++
 	}
 	c.controller.CallDone(c.now, r.id, c.now-r.callStarted, e.Outcome)
 }
 
-// waitExpired handles the timeout of a call, or of a request that waits for the shared store.
+// waitExpired handles the timeout of a call, of a request that waits for the shared store, or of a run in doubt.
 func (c *Core) waitExpired(r *request) {
 	switch r.state {
+	case stateRunning:
+		c.noticeOverdue(r)
 	case stateCalling:
 		c.metrics.counts.Lost++
 		r.usage.lostCalls++
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"larchscale/control"
@@ -13,6 +12,9 @@
 
 // Sending: executing the controller's actions, and the link to the worker pool.
 
+// resyncPrefix begins the tickets of the gauge requests that follow a new link.
+const resyncPrefix = "r"
+
 // actionKind is the kind of an action.
 type actionKind uint8
 
@@ -129,20 +131,7 @@
 	r.runCommands, r.stopRequested = 0, false
 	c.metrics.counts.Tries[r.Class]++
 	c.metricsChanged()
-	c.sendCommand(r, func() {
-		r.runCommands++
-		c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body)
-	})
-	r.commandStartsRun = true
-}
-
-// sendCommand sends a command for r and remembers it until the worker pool has shown that it arrived. Without a link
-// the command is only remembered.
-func (c *Core) sendCommand(r *request, send func()) {
-	r.resendCommand, r.commandSent, r.commandMayBeLost, r.commandStartsRun = send, c.now, !c.linkUp, false
-	if c.linkUp {
-		send()
-	}
+	c.sendCommand(r, commandSpawn, func() bool { return c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body) })
 }
 
 // stopRun asks for a run to be stopped.
@@ -153,22 +142,14 @@
 	}
 }
 
-// poolLinkLost handles the end of a link. A command that was lost with the link must be sent again, or its run would
-// hang; but a command that arrived must not be sent twice: a run that already had its reply would take the copy for
-// the reply to its next call. So only commands sent shortly before the end are repeated, and none until it is known
-// which of them arrived.
+// poolLinkLost handles the end of a link. What is in doubt with it is decided once the next link has told the notices that
+// were missed.
 func (c *Core) poolLinkLost() {
 	if !c.linkUp {
-		return // commands sent since then are marked already
+		return // commands since then were not sent
 	}
 	c.linkUp = false
-	inDoubt := 0
-	for _, r := range c.byID {
-		if r.resendCommand != nil && r.commandSent >= c.now-commandLossWindow {
-			r.commandMayBeLost = true
-			inDoubt++
-		}
-	}
+	inDoubt := c.commandsInDoubt()
 	c.metrics.counts.Pool.InDoubt += uint64(inDoubt)
 	c.metricsChanged()
 	c.log.Info("worker pool link", "up", false, "open", len(c.byID), "commands_in_doubt", inDoubt)
@@ -193,11 +174,7 @@
 		return
 	}
 	c.poolLinkLost()
-	// The notices that were missed follow. Only after them is it known which commands were lost with the old link:
-	// the answer to this gauge request marks that point.
-	c.pollCount++
-	c.resyncTicket = "r" + strconv.FormatUint(c.pollCount, 10)
-	c.runner.Poll(c.resyncTicket)
+	c.resyncTicket = c.sendPoll(resyncPrefix) // its answer follows the notices that were missed
 }
 
 // startController creates the controller for a worker pool that started at the given time.
@@ -250,37 +227,6 @@
 	}
 }
 
-// resendCommands repeats the commands that the worker pool has not shown to have received.
-func (c *Core) resendCommands() {
-	c.resyncTicket = ""
-	for _, id := range slices.Sorted(maps.Keys(c.byID)) {
-		r := c.byID[id]
-		if r == nil || r.state != stateRunning {
-			continue
-		}
-		owned := c.owns(r.entry)
-		// Repeating a run command is harmless. If a lost one were not repeated, the run would never start, and its end
-		// would never be reported.
-		if r.resendCommand != nil && (r.commandMayBeLost || r.commandStartsRun) {
-			c.log.Info("command repeated", "id", r.Handle, "class", c.className(r.Class), "spawn", r.commandStartsRun,
-				"sent_ms_ago", (c.now - r.commandSent).Milliseconds(), "in_doubt", r.commandMayBeLost,
-				"why", "new link to the worker pool")
-			c.metrics.counts.Pool.Repeated++
-			r.commandSent, r.commandMayBeLost = c.now, false
-			r.resendCommand()
-		}
-		if r.stopRequested {
-			c.runner.Stop(r.Handle)
-		}
-		if !owned && r.commandStartsRun { // it is unknown whether its run began, and it is not requested again
-			r.addRun(c.now, 0)
-			c.finish(r, control.Errored, 0)
-		}
-	}
-	c.linkUp = true
-	c.log.Info("worker pool link", "up", true, "open", len(c.byID), "resync_ms", (c.now - c.boundAt).Milliseconds())
-}
-
 // commandUnknown handles a command that was not carried out. A run that was requested once and rejected by the worker
 // pool never began. Without this, the request and its key would wait for a run that does not exist.
 func (c *Core) commandUnknown(e PoolCommandUnknown) {
@@ -288,7 +234,8 @@
 	if r == nil || e.Command != "spawn" || r.state != stateRunning || r.runCommands != 1 {
 		return
 	}
-	r.resendCommand, r.state = nil, stateFinishing
+	r.command.settle()
+	r.state = stateFinishing
 	if c.owns(r.entry) {
 		c.answer(r, Answer{Kind: Invalid, Why: "the worker pool does not know this request"})
 		c.undoRun(r)
@@ -313,7 +260,9 @@
 		c.unknownEnd(e)
 		return
 	}
-	r.resendCommand, r.stopRequested = nil, false
+	r.command.settle()
+	r.stopRequested = false
+	c.timers.remove(&r.waitTimer)
 	if r.state == stateCalling {
 		c.abandonCall(r)
 	}
@@ -335,7 +284,7 @@
 	switch {
 	case r.entry == nil:
 		c.answer(r, answer)
-	case e.Outcome == control.NotStarted && r.runCommands == 1:
+	case e.Outcome == control.NotStarted && r.runCommands <= 1:
 		c.answer(r, answer)
 		c.undoRun(r)
 	default:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -167,12 +167,11 @@
 	return true
 }
 
-func (l *Link) send(parts ...[]byte) {
+// send queues a command line on the current connection; false = there is none, and the line is dropped.
+func (l *Link) send(parts ...[]byte) (sent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.outbound != nil {
-		l.outbound.Send(parts...)
-	}
+	return l.outbound != nil && l.outbound.Send(parts...)
 }
 
 var (
@@ -294,8 +293,10 @@
 // Cursor returns the number of the last notice read. It is safe for concurrent use.
 func (l *Link) Cursor() uint64 { return l.lastRead.Load() }
 
-// Run starts a run of a request of class with body under handle.
-func (l *Link) Run(handle, class string, body []byte) { l.send(spawn(handle, class, body)...) }
+// Run starts a run of a request of class with body under handle. It returns false if there is no connection.
+func (l *Link) Run(handle, class string, body []byte) (sent bool) {
+	return l.send(spawn(handle, class, body)...)
+}
 
 func spawn(handle, class string, body []byte) [][]byte {
 	return [][]byte{command("spawn", handle), []byte(`,"entry":` + strconv.Quote(class)), arg(body)}
@@ -307,13 +308,14 @@
 // Supply sends a run the reply it waits for, at most once on each connection. The core repeats a reply when it learns
 // that a connection has closed; if the reply has already gone out on the next connection, the run would take the copy
 // for the reply to its next call.
-func (l *Link) Supply(handle string, body []byte) {
+func (l *Link) Supply(handle string, body []byte) (sent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.outbound != nil && !l.supplied[handle] {
-		l.supplied[handle] = true
-		l.outbound.Send(supply(handle, body)...)
+	if l.outbound == nil || l.supplied[handle] {
+		return l.outbound != nil
 	}
+	l.supplied[handle] = true
+	return l.outbound.Send(supply(handle, body)...)
 }
 
 func supply(handle string, body []byte) [][]byte {
@@ -321,8 +323,8 @@
 }
 
 // SkipCall has a run continue without the call that a blocked notice asked for.
-func (l *Link) SkipCall(handle string, notice uint64) {
-	l.send(command("pass", handle), []byte(`,"cursor":`+strconv.FormatUint(notice, 10)+"}\n"))
+func (l *Link) SkipCall(handle string, notice uint64) (sent bool) {
+	return l.send(command("pass", handle), []byte(`,"cursor":`+strconv.FormatUint(notice, 10)+"}\n"))
 }
 
 // Verify requests a deep health check, answered with a verified notice under ticket.
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -328,24 +328,31 @@
 	}
 )
 
-func (r runner) Run(h, class string, body []byte) {
+func (r runner) Run(h, class string, body []byte) bool {
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
 	r.w.hands = append(r.w.hands, h)
 	if r.w.serve == 0 {
 		r.w.lines = append(r.w.lines, r.w.named(fmt.Sprintf("run %s %s %s", h, class, body)))
-		return
+		return true
 	}
 	r.w.runs[string(body)]++
 	time.AfterFunc(r.w.serve, func() {
 		r.w.Core.Send(core.PoolFinished{Handle: h, Outcome: control.OK, RunTime: r.w.serve, Body: []byte("ok")})
 	})
+	return true
+}
+func (r runner) Stop(h string) { r.w.note("stop %s", h) }
+func (r runner) Supply(h string, body []byte) bool {
+	r.w.note("supply %s %s", h, body)
+	return true
 }
-func (r runner) Stop(h string)                { r.w.note("stop %s", h) }
-func (r runner) Supply(h string, body []byte) { r.w.note("supply %s %s", h, body) }
 
-func (r runner) SkipCall(h string, notice uint64) { r.w.note("pass %s %d", h, notice) }
-func (r runner) Verify(ticket string)             { r.w.note("verify %s", ticket) }
+func (r runner) SkipCall(h string, notice uint64) bool {
+	r.w.note("pass %s %d", h, notice)
+	return true
+}
+func (r runner) Verify(ticket string) { r.w.note("verify %s", ticket) }
 
 // Poll is answered with idle gauges, after what the test has sent already, and not recorded.
 func (r runner) Poll(ticket string) {
