A reply to a call is sent once: a run could take the copy for the reply to its next call

A run was given the reply to an earlier call as the reply to its next one, so that its result was made of the wrong reply.

A reply in doubt was sent again on a new link. It does nothing to a run that works, but a run that comes to its next call while the copy is on its way takes it for that call's reply: the command names no call.

Change: a reply that may have arrived is not sent again. A run of a safe class of which nothing is heard for a quarter of its remaining time is stopped, where a stop has the request held again, and runs anew; another is waited for, and the pool ends a run at a call whose request is over. The link no longer keeps which handles had a reply: nothing is sent twice on it.

Tests replaced, as they demanded the fault: a reply repeated on the next link (TestLinkBreaksWithOpenRun, TestBrokenLinkRepeatsOnlyCommandsInDoubt) is now demanded not to be.

--- a/internal/core/command.go
+++ b/internal/core/command.go
@@ -15,6 +15,9 @@
 // arrives. What the pool does with a copy at the moment at which it is sent does not count: the notice that changes this
 // may be on its way here.
 
+// restartAfter is the part of a request's remaining time, one in so many, after which its run is restarted.
+const restartAfter = 4
+
 // commandKind is the kind of a command.
 type commandKind uint8
 
@@ -73,10 +76,19 @@
 // maySendTwice reports whether a second copy of the command of r does no harm, whenever it arrives. A run that has ended
 // would be run again, and one that waits for its next call would take a reply for that call's; a skip names the call.
 func (c *Core) maySendTwice(r *request) bool {
-	if r.command.kind == commandSpawn {
+	switch r.command.kind {
+	case commandSpawn:
 		return c.site.Control.Classes[r.Class].Effect == control.Safe
+	case commandSkip:
+		return true
 	}
-	return true
+	return false
+}
+
+// mayRestart reports whether a run that may wait for a lost reply can be stopped and run again.
+func (c *Core) mayRestart(r *request) bool {
+	return r.command.kind == commandSupply && !r.answered && c.site.Control.Stopping == control.StopRequeues &&
+		c.site.Control.Classes[r.Class].Effect == control.Safe
 }
 
 // commandsInDoubt marks the commands of which it is not known whether they arrived on the link that ended.
@@ -157,21 +169,38 @@
 	}
 }
 
-// awaitNotice waits for the next notice of a run whose command may be lost, as long as a run of its class can be of use.
+// awaitNotice waits for the next notice of a run whose command may be lost: as long as a run of its class can be of use, or
+// for a part of its time if the run may be restarted.
 func (c *Core) awaitNotice(r *request) {
 	if r.waitTimer.heapPosition > 0 { // it waits since an earlier link
 		return
 	}
 	c.log.Info("command in doubt", "id", r.Handle, "class", c.className(r.Class),
 		"spawn", r.command.kind == commandSpawn, "sent_ms_ago", (c.now - r.command.sentAt).Milliseconds())
-	c.timers.set(&r.waitTimer, max(r.due, c.now+c.site.Control.Classes[r.Class].Deadline))
+	if c.mayRestart(r) {
+		c.timers.set(&r.waitTimer, c.now+(r.due-c.now)/restartAfter)
+		return
+	}
+	c.timers.set(&r.waitTimer, c.giveUpTime(r))
+}
+
+// giveUpTime returns until when a run of which nothing is heard is waited for.
+func (c *Core) giveUpTime(r *request) time.Duration {
+	return max(r.due, c.now+c.site.Control.Classes[r.Class].Deadline)
 }
 
-// noticeOverdue gives up a run of which nothing was heard since its command was in doubt. It counts as run and failed.
+// noticeOverdue restarts a run of which nothing was heard since its command was in doubt, or gives it up: then it counts as
+// run and failed.
 func (c *Core) noticeOverdue(r *request) {
 	if r.command.delivery != deliveryUncertain {
 		return
 	}
+	if c.mayRestart(r) && !r.stopRequested {
+		c.log.Info("run restarted", "id", r.Handle, "class", c.className(r.Class), "why", "the reply to its call may be lost")
+		c.stopRun(r)
+		c.timers.set(&r.waitTimer, c.giveUpTime(r))
+		return
+	}
 	c.log.Warn("run given up", "id", r.Handle, "class", c.className(r.Class),
 		"sent_ms_ago", (c.now - r.command.sentAt).Milliseconds())
 	c.metrics.counts.Pool.GivenUp++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -234,7 +234,7 @@
 		w.Send(core.PoolBound{Age: time.Hour})
 		w.Expect(ms, "supply a r", "stop b")
 		w.Send(core.PoolLost{}, core.PoolLost{}, core.PoolBound{Age: time.Hour})
-		w.Expect(ms, "supply a r", "stop b")
+		w.Expect(ms, "stop b")
 		w.Expect(200 * ms)
 		w.Send(core.PoolLost{}, core.PoolBound{Age: time.Hour})
 		w.Expect(ms, "stop b")
@@ -249,6 +249,35 @@
 	})
 }
 
+// The reply to a call is sent once: the run may wait for its next call by now, and would take a copy for that call's reply. A
+// run that may be repeated is stopped and started again if nothing is heard of it for a quarter of its time.
+func TestReplyInDoubtIsNotRepeated(t *testing.T) {
+	for _, class := range []string{"quote", "book"} {
+		t.Run(class, func(t *testing.T) {
+			play(t, false, func(w *scenario.World) {
+				w.Send(w.Ask("a", class, map[string]string{"book": "k"}[class]))
+				w.Expect(200*ms, "run a "+class+" body")
+				w.Send(core.PoolBlocked{Handle: "a", Notice: 1, Body: []byte("ask")})
+				w.Expect(ms, map[string]string{"quote": "call a quote 2.8s ask", "book": "call a book 3.8s ask"}[class])
+				w.Send(core.CallEnded{Handle: "a", Outcome: control.OK, Body: []byte("r")})
+				w.Expect(ms, "supply a r")
+				w.Send(core.PoolLost{}, core.PoolBound{Age: time.Hour})
+				w.Expect(900 * ms)
+				if class == "book" {
+					w.Expect(2*time.Second + 850*ms)
+					w.Expect(100*ms, "out of time a")
+					return
+				}
+				w.Expect(100*ms, "stop a")
+				w.Send(runFinished("a", control.Stopped, ""))
+				w.Expect(ms, "run a quote body")
+				w.Send(runFinished("a", control.OK, "x"))
+				w.Expect(10*time.Second, "served a x")
+			})
+		})
+	}
+}
+
 // The run of a write that may be lost with its link is waited for as long as it can be of use. Then it counts as run and
 // failed, and holds nothing any longer.
 func TestWriteInDoubtIsGivenUp(t *testing.T) {
--- a/internal/core/link_model_test.go
+++ b/internal/core/link_model_test.go
@@ -34,7 +34,8 @@
 	runs    map[string]*modelRun
 	begun   map[string]int // runs by body, which each request or key has of its own
 	effects map[string]control.Effect
-	doubt   int // commands that were lost with a link
+	wrong   []string // replies that were given to another call
+	doubt   int      // commands that were lost with a link
 	gone    map[string]bool
 }
 
@@ -211,12 +212,16 @@
 }
 
 // Supply implements core.Runner: whatever call the run waits for, this is its reply.
-func (p *modelPool) Supply(handle string, _ []byte) bool {
+func (p *modelPool) Supply(handle string, body []byte) bool {
+	reply := string(body)
 	return p.command(func() {
 		r := p.runs[handle]
 		if r == nil || r.waiting == "" {
 			return
 		}
+		if reply != "reply to "+r.waiting {
+			p.wrong = append(p.wrong, fmt.Sprintf("%q is %q", r.waiting, reply))
+		}
 		r.waiting = ""
 		p.work(r)
 	})
@@ -269,7 +274,8 @@
 }
 
 // Guards against commands that cross what the pool tells. Whatever order the ends of links, commands and notices come in, and
-// whatever is lost of them, a write begins once at most, and each request has one answer in time.
+// whatever is lost of them, a write begins once at most, a run gets the replies to its own calls, and each request has
+// one answer in time.
 func TestWorkIsDoneOnceOverBreakingLinks(t *testing.T) {
 	served, doubt := 0, 0
 	for seed := range uint64(*linkSeeds) {
@@ -358,6 +364,9 @@
 			t.Errorf("%q began %d times", body, n)
 		}
 	}
+	if len(p.wrong) > 0 {
+		t.Errorf("replies to other calls:\n%s", strings.Join(p.wrong, "\n"))
+	}
 	for _, handle := range slices.Sorted(maps.Keys(p.clients.due)) {
 		answers := p.clients.answers[handle]
 		switch {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,8 +50,6 @@
 	mu       sync.Mutex
 	addr     string
 	outbound *sock.WriteQueue // nil while the link is down
-
-	supplied map[string]bool // handles of runs that got a reply on this link and have sent no notice since
 }
 
 // New returns a link that passes the notices of the worker pool to sink. It does not connect yet.
@@ -163,7 +161,7 @@
 		return false
 	}
 	outbound.Send([]byte(`{"event":"bind","cursor":` + strconv.FormatUint(l.lastRead.Load(), 10) + "}\n"))
-	l.outbound, l.supplied = outbound, map[string]bool{}
+	l.outbound = outbound
 	return true
 }
 
@@ -239,11 +237,6 @@
 		l.restarted = false
 		defer l.lastRead.Store(n.cursor)
 	}
-	if n.event == "blocked" || n.event == "finished" {
-		l.mu.Lock()
-		delete(l.supplied, n.handle)
-		l.mu.Unlock()
-	}
 	switch n.event {
 	case "bound":
 		// Prevents the notices of a restarted pool, which numbers them from 1, from being dropped as duplicates.
@@ -305,17 +298,9 @@
 // Stop asks the pool to stop a run.
 func (l *Link) Stop(handle string) { l.send(command("suspend", handle), []byte("}\n")) }
 
-// Supply sends a run the reply it waits for, at most once on each connection. The core repeats a reply when it learns
-// that a connection has closed; if the reply has already gone out on the next connection, the run would take the copy
-// for the reply to its next call.
+// Supply sends a run the reply that it waits for. It returns false if there is no connection.
 func (l *Link) Supply(handle string, body []byte) (sent bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.outbound == nil || l.supplied[handle] {
-		return l.outbound != nil
-	}
-	l.supplied[handle] = true
-	return l.outbound.Send(supply(handle, body)...)
+	return l.send(supply(handle, body)...)
 }
 
 func supply(handle string, body []byte) [][]byte {
--- a/internal/pool/run_test.go
+++ b/internal/pool/run_test.go
@@ -179,7 +179,10 @@
 		p.Expect(`"supply","handle":"a","arg":"cg=="`)
 		p.Close()
 		p = s.resync(2)
-		p.Expect(`"supply","handle":"a","arg":"cg=="`)
+		s.ask("b", "quote", "", 4*time.Second)
+		if line := p.Expect(`"(supply|spawn)","handle":"\w"`)[0]; line != `"spawn","handle":"b"` {
+			t.Errorf("%s was sent", line)
+		}
 		p.Send(finishedNotice("3", "a"))
 		s.expect("served a")
 	})
