A successor does not request a run that has begun; what ends as it asks is listed as known

It runs it again once the run has ended.

Change: a run of which any notice came is not requested. A run that shows nothing may still end while the request for it is on its way.

--- a/internal/pool/heir.go
+++ b/internal/pool/heir.go
@@ -35,14 +35,15 @@
 }
 
 // SuccessorLink is a successor's connection to the worker pool of a failed process, on which it finishes that process's open
-// runs. It reads how runs ended and requests those again of which there is no notice. A pool runs a handle only once,
-// however often it is requested, so each run happens exactly once whether or not the failed process had requested it.
+// runs. It reads how runs ended and requests those of which there is no notice: the failed process may not have requested
+// them. A pool leaves a request for a handle alone only while that handle runs: one that ends while its request is on its
+// way is run a second time.
 type SuccessorLink struct {
 	outbound  *sock.WriteQueue
 	left      []UnfinishedRun // not requested yet
 	mu        sync.Mutex
 	requested map[string]bool // requested and not finished
-	finished  map[string]bool // finished, perhaps before they were requested
+	began     map[string]bool // the pool has told of them: they are not requested again
 }
 
 // TakeOver binds to the pool at addr, from the last notice that the failed process is known to have read. It passes the
@@ -54,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	h := &SuccessorLink{outbound: sock.NewWriteQueue(conn), left: left, requested: map[string]bool{}, finished: map[string]bool{}}
+	h := &SuccessorLink{outbound: sock.NewWriteQueue(conn), left: left, requested: map[string]bool{}, began: map[string]bool{}}
 	defer h.outbound.Kill()
 	defer context.AfterFunc(ctx, h.outbound.Kill)()
 	// A cursor of 0 announces a process that has just started, for which the pool would discard its notices.
@@ -83,6 +84,9 @@
 			}
 			cursor = max(cursor, n.cursor)
 		}
+		if n.event == "blocked" || n.event == "finished" {
+			h.markBegan(n.handle)
+		}
 		switch {
 		case n.event == "polled" && n.ticket == catchUpTicket: // all missed notices have been read
 			caughtUp = true
@@ -103,25 +107,31 @@
 // catchUpTicket is the ticket of the poll whose answer follows all missed notices.
 const catchUpTicket = "heir"
 
+// markBegan records that a run has begun.
+func (h *SuccessorLink) markBegan(handle string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.began[handle] = true
+}
+
 // finish records that a run has finished and requests the next.
 func (h *SuccessorLink) finish(handle string) {
 	h.mu.Lock()
 	wasRequested := h.requested[handle]
 	delete(h.requested, handle)
-	h.finished[handle] = true
 	h.mu.Unlock()
 	if wasRequested {
 		h.spawnNext()
 	}
 }
 
-// spawnNext requests the runs that have neither finished nor been requested, up to maxPendingSpawns at a time.
+// spawnNext requests the runs of which the pool has told nothing and that have not been requested, up to maxPendingSpawns at a time.
 func (h *SuccessorLink) spawnNext() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.left) > 0 && len(h.requested) < maxPendingSpawns {
 		l := h.left[0]
-		if h.left = h.left[1:]; !l.ListenOnly && !h.finished[l.Handle] {
+		if h.left = h.left[1:]; !l.ListenOnly && !h.began[l.Handle] {
 			h.requested[l.Handle] = true
 			h.outbound.Send(spawn(l.Handle, l.Class, l.Body)...)
 		}
