--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"larchscale/internal/standin"
-	"larchscale/internal/standin/faultnet"
 )
 
 // A slow way to the worker pool: each piece takes so long, each way.
@@ -24,9 +23,7 @@
 		reset    = 45 // requests between two resets
 	)
 	s := serve(t, deadline, 600*time.Millisecond, work)
-	toPool := func(_, to string) bool { return to == poolName }
-	slow := faultnet.Fault{Delay: slowWay}
-	s.net.Set(slow, toPool)
+	s.slowPool(slowWay)
 	stalls := watchStalls()
 	defer stalls.Close()
 	records := &records{}
@@ -46,8 +43,7 @@
 		}
 		time.Sleep(each)
 		if i%reset == reset-1 {
-			s.net.Set(faultnet.Fault{Refuse: true}, toPool)
-			s.net.Set(slow, toPool)
+			s.reset(poolName)
 		}
 	}
 	for !c.idle() {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -48,6 +48,9 @@
 	starved  bool          // the process is out of descriptors for a while in the drain
 	fullDisk bool          // its folder takes no writes from SIGTERM on
 	signals  int           // SIGTERMs in a row, with SIGHUPs among them
+	slow     time.Duration // that each piece takes on the way to the worker pool, each way
+	loss     time.Duration // a reset of the worker pool's link takes what was sent so long before it
+	calls    int           // that each run makes; 0 = every third makes one
 }
 
 // drawPlan draws the run of a seed.
@@ -78,6 +81,15 @@
 	if r.IntN(2) == 0 {
 		p.signals = 2 + r.IntN(4)
 	}
+	if r.IntN(3) == 0 {
+		p.slow = span(time.Millisecond, 60*time.Millisecond)
+	}
+	if r.IntN(2) == 0 {
+		p.loss = span(time.Millisecond, 50*time.Millisecond)
+	}
+	if r.IntN(3) == 0 {
+		p.calls = 1 + r.IntN(4)
+	}
 	return p
 }
 
@@ -86,6 +98,6 @@
 	for _, b := range p.clients {
 		counts[b]++
 	}
-	return fmt.Sprintf("seed %d: deadline %v, grace %v, work %v, SIGTERM after %v (%d times), crowd %d, pool reset each %v, restarts %v, moves %v, twin %v, below %v, silent %v, pauses %v, starved %v, full disk %v, %v",
-		p.seed, p.deadline, p.grace, p.work, p.before, p.signals, p.crowd, p.pool, p.restarts, p.moves, p.twin, p.below, p.silent, p.pauses, p.starved, p.fullDisk, counts)
+	return fmt.Sprintf("seed %d: deadline %v, grace %v, work %v, SIGTERM after %v (%d times), crowd %d, pool reset each %v, restarts %v, moves %v, twin %v, below %v, silent %v, pauses %v, starved %v, full disk %v, slow %v, loss %v, calls %d, %v",
+		p.seed, p.deadline, p.grace, p.work, p.before, p.signals, p.crowd, p.pool, p.restarts, p.moves, p.twin, p.below, p.silent, p.pauses, p.starved, p.fullDisk, p.slow, p.loss, p.calls, counts)
 }
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -35,7 +35,8 @@
 	pools    [2]string // the ways to the worker pool
 	deadline time.Duration
 	grace    time.Duration
-	killed   bool // by SIGKILL: it had not ended by then
+	killed   bool           // by SIGKILL: it had not ended by then
+	toPool   faultnet.Fault // of the ways to the worker pool, when nothing else happens on them
 }
 
 const (
@@ -89,9 +90,29 @@
 func (s *server) reset(name string) {
 	on := func(_, to string) bool { return to == name }
 	s.net.Set(faultnet.Fault{Refuse: true}, on)
+	if name == poolName {
+		s.net.Set(s.toPool, on)
+		return
+	}
 	s.net.Set(faultnet.Fault{}, on)
 }
 
+// slowPool has the ways to the worker pool be slow from now on.
+func (s *server) slowPool(each time.Duration) {
+	s.toPool = faultnet.Fault{Delay: each}
+	s.net.Set(s.toPool, func(_, to string) bool { return to == poolName || to == otherPool })
+}
+
+// loseCommands resets the link to the worker pool along with all that was sent on it for so long.
+func (s *server) loseCommands(span time.Duration) {
+	toPool := func(_, to string) bool { return to == poolName }
+	lossy := s.toPool
+	lossy.Drop = true
+	s.net.Set(lossy, toPool)
+	time.Sleep(span)
+	s.reset(poolName)
+}
+
 // movePool has a new configuration name the other way to the worker pool.
 func (s *server) movePool(t *testing.T, to int) {
 	err := s.Rewrite(func(config map[string]any) { config["pool"] = s.pools[to%len(s.pools)] })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,10 @@
 // soak plays a plan and judges what was seen.
 func soak(t *testing.T, p plan) (*verdict, *server) {
 	s := serveAs(t, p.program, p.deadline, p.grace, p.work)
+	if p.slow > 0 {
+		s.slowPool(p.slow)
+	}
+	s.site.SetCalls(p.calls)
 	stalls := watchStalls()
 	defer stalls.Close()
 	b := &balancers{addr: s.Listen, desk: s.Desk, deadline: p.deadline, records: &records{}, machine: &machine{stalls: stalls}, stopped: make(chan struct{})}
@@ -82,7 +86,11 @@
 		<-c.over
 	}
 	b.wg.Wait()
-	return judge(b.records.all(), at, stalls, ran), s
+	v := judge(b.records.all(), at, stalls, ran)
+	if _, wrong := s.site.Asked(); wrong > 0 {
+		v.breaks("lost: %d replies were given to another call", wrong)
+	}
+	return v, s
 }
 
 // signal sends the signals of the plan but the SIGTERM that counts, which follows: later ones change nothing.
@@ -118,7 +126,7 @@
 		}
 		since := time.Since(began)
 		if p.pool > 0 && since > reset {
-			s.reset(poolName)
+			s.loseCommands(p.loss)
 			reset += p.pool
 		}
 		if since > p.before && len(late) > 0 && r.IntN(10) == 0 {
@@ -146,7 +154,7 @@
 	toPool := func(_, to string) bool { return to == poolName }
 	s.net.Set(faultnet.Fault{Drop: true, Deaf: true}, toPool)
 	time.Sleep(span)
-	s.net.Set(faultnet.Fault{}, toPool)
+	s.net.Set(s.toPool, toPool)
 }
 
 // starve has the process get no further descriptor for a while: its accepts and dials fail with EMFILE.
