core: a run in doubt is given up also when its claim was lost; only unsent runs count as never requested

A write in doubt whose claim was lost while it was waited for kept its place for ever, as its command counted as settled. A count of run commands that began anew with each start would have called a run that was resumed never begun.

Change: the wait alone decides, as every notice of a run ends it; a command whose claim was lost is not sent; run commands are counted over the whole life of a request.

--- a/internal/core/command.go
+++ b/internal/core/command.go
@@ -133,7 +133,9 @@
 		}
 		startsRun := r.command.kind == commandSpawn
 		owned := c.owns(r.entry)
-		c.resendCommand(r)
+		if owned {
+			c.resendCommand(r)
+		}
 		if r.stopRequested {
 			c.runner.Stop(r.Handle)
 		}
@@ -150,7 +152,7 @@
 func (c *Core) resendCommand(r *request) {
 	switch r.command.delivery {
 	case deliveryUnsent:
-		if r.answered && r.command.kind == commandSpawn { // nobody needs the run, and it never began
+		if r.answered && r.command.kind == commandSpawn && r.runCommands == 0 { // nobody needs the run, and it never began
 			c.runFinished(PoolFinished{Handle: r.Handle, Outcome: control.NotStarted})
 			return
 		}
@@ -190,11 +192,8 @@
 }
 
 // noticeOverdue restarts a run of which nothing was heard since its command was in doubt, or gives it up: then it counts as
-// run and failed.
+// run and failed. Every notice of a run ends the wait.
 func (c *Core) noticeOverdue(r *request) {
-	if r.command.delivery != deliveryUncertain {
-		return
-	}
 	if c.mayRestart(r) && !r.stopRequested {
 		c.log.Info("run restarted", "id", r.Handle, "class", c.className(r.Class), "why", "the reply to its call may be lost")
 		c.stopRun(r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,7 +138,7 @@
 	callBody      []byte
 	callNotice    uint64 // notice that asked for the call
 	command       command
-	runCommands   int  // number of run commands sent
+	runCommands   int  // run commands that were written to a link, those that resume a paused run among them
 	stopRequested bool // a stop was requested, and the run has not ended
 	usage         usage
 	size          int // its part of Core.openBytes
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -278,6 +278,18 @@
 	}
 }
 
+// A write whose run was never requested has not run: once its caller is gone it is not run late, and its key is free.
+func TestRunThatWasNeverRequested(t *testing.T) {
+	play(t, false, func(w *scenario.World) {
+		w.Send(core.PoolLost{}, w.Ask("a", "book", "k"))
+		w.Expect(ms)
+		w.Send(core.RequestCanceled{Session: w.Session("c"), Handle: "a"}, core.PoolBound{Age: time.Hour})
+		w.Expect(ms)
+		w.Send(w.Ask("b", "book", "k"))
+		w.Expect(ms, "run b book body")
+	})
+}
+
 // The run of a write that may be lost with its link is waited for as long as it can be of use. Then it counts as run and
 // failed, and holds nothing any longer.
 func TestWriteInDoubtIsGivenUp(t *testing.T) {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -128,7 +128,7 @@
 	if r.entry != nil {
 		c.retain(r)
 	}
-	r.runCommands, r.stopRequested = 0, false
+	r.stopRequested = false
 	c.metrics.counts.Tries[r.Class]++
 	c.metricsChanged()
 	c.sendCommand(r, commandSpawn, func() bool { return c.runner.Run(r.Handle, c.site.Classes[r.Class], r.Body) })
@@ -227,11 +227,14 @@
 	}
 }
 
-// commandUnknown handles a command that was not carried out. A run that was requested once and rejected by the worker
+// commandUnknown handles a command that was not carried out. A write that was requested once and rejected by the worker
 // pool never began. Without this, the request and its key would wait for a run that does not exist.
 func (c *Core) commandUnknown(e PoolCommandUnknown) {
 	r := c.byHandle[e.Handle]
-	if r == nil || e.Command != "spawn" || r.state != stateRunning || r.runCommands != 1 {
+	if r == nil || e.Command != "spawn" || r.state != stateRunning {
+		return
+	}
+	if r.runCommands > 1 && c.site.Control.Classes[r.Class].Effect != control.Safe {
 		return
 	}
 	r.command.settle()
