core: histories of the pool's link with gauges that overtake notices, two binds and pools that start anew

Change: half of the histories of TestWorkIsDoneOnceOverBreakingLinks let answers to polls overtake notices and bind twice, a quarter restart the pool. make torture plays 5,000.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 # The long form of the tests with the real program: 1,000 kills, and 500,000 requests against a collector that fails.
 torture:
 	go test -v -timeout 1800s -count=1 ./internal/standin -kills 1000 -requests 500000
+	go test -timeout 900s -count=1 ./internal/core -run TestWorkIsDoneOnceOverBreakingLinks -links 5000
 	go test -timeout 900s -count=1 ./internal/ledgerstore -run Faults -rapid.checks=700
 	go test -timeout 900s -count=1 ./internal/fleet/trial -run Fleets -seeds 300
 	go test -timeout 3600s -count=1 ./internal/fleet/consensus -seeds 5000 -big 20
--- a/internal/core/link_model_test.go
+++ b/internal/core/link_model_test.go
@@ -37,6 +37,8 @@
 	wrong   []string // replies that were given to another call
 	doubt   int      // commands that were lost with a link
 	gone    map[string]bool
+	started time.Time // when the pool last started
+	chaos   bool      // answers to polls overtake notices, and the pool says twice that it is bound
 }
 
 // modelLink is one connection. What is under way when it breaks is lost.
@@ -44,6 +46,7 @@
 	broken           bool
 	delay            time.Duration // each way
 	toPool, toServer time.Time     // when the newest line arrives
+	gauges           time.Time     // when the newest answer to a poll arrives, which may overtake notices
 }
 
 // modelRun is a run that is in hand.
@@ -146,7 +149,12 @@
 			return
 		}
 		p.bound = l
-		p.tell(l, func() { p.w.Core.Send(core.PoolBound{Age: time.Hour + time.Since(p.w.Core.Start())}) })
+		age := time.Since(p.started)
+		bound := func() { p.w.Core.Send(core.PoolBound{Age: age}) }
+		p.tell(l, bound)
+		if p.chaos && p.random.IntN(4) == 0 {
+			p.tell(l, bound)
+		}
 		for number := cursor + 1; number <= len(p.notices); number++ {
 			p.tellNotice(l, number)
 		}
@@ -236,10 +244,31 @@
 // Poll implements core.Runner.
 func (p *modelPool) Poll(ticket string) {
 	p.command(func() {
-		p.tell(p.bound, func() { p.w.Core.Send(core.PoolGauges{Ticket: ticket, Values: []float64{0.1, 0}}) })
+		l := p.bound
+		answer := func() { p.w.Core.Send(core.PoolGauges{Ticket: ticket, Values: []float64{0.1, 0}}) }
+		if !p.chaos {
+			p.tell(l, answer)
+			return
+		}
+		p.later(arrival(&l.gauges, l.delay/2), func() {
+			if !l.broken {
+				answer()
+			}
+		})
 	})
 }
 
+// restart has the pool start anew: its runs are gone, and nobody hears of them.
+func (p *modelPool) restart() {
+	p.mu.Lock()
+	for _, r := range p.runs {
+		r.over = true
+	}
+	p.runs, p.started, p.read = map[string]*modelRun{}, time.Now(), len(p.notices)
+	p.mu.Unlock()
+	p.breakLink()
+}
+
 // Call implements core.Downstream.
 func (p *modelPool) Call(handle string, number uint64, _ string, _ uint64, _ time.Duration, _ bool, body []byte) {
 	p.mu.Lock()
@@ -298,7 +327,7 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		p := &modelPool{random: rand.New(rand.NewPCG(seed, 48)), runs: map[string]*modelRun{}, begun: map[string]int{},
-			effects: map[string]control.Effect{}, gone: map[string]bool{}}
+			effects: map[string]control.Effect{}, gone: map[string]bool{}, started: time.Now().Add(-time.Hour), chaos: seed%2 == 1}
 		site := linkSite()
 		p.w = scenario.NewWorld(t, site, false, func(w *scenario.World) { w.Core.Attach(p, p, p, nil) })
 		p.clients = &clients{world: p.w, site: site, answers: map[string][]receivedAnswer{}, due: map[string]time.Time{}}
@@ -308,6 +337,9 @@
 		for range breaks {
 			time.AfterFunc(time.Duration(order.Int64N(int64(requests*apart/2))), p.breakLink)
 		}
+		if seed%4 == 3 {
+			time.AfterFunc(time.Second+time.Duration(order.Int64N(int64(requests*apart/4))), p.restart)
+		}
 		for i := range requests {
 			p.ask(order, site, i)
 			time.Sleep(time.Duration(order.Int64N(int64(apart))))
