core: the link to the worker pool has a file of its own

Cause: send.go held the controller's actions and all that the worker pool's link does, core.go the gauges.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -383,32 +383,6 @@
 	}
 }
 
-// pollGauges runs at the wake-up time requested by the controller and asks the worker pool for its gauges.
-func (c *Core) pollGauges() {
-	if c.now-c.lastPoll < pollInterval {
-		return
-	}
-	c.lastPoll = c.now
-	c.sendPoll("")
-}
-
-// gaugesPolled passes the gauges to the controller.
-func (c *Core) gaugesPolled(e PoolGauges) {
-	if c.controller == nil {
-		return
-	}
-	c.pollAnswered(e.Ticket)
-	if e.Ticket == c.resyncTicket {
-		c.resendCommands()
-	}
-	readings := gaugesOf(c.site.Gauges, e.Values)
-	c.metrics.counts.CoreUse = -1
-	if readings.CoreUse >= 0 {
-		c.metrics.counts.CoreUse = readings.CoreUse
-	}
-	c.controller.Tick(c.now, readings)
-}
-
 // reportAvailability tells the directory, periodically, whether this server takes work. It reports nothing before the
 // first link to the worker pool, because an older process may still own the directory entry, and nothing during a
 // handoff, because the entry then belongs to the successor.
