--- a/internal/pool/crossing_test.go
+++ b/internal/pool/crossing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,8 +26,15 @@
 }
 
 func maintain(t *testing.T) *maintainedLink {
+	t.Helper()
+	return maintainLogging(t, slog.DiscardHandler)
+}
+
+// maintainLogging is maintain with a handler for the link's log.
+func maintainLogging(t *testing.T, log slog.Handler) *maintainedLink {
+	t.Helper()
 	listener, events := scenario.Listen(t), make(chan core.Event, 64)
-	k := &maintainedLink{pool.New(listener.Addr, func(e core.Event) { events <- e }, slog.New(slog.DiscardHandler)), t, listener, events}
+	k := &maintainedLink{pool.New(listener.Addr, func(e core.Event) { events <- e }, slog.New(log)), t, listener, events}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { k.Maintain(ctx); close(done) }()
@@ -94,6 +102,30 @@
 	}
 }
 
+// boundLog receives the log lines of links that are bound.
+type boundLog chan string
+
+func (l boundLog) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), "worker pool bound") {
+		l <- string(line)
+	}
+	return len(line), nil
+}
+
+// The log tells of a pool that started since the last link, and the first link has none before it.
+func TestLogTellsOfRestartedPool(t *testing.T) {
+	log := make(boundLog, 3)
+	k := maintainLogging(t, slog.NewTextHandler(log, nil))
+	for i, want := range []string{"restarted=false", "restarted=false", "restarted=true"} {
+		p := k.bind(0, []time.Duration{time.Hour, time.Hour, 0}[i])
+		if line := receive(t, log); !strings.Contains(line, want) {
+			t.Errorf("link %d: %q, want %s", i, line, want)
+		}
+		p.Close()
+		k.expect(core.PoolLost{})
+	}
+}
+
 // Moves a link away and back while the pool has not confirmed the bind: the link binds to the last address, and
 // PoolLost is reported for each connection that was open.
 func TestMoveBeforeLinkIsBound(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -240,9 +240,11 @@
 	switch n.event {
 	case "bound":
 		// Prevents the notices of a restarted pool, which numbers them from 1, from being dropped as duplicates.
-		l.restarted = l.restarted || time.Now().Add(-n.lasted).After(l.bound)
+		restarted := time.Now().Add(-n.lasted).After(l.bound)
+		l.log.Info("worker pool bound", "cursor", l.lastRead.Load(), "age_ms", n.lasted.Milliseconds(),
+			"restarted", restarted && !l.bound.IsZero())
+		l.restarted = l.restarted || restarted
 		l.bound = l.dialed
-		l.log.Info("worker pool bound", "cursor", l.lastRead.Load(), "age_ms", n.lasted.Milliseconds(), "restarted", l.restarted)
 		l.sink(core.PoolBound{Cold: n.fate == "chilly", Age: n.lasted})
 	case "polled":
 		l.sink(core.PoolGauges{Ticket: n.ticket, Values: n.figures})
