--- a/internal/core/command.go
+++ b/internal/core/command.go
@@ -32,10 +32,10 @@
 type delivery uint8
 
 const (
-	deliverySettled   delivery = iota // the command arrived, or is not needed any longer
-	deliveryUnsent                    // it was never written to a link
-	deliveryPending                   // it was written to the current link
-	deliveryUncertain                 // it was written to a link that ended, and may have arrived
+	deliverySettled delivery = iota // the command arrived, or is not needed any longer
+	deliveryUnsent                  // it was never written to a link
+	deliveryPending                 // it was written to the current link
+	deliveryInDoubt                 // it was written to a link that ended, and may have arrived
 )
 
 // command is the last command of a run.
@@ -91,8 +91,8 @@
 		c.site.Control.Classes[r.Class].Effect == control.Safe
 }
 
-// commandsInDoubt marks the commands of which it is not known whether they arrived on the link that ended.
-func (c *Core) commandsInDoubt() (count int) {
+// markInDoubt marks the commands of which it is not known whether they arrived on the link that ended, and counts them.
+func (c *Core) markInDoubt() (count int) {
 	for _, r := range c.byID {
 		if r.command.delivery != deliveryPending {
 			continue
@@ -101,7 +101,7 @@
 			r.command.settle()
 			continue
 		}
-		r.command.delivery = deliveryUncertain
+		r.command.delivery = deliveryInDoubt
 		count++
 	}
 	return count
@@ -157,7 +157,7 @@
 			return
 		}
 		c.writeCommand(r)
-	case deliveryUncertain:
+	case deliveryInDoubt:
 		if !c.maySendTwice(r) {
 			c.awaitNotice(r)
 			return
@@ -203,5 +203,6 @@
 	c.log.Warn("run given up", "id", r.Handle, "class", c.className(r.Class),
 		"sent_ms_ago", (c.now - r.command.sentAt).Milliseconds())
 	c.metrics.counts.Pool.GivenUp++
+	c.metricsChanged()
 	c.runFinished(PoolFinished{Handle: r.Handle, Outcome: control.Errored})
 }
--- a/internal/core/link_model_test.go
+++ b/internal/core/link_model_test.go
@@ -35,7 +35,7 @@
 	begun   map[string]int // runs by body, which each request or key has of its own
 	effects map[string]control.Effect
 	wrong   []string // replies that were given to another call
-	doubt   int      // commands that were lost with a link
+	lost    int      // commands that were lost with a link
 	gone    map[string]bool
 	started time.Time // when the pool last started
 	chaos   bool      // answers to polls overtake notices, and the pool says twice that it is bound
@@ -90,7 +90,7 @@
 	}
 	p.later(arrival(&l.toPool, l.delay), func() {
 		if l.broken {
-			p.doubt++
+			p.lost++
 			return
 		}
 		f()
@@ -306,20 +306,20 @@
 // whatever is lost of them, a write begins once at most, a run gets the replies to its own calls, and each request has
 // one answer in time.
 func TestWorkIsDoneOnceOverBreakingLinks(t *testing.T) {
-	served, doubt := 0, 0
+	served, lost := 0, 0
 	for seed := range uint64(*linkSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s, d := playLinks(t, seed)
-			served, doubt = served+s, doubt+d
+			s, l := playLinks(t, seed)
+			served, lost = served+s, lost+l
 		})
 	}
-	if !t.Failed() && (served < 10**linkSeeds || doubt < *linkSeeds) {
-		t.Errorf("%d requests served and %d commands lost in %d histories", served, doubt, *linkSeeds)
+	if !t.Failed() && (served < 10**linkSeeds || lost < *linkSeeds) {
+		t.Errorf("%d requests served and %d commands lost in %d histories", served, lost, *linkSeeds)
 	}
 }
 
 // playLinks plays one history, and returns how many requests were served and how many commands were lost.
-func playLinks(t *testing.T, seed uint64) (served, doubt int) {
+func playLinks(t *testing.T, seed uint64) (served, lost int) {
 	const (
 		requests = 60
 		breaks   = 12
@@ -346,12 +346,12 @@
 		}
 		time.Sleep(20 * time.Second)
 		served = p.check(t)
-		doubt = p.doubt
+		lost = p.lost
 		if active := metricsOf(p.w).Active; active > 0 {
 			t.Errorf("%d requests are still in hand", active)
 		}
 	})
-	return served, doubt
+	return served, lost
 }
 
 // ask sends a request, or a repeat of a keyed one, and cancels some.
--- a/internal/core/poollink.go
+++ b/internal/core/poollink.go
@@ -22,7 +22,7 @@
 		return // commands since then were not sent
 	}
 	c.linkUp = false
-	inDoubt := c.commandsInDoubt()
+	inDoubt := c.markInDoubt()
 	c.metrics.counts.Pool.InDoubt += uint64(inDoubt)
 	c.metricsChanged()
 	c.log.Info("worker pool link", "up", false, "open", len(c.byID), "commands_in_doubt", inDoubt)
@@ -47,7 +47,7 @@
 		return
 	}
 	c.poolLinkLost()
-	c.resyncTicket = c.sendPoll(resyncPrefix) // its answer follows the notices that were missed
+	c.resyncTicket = c.sendPoll(resyncPrefix) // commands wait for its answer, so that missed notices are read first
 }
 
 // startController creates the controller for a worker pool that started at the given time.
--- a/internal/pool/heir.go
+++ b/internal/pool/heir.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// spawnNext requests the runs of which the pool has told nothing and that have not been requested, up to maxPendingSpawns at a time.
+// spawnNext requests the runs of which the pool has told nothing and that have not been requested, up to
+// maxPendingSpawns at a time.
 func (h *SuccessorLink) spawnNext() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -17,6 +17,19 @@
 	return request{rid: fmt.Sprintf("%016x", r.Uint64()), class: standin.Classes[0], body: body, budget: budget}
 }
 
+// oneBalancer connects a balancer to a server. Stalls of this process are watched until the test ends.
+func oneBalancer(t *testing.T, s *server) (*records, *connection, *stalls) {
+	t.Helper()
+	watched := watchStalls()
+	t.Cleanup(watched.Close)
+	kept := &records{}
+	c, err := dial(kept, "balancer", s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kept, c, watched
+}
+
 // A balancer goes on sending on an open connection while its server drains. Past the grace every request is refused, and
 // none of them may be left without an answer as a run that began before goes on beside them: incident 34. The resets of
 // the worker pool's link are those of its evidence.
@@ -26,13 +39,7 @@
 			t.Parallel()
 			const deadline, grace = 3 * time.Second, 600 * time.Millisecond
 			s := serve(t, deadline, grace, 2*time.Second)
-			stalls := watchStalls()
-			defer stalls.Close()
-			records := &records{}
-			c, err := dial(records, "balancer", s.Listen)
-			if err != nil {
-				t.Fatal(err)
-			}
+			records, c, stalls := oneBalancer(t, s)
 			random := rand.New(rand.NewPCG(34, 0))
 			if resets {
 				for range 3 {
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -24,13 +24,7 @@
 	)
 	s := serve(t, deadline, 600*time.Millisecond, work)
 	s.slowPool(slowWay)
-	stalls := watchStalls()
-	defer stalls.Close()
-	records := &records{}
-	c, err := dial(records, "balancer", s.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
+	records, c, stalls := oneBalancer(t, s)
 	random := rand.New(rand.NewPCG(48, 0))
 	for i := range requests {
 		prepare(s.site, i)
