Stand-in pool ends no run at its call while the request is open

By the protocol a run is cancelled if it was stopped or its request is over. The server holds a request of such a class again and runs it anew, as it owes its caller a result; a write is held and never run again. No link had ended and no command was repeated. Until the stand-in ran a handle again whose run is over, it ignored the second spawn and the request failed instead, unseen.

A run now waits for as long as a request is open by default. The new test failed with the old stand-in ("request 2" ran 2 times). The checks are as they were; a failure now shows the server's log.

--- a/internal/standin/floods_test.go
+++ b/internal/standin/floods_test.go
@@ -160,10 +160,33 @@
 					t.Errorf("%q ran %d times", body, n)
 				}
 			}
+			if t.Failed() {
+				t.Log(b.Log())
+			}
 		})
 	}
 }
 
+// A run that waits for its call is not ended, and so not run again, while its request is open.
+func TestRunIsNotEndedAtItsCallWhileRequestIsOpen(t *testing.T) {
+	const callTime = 700 * time.Millisecond
+	b, site := told(t, program, func(config map[string]any) {
+		for _, class := range config["settings"].(map[string]any)["RequestClasses"].([]any) {
+			class.(map[string]any)["AimUs"], class.(map[string]any)["GiveUpUs"] = 20e6, 30e6
+		}
+	})
+	site.SetAsks(0, callTime)
+	started(t, b)
+	connection := line(t, b.Listen)
+	for i := range 3 { // one in three makes a call
+		body := fmt.Sprint("request ", i)
+		connection.Do(standin.Request{Handle: fmt.Sprintf("%016x", i+1), Stand: standin.Stands[0], Class: standin.Classes[0], Body: body, Budget: 30 * time.Second})
+		if runs := len(site.Ran(body)); runs != 1 {
+			t.Errorf("%q ran %d times", body, runs)
+		}
+	}
+}
+
 // Clients that ask and never read, that send a byte now and then or half a line and no more, and a crowd that asks all
 // at once, together: a balancer is served meanwhile, its slow neighbour that reads late gets every answer whole, and
 // memory and descriptors stay under their limits.
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -17,11 +17,8 @@
 	"github.com/tidwall/gjson"
 )
 
-// callWithin is how long a run waits for the reply to its call, and asksWithin where all runs make one.
-const (
-	callWithin = 300 * time.Millisecond
-	asksWithin = 3 * time.Second
-)
+// callWithin is how long a run waits for the reply to its call: until its request is over, whose end the site is not told.
+const callWithin = giveUp + time.Second
 
 // poolAge is how long a worker pool has run when its site is made: it is warm.
 const poolAge = time.Minute
@@ -255,7 +252,6 @@
 	began        time.Time
 	work         time.Duration // without its waits
 	calls        []string      // bodies of its calls below, one after the other
-	within       time.Duration // how long it waits for each reply
 }
 
 // spawn begins a run, unless one of the same handle is in hand: a handle whose run is over is run again.
@@ -268,16 +264,14 @@
 	s.begun[handle] = class
 	s.spawned++
 	text, _ := base64.StdEncoding.DecodeString(arg)
-	r := run{handle: handle, body: string(text), start: s.starts, began: time.Now(), work: s.work, within: callWithin}
+	r := run{handle: handle, body: string(text), start: s.starts, began: time.Now(), work: s.work}
 	s.runs[r.body] = append(s.runs[r.body], r.began)
 	switch {
 	case s.callsEach > 0:
-		r.within = asksWithin
 		for n := range s.callsEach {
 			r.calls = append(r.calls, fmt.Sprintf("%s %s %d", callBody, handle, n))
 		}
 	case s.asks > 0:
-		r.within = asksWithin
 		r.calls = []string{fmt.Sprintf("%s %d", callBody, xxhash.Sum64(text)%uint64(s.asks))}
 	case s.spawned%3 == 0:
 		r.calls = []string{callBody}
@@ -335,7 +329,7 @@
 			s.mu.Unlock()
 		}
 		return "complete"
-	case <-time.After(r.within): // its request is over, as far as anybody can tell
+	case <-time.After(callWithin): // its request is over
 		s.mu.Lock()
 		delete(s.waiting, r.handle)
 		s.mu.Unlock()
