takeover: the lease of a later token does not extend the machine's earlier one

A server that had stood still registered under a new token while its machine still had the view of the old one; the new lease made the machine active again, and it took over a request under the old token.

Cause: ExtendLease took an end without its token, and so did the claim store. On the real program nothing ran by it, as the core compares tokens when it acts (OwnsClaims), and peers refuse messages of an earlier token; the machine relied on both.

Change: ExtendLease and SetView are given the lease of the token that they name. membership.State.Lease reads both together.

--- a/internal/fleet/claimstore/desk.go
+++ b/internal/fleet/claimstore/desk.go
@@ -108,7 +108,7 @@
 
 // refreshLease passes on the current end of the lease, and applies a view that waited for the first lease of its token.
 func (d *Store) refreshLease() {
-	d.machine.ExtendLease(d.membership.LeaseEnd())
+	d.machine.ExtendLease(d.membership.Lease())
 	if view := d.pendingView; view != nil && d.membership.Holds() {
 		d.pendingView = nil
 		d.setView(view)
@@ -150,6 +150,10 @@
 	for _, server := range view.Expired { // a server that is registered again has its pool to itself
 		pools[takeover.Owner{Box: server.Name, Life: server.Life}] = server.Pool
 	}
+	leaseEnd := time.Duration(0)
+	if token, end := d.membership.Lease(); token == view.Token {
+		leaseEnd = end
+	}
 	d.machine.SetView(d.now(), takeover.View{Epoch: view.Epoch, Prev: view.Prev, Self: d.opt.Server, Token: view.Token,
 		Tokens: lives, Pools: pools,
 		Replicas: func(shard int) (out []string) {
@@ -161,7 +165,7 @@
 			return out
 		},
 		NewShard: func(shard int) bool { return first && view.HeldSinceOrigin(shard, d.opt.Server) },
-	}, d.membership.LeaseEnd())
+	}, leaseEnd)
 }
 
 func pairOf(a, b string) [2]string { return [2]string{a, b} }
--- a/internal/fleet/membership/ground.go
+++ b/internal/fleet/membership/ground.go
@@ -67,6 +67,16 @@
 // LeaseEnd returns when the lease ends, by the clock of Now; 0 = there is none.
 func (g *State) LeaseEnd() time.Duration { return time.Duration(g.leaseEnd.Load()) }
 
+// Lease returns the fencing token for which a lease is requested and the end of its lease; 0 = there is none.
+func (g *State) Lease() (token uint64, end time.Duration) {
+	for {
+		token, end = g.Token(), g.LeaseEnd()
+		if g.Token() == token {
+			return token, end
+		}
+	}
+}
+
 // Now returns the time of the clock that Until uses.
 func (g *State) Now() time.Duration { return boottime.Now() }
 
--- a/internal/fleet/takeover/hand.go
+++ b/internal/fleet/takeover/hand.go
@@ -222,9 +222,14 @@
 // NewestEpoch returns the newest epoch that any server reported. If it is past the view's own, this server is behind.
 func (h *Machine) NewestEpoch() uint64 { return max(h.newestEpoch, h.view.Epoch) }
 
-// ExtendLease extends the lease of the current token. A lease that ran out may be extended while the token is the same: the
-// log has not declared it expired, so nothing has been taken over. Until then the server does nothing.
-func (h *Machine) ExtendLease(until time.Duration) { h.leaseEnd = max(h.leaseEnd, until) }
+// ExtendLease extends the lease of a token, if it is that of the current view: the lease of a later token covers nothing that
+// was decided under an earlier one. A lease that ran out may be extended while the token is the same: the log has not
+// declared it expired, so nothing has been taken over. Until then the server does nothing.
+func (h *Machine) ExtendLease(token uint64, until time.Duration) {
+	if token == h.view.Token {
+		h.leaseEnd = max(h.leaseEnd, until)
+	}
+}
 
 // active reports whether the server may act.
 func (h *Machine) active(now time.Duration) bool {
--- a/internal/fleet/takeover/probe_test.go
+++ b/internal/fleet/takeover/probe_test.go
@@ -9,6 +9,21 @@
 	"github.com/google/go-cmp/cmp"
 )
 
+// The lease of a later token does not let a process act under the token before.
+func TestLeaseOfLaterTokenDoesNotExtendEarlierOne(t *testing.T) {
+	machine := New(Limits{})
+	machine.SetView(0, View{Epoch: 1, Self: "n1", Token: 1, Tokens: map[string]uint64{"n1": 1},
+		Replicas: func(int) []string { return []string{"n1"} }, NewShard: func(int) bool { return true }}, time.Second)
+	machine.ExtendLease(2, time.Hour)
+	if machine.Active(2 * time.Second) {
+		t.Error("active under the lease of token 2")
+	}
+	machine.ExtendLease(1, 3*time.Second)
+	if !machine.Active(2 * time.Second) {
+		t.Error("not active under its own lease")
+	}
+}
+
 // The pool of a lost process is queried for a key by the handle of that process's own try, and is given the run only if
 // no other process may have won the key.
 func TestProbeUsesTheProcessesOwnTry(t *testing.T) {
--- a/internal/fleet/takeover/world_test.go
+++ b/internal/fleet/takeover/world_test.go
@@ -189,11 +189,15 @@
 					continue
 				}
 			}
-			server.machine.SetView(w.now, view, server.leaseEnd)
+			leaseEnd := time.Duration(0)
+			if view.Token == server.token {
+				leaseEnd = server.leaseEnd
+			}
+			server.machine.SetView(w.now, view, leaseEnd)
 			w.drain(server)
 		}
 		if server.cutUntil == 0 {
-			server.machine.ExtendLease(server.leaseEnd)
+			server.machine.ExtendLease(server.token, server.leaseEnd)
 		}
 		if w.now%(100*ms) == 0 {
 			server.machine.Tick(w.now)
