--- a/cmd/measure/hand.go
+++ b/cmd/measure/hand.go
@@ -260,10 +260,10 @@
 	}
 	for i := range pieces {
 		k := takeover.Key{Class: standin.Classes[1], Token: fmt.Sprintf("%032d", i)}
-		from.Claim(0, takeover.KeyedRequest{Key: k, Body: make([]byte, 256), Handle: fmt.Sprintf("%016x", i), Due: time.Minute, Life: time.Minute})
+		from.Claim(0, 1, takeover.KeyedRequest{Key: k, Body: make([]byte, 256), Handle: fmt.Sprintf("%016x", i), Due: time.Minute, Life: time.Minute})
 		carry()
 		if ended {
-			from.Finish(0, k, true, make([]byte, 256), "")
+			from.Finish(0, k, 1, true, make([]byte, 256), "")
 			carry()
 		}
 	}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -150,10 +150,16 @@
 	ClaimUnavailable              // the store did not answer
 )
 
+// ClaimID is the fencing token of a claim: no two claims of one process have the same. A store acts on the end of a claim
+// only while the key is held by just that claim, and an answer is applied only to the claim that it answers. It is 0 for a
+// claim that was taken over from another server; a process holds at most one such claim of a key at a time.
+type ClaimID uint64
+
 // KeyedRequest is a keyed request as kept in the shared store, with everything that another server needs to run it in place
 // of this one. Its body must not be modified.
 type KeyedRequest struct {
 	Key     Key
+	ClaimID ClaimID
 	Handle  string   // identifies its run at the worker pool, at whichever server that is
 	Sum     [32]byte // SHA-256 of the body
 	Body    []byte
@@ -173,9 +179,10 @@
 	Claim(p KeyedRequest) bool
 	// Finish reports how the run of a claimed key ended. If it returns wait, one event with the confirmation follows,
 	// and the result must not be sent to callers before it; after a Disown there is none.
-	Finish(k Key, sum [32]byte, ok bool, result []byte, life time.Duration) (wait bool)
-	// Release gives up the claim of a request that never ran. It does not affect claims made before a Disown.
-	Release(k Key)
+	Finish(k Key, claim ClaimID, sum [32]byte, ok bool, result []byte, life time.Duration) (wait bool)
+	// Release gives up the claim of a request that never ran, whether it was answered or not. It does not affect claims
+	// made before a Disown, nor later claims of the key, however late it takes effect.
+	Release(k Key, claim ClaimID)
 	// OwnsClaims reports whether the claims of this server are still its own. The loop calls it at the moment of acting,
 	// so it must cost no more than an atomic load and a clock read. Once claims may belong to another server it stays
 	// false until a Disown is processed; if ownership was only unknown for a while, it may become true again.
@@ -337,17 +344,19 @@
 
 // ClaimAnswered is the shared store's answer to a claim.
 type ClaimAnswered struct {
-	Key    Key
-	State  Claim
-	Result []byte // ClaimDone: the result
+	Key     Key
+	ClaimID ClaimID
+	State   Claim
+	Result  []byte // ClaimDone: the result
 }
 
 // The events of a store that takes over the work of servers that fail.
 type (
 	// FinishConfirmed reports the outcome of a Finish that the core was told to wait for.
 	FinishConfirmed struct {
-		Key Key
-		OK  bool // the result is stored where it survives this server; otherwise the request belongs to another server
+		Key     Key
+		ClaimID ClaimID
+		OK      bool // the result is stored where it survives this server; otherwise the request belongs to another server
 	}
 	// Adopt delivers a keyed request of a failed server, to be run here. Its key is already claimed for this server.
 	Adopt struct{ Request KeyedRequest }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -124,8 +124,9 @@
 		case previous == stateFinishing:
 			e.owner = nil // the store's confirmation is still to come, for the requests that repeat this one
 		case !e.ran && previous == stateClaiming && e.phase == phaseClaiming && len(e.waiters) > 0:
-			e.owner = e.waiters[0] // the store's answer is still to come
+			e.owner = e.waiters[0]
 			e.waiters = slices.Delete(e.waiters, 0, 1)
+			c.replaceClaim(e)
 		case !e.ran:
 			c.releaseKey(e)
 		default: // stopped for good after its run had begun
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -78,7 +78,7 @@
 func (c *Core) finishConfirmed(confirmation FinishConfirmed) {
 	e := c.keys.entries[confirmation.Key]
 	switch {
-	case e == nil || e.phase != phaseStoring:
+	case e == nil || e.phase != phaseStoring || e.claimID != confirmation.ClaimID:
 	case !confirmation.OK: // a repeat asks the store how the run ended there
 		c.loseClaim(e, whyTakenOver)
 		c.removeEntry(e)
@@ -135,16 +135,13 @@
 	if class := p.Key.Class; class < 0 || class >= len(c.site.Classes) || !c.site.Keyed(class) {
 		reason = "its class is not keyed here"
 	}
-	if e := c.keys.entries[p.Key]; e != nil && e.phase == phaseClaiming { // the try that waits here is run in its place
-		claim := ClaimAnswered{Key: p.Key, State: ClaimWon}
-		if e.sum != p.Sum {
-			claim.State = ClaimConflict
-		}
-		c.applyClaim(claim)
-	}
-	if c.keys.entries[p.Key] != nil {
+	tries, known := c.triesForAdopted(p)
+	if known {
 		return
 	}
+	if len(tries) > 0 {
+		reason = "" // they were accepted
+	}
 	if p.Tenant >= len(c.site.Tenants) {
 		p.Tenant = -1
 	}
@@ -161,12 +158,47 @@
 	}
 	if reason != "" {
 		c.log.Warn("adopt", "class", p.Key.Class, "given_up", reason)
-		c.store.Release(p.Key)
+		c.store.Release(p.Key, p.ClaimID)
+		c.rerouteLater(tries)
 		return
 	}
-	r.entry.claimHeld = true
+	r.entry.claimHeld, r.entry.claimID = true, p.ClaimID
 	c.register(r)
 	c.submit(r, 0)
+	for _, try := range tries {
+		try.entry = r.entry
+		c.submit(try, 1)
+	}
+}
+
+// triesForAdopted returns the tries that wait for a claim of a key that this server has just taken over, and ends that claim.
+// They become repeats of the adopted request, whose handle whoever takes it over next knows. Tries with another body are
+// answered. known reports that there is nothing to adopt: the key has been run here, or one of the tries has the handle of
+// the adopted request and runs in its place.
+func (c *Core) triesForAdopted(p KeyedRequest) (tries []*request, known bool) {
+	e := c.keys.entries[p.Key]
+	if e == nil {
+		return nil, false
+	}
+	if e.phase != phaseClaiming {
+		return nil, true
+	}
+	if e.sum != p.Sum {
+		c.applyClaim(ClaimAnswered{Key: p.Key, ClaimID: e.claimID, State: ClaimConflict})
+		return nil, false
+	}
+	if e.owner.Handle == p.Handle {
+		e.claimID = p.ClaimID
+		c.applyClaim(ClaimAnswered{Key: p.Key, ClaimID: e.claimID, State: ClaimWon})
+		return nil, true
+	}
+	tries = append([]*request{e.owner}, e.waiters...)
+	e.owner, e.waiters = nil, nil
+	if e.isClaimPending() {
+		c.store.Release(e.key, e.claimID)
+	}
+	c.removeEntry(e)
+	return tries, false
 }
 
 // newHandle returns a handle for a request that has none: 16 hex digits, as callers make them, not used by any recent
--- a/internal/core/claims_test.go
+++ b/internal/core/claims_test.go
@@ -225,6 +225,50 @@
 	}
 }
 
+// An answer to the claim of a withdrawn try is not taken for the next try of its key: a server that takes the claim over
+// knows the run by the handle of the try that made it.
+func TestClaimOfWithdrawnTryIsNotTakenForNextTry(t *testing.T) {
+	answer := func(id core.ClaimID, state core.Claim) core.Event {
+		return core.ClaimAnswered{Key: fleetKey, ClaimID: id, State: state}
+	}
+	withdrawn := func(w *scenario.World) core.Event {
+		return core.RequestCanceled{Session: w.Session("c"), Handle: "a"}
+	}
+	for name, steps := range map[string]func(w *scenario.World, first core.ClaimID){
+		"the next try comes after it": func(w *scenario.World, _ core.ClaimID) {
+			expectAfter(w, "book 1 withdrawn[1 0 0 10 0 4 0]; release k; claim k", withdrawn(w), w.Ask("b", "book", "k"))
+		},
+		"the next try waits already": func(w *scenario.World, first core.ClaimID) {
+			expectAfter(w, "", w.Ask("b", "book", "k"))
+			expectAfter(w, "book 1 withdrawn[1 0 0 20 0 4 0]; release k; claim k", withdrawn(w))
+		},
+		"another server had the key": func(w *scenario.World, first core.ClaimID) {
+			expectAfter(w, "", w.Ask("b", "book", "k"), answer(first, core.ClaimOther))
+			expectAfter(w, "book 1 withdrawn[1 0 0 20 0 4 0]", withdrawn(w))
+			w.Expect(110*ms, "claim k")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withConfirmingStore(t, false, nil, func(w *scenario.World) {
+				expectAfter(w, "claim k", w.Ask("a", "book", "k"))
+				first := w.NewestClaim(fleetKey)
+				steps(w, first)
+				second := w.NewestClaim(fleetKey)
+				if second == first {
+					t.Error("both tries have the same claim")
+				}
+				expectAfter(w, "release k", answer(first, core.ClaimWon))
+				expectAfter(w, "", answer(first, core.ClaimDone))
+				expectAfter(w, "run b book body", answer(second, core.ClaimWon))
+				expectAfter(w, "finish k true x", runSucceeded("b", "x"))
+				expectAfter(w, "", core.FinishConfirmed{Key: fleetKey, ClaimID: first, OK: true})
+				w.Send(core.FinishConfirmed{Key: fleetKey, ClaimID: second, OK: true})
+				w.Await("served b x")
+			})
+		})
+	}
+}
+
 // A run whose claim was lost must not occupy a downstream call slot, even if its notice crosses the stop command.
 func TestRunWithLostClaimMakesNoCall(t *testing.T) {
 	oneCall := func(s *core.Config) { s.Control.DownstreamSheds, s.Control.CallShare = false, 1 }
@@ -258,9 +302,16 @@
 			expectAfter(w, "conflict a; book 1 rejected[1 0 0 0 0 4 0]", w.Ask("a", "book", "k"))
 		},
 		"a try waits for its claim": func(w *scenario.World) {
-			expectAfter(w, "claim k; run a book body", w.Ask("a", "book", "k"), adoptRequest("body"))
+			expectAfter(w, "claim k; release k; run own book body", w.Ask("a", "book", "k"), adoptRequest("body"))
 			w.Send(core.ClaimAnswered{Key: fleetKey, State: core.ClaimOther})
 			w.Expect(200 * ms)
+			expectAfter(w, "finish k true x; served a x; book 1 served replay[1 3000000 0 2010 0 4 1]; book 2 withdrawn-ran[1 0 10000 16080 0 4 0]",
+				runSucceeded(ownHandle(w), "x"), finishStored(true))
+		},
+		"a try of the same handle waits for its claim": func(w *scenario.World) {
+			adopted := adoptRequest("body")
+			adopted.Request.Handle = "a"
+			expectAfter(w, "claim k; run a book body", w.Ask("a", "book", "k"), adopted)
 		},
 		"a try with another body waits for its claim": func(w *scenario.World) {
 			expectAfter(w, "claim k; conflict a; book 1 rejected[1 0 0 0 0 4 0]; run own book other",
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	resyncTicket string        // ticket of the gauge request that follows a new link
 	boundAt      time.Duration // when the last link was bound
 	lastID       uint32
+	lastClaimID  ClaimID
 	byID         map[uint32]*request
 	byHandle     map[string]*request
 	openBytes    int // accounted size of the requests in byHandle and of pendingResults
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -559,7 +559,7 @@
 			w.Expect(ms, "claim k", "release k", "refused d")
 		},
 		"won too late": func(w *scenario.World) {
-			w.Expect(4*time.Second, "out of time b", "out of time a", "out of time s", "stop s")
+			w.Expect(4*time.Second, "out of time b", "out of time a", "release k", "out of time s", "stop s")
 			w.Send(claimed(core.ClaimWon, ""))
 			w.Expect(ms, "release k")
 		},
@@ -567,14 +567,14 @@
 		"won as the tries are canceled": func(w *scenario.World) {
 			w.Send(core.RequestCanceled{Session: w.Session("c"), Handle: "a"},
 				core.RequestCanceled{Session: w.Session("c"), Handle: "b"}, claimed(core.ClaimWon, ""))
-			w.Expect(ms, "release k")
+			w.Expect(ms, "release k", "release k")
 			w.Send(w.Ask("d", "book", "k"))
 			w.Expect(ms, "claim k")
 		},
 		"all tries canceled": func(w *scenario.World) {
 			w.Send(core.RequestCanceled{Session: w.Session("c"), Handle: "a"},
 				core.RequestCanceled{Session: w.Session("c"), Handle: "b"})
-			w.Expect(ms)
+			w.Expect(ms, "release k")
 			w.Send(claimed(core.ClaimWon, ""))
 			w.Expect(ms, "release k")
 		},
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -32,9 +32,10 @@
 	owner          *request // nil once it is over
 	phase          phase
 	ran            bool
-	succeeded      bool // the run ended well
-	worthEarned    bool // a result was sent
-	claimHeld      bool // the claim in the shared store is this server's
+	succeeded      bool    // the run ended well
+	worthEarned    bool    // a result was sent
+	claimHeld      bool    // the claim in the shared store is this server's
+	claimID        ClaimID // of the claim that is made or held; 0 = none, or one that was taken over
 	result         []byte
 	waiters        []*request
 	otherOwnerSeen time.Duration // when another server was last known to own the key; 0 = never
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -138,7 +138,7 @@
 	c.keys.resize(e, entryOverheadBytes+len(e.key.Token)+len(e.result))
 	// A try that waits at another server asks every claimRetryInterval, so the entry lives long enough for it to see
 	// the end of a run, even of one that outlived its window.
-	if e.claimHeld && c.store.Finish(e.key, e.sum, ok, result, max(e.keepUntil-c.now, windowMargin)) {
+	if e.claimHeld && c.store.Finish(e.key, e.claimID, e.sum, ok, result, max(e.keepUntil-c.now, windowMargin)) {
 		if e.phase = phaseStoring; e.owner.answered {
 			e.owner = nil
 		}
@@ -176,14 +176,19 @@
 	if !c.owns(e) { // it may run elsewhere by now
 		return
 	}
-	c.removeEntry(e)
-	if e.claimHeld {
-		c.store.Release(e.key)
+	if e.claimHeld || e.isClaimPending() {
+		c.store.Release(e.key, e.claimID)
 	}
+	c.removeEntry(e)
 	waiters := e.waiters
 	e.waiters, e.owner = nil, nil
+	c.rerouteLater(waiters)
+}
+
+// rerouteLater routes tries whose entry was released, at the end of this loop iteration.
+func (c *Core) rerouteLater(tries []*request) {
 	c.followUps = append(c.followUps, func() {
-		for _, r := range waiters {
+		for _, r := range tries {
 			c.reroute(r)
 		}
 	})
@@ -225,17 +230,52 @@
 	return class.Window + class.Deadline + windowMargin
 }
 
-// claimKey claims a key in the shared store.
+// claimKey claims a key in the shared store, for the run of its owner under the owner's handle.
 func (c *Core) claimKey(e *entry) {
 	class, r := &c.site.Control.Classes[e.key.Class], e.owner
 	c.awaitClaim(r)
-	if !c.store.Claim(KeyedRequest{Key: e.key, Handle: r.Handle, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank,
+	c.lastClaimID++
+	e.claimID = c.lastClaimID
+	if !c.store.Claim(KeyedRequest{Key: e.key, ClaimID: e.claimID, Handle: r.Handle, Sum: e.sum, Body: r.Body, Tenant: r.Tenant, Rank: r.Rank,
 		Memory: r.Memory, Work: r.Work, Subject: r.Subject, Caller: r.Caller, Left: max(0,
 			r.due-c.now), Life: ClaimLife(class)}) {
-		c.applyClaim(ClaimAnswered{Key: e.key, State: ClaimUnavailable})
+		c.applyClaim(ClaimAnswered{Key: e.key, ClaimID: e.claimID, State: ClaimUnavailable})
+	}
+}
+
+// isClaimPending reports whether the store has not answered the claim of the entry.
+func (e *entry) isClaimPending() bool {
+	return e.phase == phaseClaiming && e.claimTimer.heapPosition == 0
+}
+
+// replaceClaim gives up a claim whose owner has gone and claims the key for the new owner: whoever takes the claim over
+// knows the run by the handle in it. A claim that was answered is made anew by its timer.
+func (c *Core) replaceClaim(e *entry) {
+	if !e.isClaimPending() {
+		return
+	}
+	c.store.Release(e.key, e.claimID)
+	e.claimID = 0
+	c.timers.set(&e.claimTimer, c.now)
+}
+
+// releaseUnwanted releases a claim that was won after it was withdrawn.
+func (c *Core) releaseUnwanted(claim ClaimAnswered) {
+	e := c.keys.entries[claim.Key]
+	if claim.State == ClaimWon && (e == nil || e.claimID != claim.ClaimID) {
+		c.store.Release(claim.Key, claim.ClaimID)
 	}
 }
 
+// claimingEntry returns the entry that waits for the answer to a claim; nil = the claim was withdrawn.
+func (c *Core) claimingEntry(key Key, id ClaimID) *entry {
+	e := c.keys.entries[key]
+	if e == nil || e.phase != phaseClaiming || e.claimID != id {
+		return nil
+	}
+	return e
+}
+
 // awaitClaim makes a request wait for the store's answer, until its due time at the latest.
 func (c *Core) awaitClaim(r *request) {
 	r.state = stateClaiming
@@ -246,7 +286,7 @@
 // another owner, or after the try's t0, is given up: the store may have forgotten the result of a run whose window
 // had not ended when the try was written. This happens to a server that was suspended.
 func (c *Core) claimAnswered(claim ClaimAnswered) {
-	if e := c.keys.entries[claim.Key]; claim.State == ClaimWon && e != nil && e.phase == phaseClaiming {
+	if e := c.claimingEntry(claim.Key, claim.ClaimID); claim.State == ClaimWon && e != nil {
 		lastAnswer := e.owner.arrived
 		if e.otherOwnerSeen > 0 {
 			lastAnswer = max(lastAnswer, e.otherOwnerSeen)
@@ -261,11 +301,9 @@
 // applyClaim acts on the outcome of a claim. Without an answer from the store a new keyed request is refused, never
 // run speculatively.
 func (c *Core) applyClaim(claim ClaimAnswered) {
-	e := c.keys.entries[claim.Key]
-	if e == nil || e.phase != phaseClaiming {
-		if claim.State == ClaimWon && e == nil { // nobody waits for it any longer
-			c.store.Release(claim.Key)
-		}
+	e := c.claimingEntry(claim.Key, claim.ClaimID)
+	if e == nil {
+		c.releaseUnwanted(claim)
 		return
 	}
 	c.timers.remove(&e.claimTimer)
@@ -292,8 +330,9 @@
 		if claim.State == ClaimConflict {
 			kind, reason = Conflict, "the token belongs to another body"
 		} else { // the claim may have succeeded all the same
-			c.store.Release(claim.Key)
+			c.store.Release(claim.Key, claim.ClaimID)
 		}
+		e.phase = phaseOpen // nothing is claimed any longer
 		tries := append([]*request{e.owner}, e.waiters...)
 		e.waiters, e.owner = nil, nil
 		c.releaseKey(e)
--- a/internal/fleet/claimstore/desk.go
+++ b/internal/fleet/claimstore/desk.go
@@ -210,7 +210,7 @@
 	}
 	for _, finished := range out.Finished {
 		if key, ok := d.coreKey(finished.Key); ok {
-			d.sink(core.FinishConfirmed{Key: key, OK: finished.OK})
+			d.sink(core.FinishConfirmed{Key: key, ClaimID: core.ClaimID(finished.ClaimID), OK: finished.OK})
 		}
 	}
 	for _, adopt := range out.Adopts {
@@ -232,7 +232,7 @@
 	if verdict.State == takeover.Unavailable {
 		d.log.Info("keys", "do", "refuse", "class", verdict.Key.Class, "why", verdict.Why)
 	}
-	d.sink(core.ClaimAnswered{Key: key, State: claimStates[verdict.State], Result: verdict.Result})
+	d.sink(core.ClaimAnswered{Key: key, ClaimID: core.ClaimID(verdict.ClaimID), State: claimStates[verdict.State], Result: verdict.Result})
 }
 
 func (d *Store) coreKey(key takeover.Key) (core.Key, bool) {
@@ -244,11 +244,14 @@
 	return takeover.Key{Class: d.opt.Site.Classes[key.Class], Token: key.Token}
 }
 
+// adoptedClaimID is the id of every claim that was taken over.
+const adoptedClaimID = 0
+
 // adopt gives the core a request that is run here.
 func (d *Store) adopt(request takeover.KeyedRequest) {
 	key, ok := d.coreKey(request.Key)
 	if !ok {
-		d.enqueue(func() { d.machine.Release(d.now(), request.Key) })
+		d.enqueue(func() { d.machine.Release(d.now(), request.Key, adoptedClaimID) })
 		return
 	}
 	d.sink(core.Adopt{Request: core.KeyedRequest{Key: key, Handle: request.Handle, Sum: request.Sum, Body: request.Body,
@@ -269,17 +272,17 @@
 		Life: request.Life}
 	return d.enqueue(func() {
 		if d.pendingDisowns.Load() > 0 || !d.machine.Active(d.now()) {
-			d.verdict(takeover.Verdict{Key: claim.Key, State: takeover.Unavailable, Why: "this server holds no lease"})
+			d.verdict(takeover.Verdict{Key: claim.Key, ClaimID: uint64(request.ClaimID), State: takeover.Unavailable, Why: "this server holds no lease"})
 			return
 		}
-		d.machine.Claim(d.now(), claim)
+		d.machine.Claim(d.now(), uint64(request.ClaimID), claim)
 	})
 }
 
 // Finish implements core.Store. The outcome is reported as finished once it is stored at its replicas.
-func (d *Store) Finish(key core.Key, _ [32]byte, ok bool, result []byte, _ time.Duration) bool {
+func (d *Store) Finish(key core.Key, claim core.ClaimID, _ [32]byte, ok bool, result []byte, _ time.Duration) bool {
 	result = slices.Clone(result)
-	if !d.enqueue(func() { d.machine.Finish(d.now(), d.fleetKey(key), ok, result, why(ok)) }) {
+	if !d.enqueue(func() { d.machine.Finish(d.now(), d.fleetKey(key), uint64(claim), ok, result, why(ok)) }) {
 		d.log.Warn("keys", "do", "finish", "err", "no room")
 	}
 	return true
@@ -293,8 +296,8 @@
 }
 
 // Release implements core.Store.
-func (d *Store) Release(key core.Key) {
-	if !d.enqueue(func() { d.machine.Release(d.now(), d.fleetKey(key)) }) {
+func (d *Store) Release(key core.Key, claim core.ClaimID) {
+	if !d.enqueue(func() { d.machine.Release(d.now(), d.fleetKey(key), uint64(claim)) }) {
 		d.log.Warn("keys", "do", "release", "err", "no room")
 	}
 }
--- a/internal/fleet/takeover/defects_test.go
+++ b/internal/fleet/takeover/defects_test.go
@@ -21,6 +21,7 @@
 		{"no quarantine where no replica is in sync", defects{noQuarantine: true}, 0},
 		{"a request is run before the backup has the takeover", defects{adoptUnreplicated: true}, 0},
 		{"an outcome is answered before the replicas have it", defects{answerUnreplicated: true}, 12},
+		{"the answer to the claim of a withdrawn try is taken for the next try", defects{claimIDIgnored: true}, 1},
 		{"a request is taken over without a probe of the lost pool", defects{probeSkipped: true}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/fleet/takeover/hand.go
+++ b/internal/fleet/takeover/hand.go
@@ -121,18 +121,20 @@
 
 // Verdict answers a Claim, exactly once.
 type Verdict struct {
-	Key    Key
-	State  ClaimState
-	Result []byte        // Done only
-	After  time.Duration // Unavailable only
-	Why    string
+	Key     Key
+	ClaimID uint64 // of that Claim
+	State   ClaimState
+	Result  []byte        // Done only
+	After   time.Duration // Unavailable only
+	Why     string
 }
 
 // Finished answers a Finish. With OK, the replicas have the outcome and the result may be answered while the lease
 // holds. Otherwise the key no longer belongs to this server.
 type Finished struct {
-	Key Key
-	OK  bool
+	Key     Key
+	ClaimID uint64 // of that Finish
+	OK      bool
 }
 
 // Probe asks the driver to connect to the pool of a lost process, which excludes that process, and to report with
@@ -152,7 +154,8 @@
 	Alone  bool
 }
 
-// Adopt gives the core a request to run. Its key belongs to this server as if it had been claimed here and won.
+// Adopt gives the core a request to run. Its key belongs to this server as if it had been claimed here under the id 0 and
+// won.
 type Adopt struct{ Piece KeyedRequest }
 
 // Outputs are the results of one or more inputs. With Disown all else is empty: lease or token has ended, and no key
@@ -207,7 +210,7 @@
 // defects are faults that only tests inject, to check that they are detected.
 type defects struct {
 	leaseIgnored, ackUnrecorded, epochUnchecked, takeoverByOwnClock, primaryAlone, promoteUnsynced, contestedOwner,
-	noQuarantine, adoptUnreplicated, answerUnreplicated, probeSkipped bool
+	noQuarantine, adoptUnreplicated, answerUnreplicated, probeSkipped, claimIDIgnored bool
 }
 
 // New returns a Machine without a fencing token: its first view sets one.
--- a/internal/fleet/takeover/hand_test.go
+++ b/internal/fleet/takeover/hand_test.go
@@ -98,24 +98,24 @@
 			t.Errorf("%s: %q, not %q", step, s, want)
 		}
 	}
-	servers["c"].Claim(0, piece("x"))
+	servers["c"].Claim(0, 1, piece("x"))
 	expect("claim", deliver(0)["c"], "x won")
-	servers["d"].Claim(0, piece("x"))
+	servers["d"].Claim(0, 1, piece("x"))
 	expect("repeat at another server", deliver(0)["d"], "x other")
 	otherBody := piece("x")
 	otherBody.Sum[0]++
-	servers["d"].Claim(0, otherBody)
+	servers["d"].Claim(0, 1, otherBody)
 	expect("another body", deliver(0)["d"], "x off")
-	servers["c"].Finish(time.Second, Key{"class", "x"}, true, []byte("ok"), "")
-	servers["c"].Finish(time.Second, Key{"class", "x"}, true, []byte("ok"), "") // repeated
+	servers["c"].Finish(time.Second, Key{"class", "x"}, 1, true, []byte("ok"), "")
+	servers["c"].Finish(time.Second, Key{"class", "x"}, 1, true, []byte("ok"), "") // repeated
 	expect("outcome", deliver(time.Second)["c"], "x finished true")
-	servers["d"].Claim(time.Second, piece("x"))
+	servers["d"].Claim(time.Second, 1, piece("x"))
 	expect("repeat after the outcome", deliver(time.Second)["d"], "x done ok")
 	for _, k := range []string{"y", "z"} {
-		servers["c"].Claim(time.Second, piece(k))
+		servers["c"].Claim(time.Second, 1, piece(k))
 		expect("claim", deliver(time.Second)["c"], k+" won")
 	}
-	servers["d"].Claim(time.Second, piece("v"))
+	servers["d"].Claim(time.Second, 1, piece("v"))
 	expect("claim past the bound", deliver(time.Second)["d"], "v down")
 	setView(2, 2*time.Second, "a", "b", "d")
 	lostOutputs := deliver(2 * time.Second)
@@ -126,16 +126,16 @@
 	servers["a"].HandleProof(2*time.Second, Key{"class", "y"}, Owner{"c", 3}, Proof{State: NeverRan})
 	servers["a"].HandleProof(2*time.Second, Key{"class", "z"}, Owner{"c", 3}, Proof{State: Ran, OK: true, Result: []byte("far")})
 	expect("probe results", deliver(2 * time.Second)["a"], "y adopted y")
-	servers["d"].Claim(2*time.Second, piece("z"))
+	servers["d"].Claim(2*time.Second, 1, piece("z"))
 	expect("repeat of a request that finished before its server was lost", deliver(2 * time.Second)["d"], "z done far")
 	// a is lost: b copies to d, which takes over; the proof from the pool of c still counts, the pool of a is unknown.
 	setView(3, 3*time.Second, "d", "b")
 	deliver(3 * time.Second)
-	servers["b"].Claim(3*time.Second, piece("y"))
+	servers["b"].Claim(3*time.Second, 1, piece("y"))
 	expect("the server that took over is lost", deliver(3 * time.Second)["b"], "y other")
 	servers["d"].Tick(3*time.Second + 100*ms)
 	deliver(3*time.Second + 100*ms)
-	servers["b"].Claim(4*time.Second, piece("y"))
+	servers["b"].Claim(4*time.Second, 1, piece("y"))
 	expect("the pool of the server that took over is unknown", deliver(4 * time.Second)["b"], "y failed")
 	for _, n := range []string{"b", "d"} {
 		servers[n].Tick(40 * time.Second)
@@ -150,7 +150,7 @@
 func TestQuarantine(t *testing.T) {
 	servers, deliver, setView := newServers(t, Limits{MaxRetention: 20 * time.Second, MaxViewLag: time.Second}, "a", "b", "c", "d")
 	setView(1, 0, "a", "b", "c", "d")
-	servers["c"].Claim(0, piece("x"))
+	servers["c"].Claim(0, 1, piece("x"))
 	deliver(0)
 	setView(2, time.Second, "d", "c")
 	for _, step := range []struct {
@@ -161,7 +161,7 @@
 		servers["c"].Tick(step.at)
 		servers["d"].Tick(step.at)
 		deliver(step.at)
-		servers["d"].Claim(step.at, piece(step.key))
+		servers["d"].Claim(step.at, 1, piece(step.key))
 		if verdicts := deliver(step.at)["d"].Verdicts; len(verdicts) != 1 || verdicts[0].State != step.want ||
 			verdicts[0].Why == "" {
 			t.Errorf("at %v: %+v", step.at, verdicts)
@@ -177,7 +177,7 @@
 	claim := func(step, box, key string, want ClaimState) {
 		t.Helper()
 		deliver(0)
-		servers[box].Claim(0, piece(key))
+		servers[box].Claim(0, 1, piece(key))
 		if verdicts := deliver(0)[box].Verdicts; len(verdicts) != 1 || verdicts[0].State != want {
 			t.Errorf("%s: %+v", step, verdicts)
 		}
@@ -189,7 +189,7 @@
 	claim("both replicas moved", "a", "y", Won)
 	setView(3, 0, "a", "b", "c", "d")
 	deliver(0)
-	servers["c"].Finish(0, Key{"class", "x"}, true, []byte("ok"), "")
+	servers["c"].Finish(0, Key{"class", "x"}, 1, true, []byte("ok"), "")
 	for _, send := range servers["c"].TakeOutputs(0).Sends {
 		if send.To == "b" {
 			servers["b"].Receive(0, "c", send.Msg)
--- a/internal/fleet/takeover/holder.go
+++ b/internal/fleet/takeover/holder.go
@@ -7,6 +7,7 @@
 
 // claim is a claim of this server: in progress, held, or finished and kept until it expires.
 type claim struct {
+	id                      uint64       // by which this server's core knows it; 0 = it was taken over
 	request                 KeyedRequest // without the body once it has an outcome
 	try                     uint64
 	state                   claimState
@@ -48,19 +49,19 @@
 	return &request
 }
 
-// Claim claims a key. Its Verdict follows, at once if it is known here.
-func (h *Machine) Claim(now time.Duration, request KeyedRequest) {
+// Claim claims a key. Its Verdict follows with id, at once if it is known here. No two claims of a process have the same id.
+func (h *Machine) Claim(now time.Duration, id uint64, request KeyedRequest) {
 	if !h.active(now) {
 		return
 	}
 	if claim := h.claims[request.Key]; claim != nil {
 		switch {
 		case claim.request.Sum != request.Sum:
-			h.verdict(request.Key, BodyMismatch, nil, 0, "the key is in use on this server for another body")
+			h.verdict(request.Key, id, BodyMismatch, nil, 0, "the key is in use on this server for another body")
 		case claim.finished:
-			h.verdict(request.Key, endState(claim.outcome), claim.outcome.Result, 0, claim.outcome.Why)
+			h.verdict(request.Key, id, endState(claim.outcome), claim.outcome.Result, 0, claim.outcome.Why)
 		default:
-			h.verdict(request.Key, HeldElsewhere, nil, 0, "the key is in flight on this server")
+			h.verdict(request.Key, id, HeldElsewhere, nil, 0, "the key is in flight on this server")
 		}
 		return
 	}
@@ -68,37 +69,40 @@
 	record := h.shards[request.Key.Shard()].records[request.Key]
 	switch {
 	case record != nil && record.takeoverTry != 0: // a claim and its release would undo the record at the backup
-		h.verdict(request.Key, HeldElsewhere, nil, 0, "the key is being taken over by this server")
+		h.verdict(request.Key, id, HeldElsewhere, nil, 0, "the key is being taken over by this server")
 		return
 	case len(replicas) == 0:
-		h.verdict(request.Key, Unavailable, nil, retryAfter, "the shard of the key has no replica")
+		h.verdict(request.Key, id, Unavailable, nil, retryAfter, "the shard of the key has no replica")
 		return
 	case len(h.claims) >= h.limits.Records || h.claimBytes+recordOverheadBytes+int64(len(request.Body)) > h.limits.Bytes:
-		h.verdict(request.Key, Unavailable, nil, retryAfter, "the maximum number of keys or bytes is in flight on this server")
+		h.verdict(request.Key, id, Unavailable, nil, retryAfter, "the maximum number of keys or bytes is in flight on this server")
 		return
 	case request.Life > h.limits.MaxRetention:
-		h.verdict(request.Key, Unavailable, nil, 0, "the record would have to be kept longer than the maximum")
+		h.verdict(request.Key, id, Unavailable, nil, 0, "the record would have to be kept longer than the maximum")
 		return
 	}
 	h.lastTry++
-	claim := &claim{request: request, try: h.lastTry, due: now + request.Due, expires: now + request.Life}
+	claim := &claim{id: id, request: request, try: h.lastTry, due: now + request.Due, expires: now + request.Life}
 	h.claims[request.Key] = claim
 	h.claimBytes += claim.size()
 	h.sendClaim(now, claim)
 	h.deliverLoopback(now)
 }
 
-// Finish reports the outcome of a run of a key that belongs to this server. Finished follows.
-func (h *Machine) Finish(now time.Duration, key Key, ok bool, result []byte, why string) {
+// Finish reports the outcome of the run of a claim. Finished follows.
+func (h *Machine) Finish(now time.Duration, key Key, id uint64, ok bool, result []byte, why string) {
 	if h.disowned {
 		return
 	}
 	claim := h.claims[key]
+	if claim != nil && claim.id != id && !h.injected.claimIDIgnored {
+		claim = nil
+	}
 	if claim != nil && claim.state == stateEnded && !claim.finished {
 		return // reported before: its Finished will follow
 	}
 	if claim == nil || claim.state != stateHeld {
-		h.outputs.Finished = append(h.outputs.Finished, Finished{Key: key, OK: claim != nil && claim.finished})
+		h.outputs.Finished = append(h.outputs.Finished, Finished{Key: key, ClaimID: id, OK: claim != nil && claim.finished})
 		return
 	}
 	if claim.adopted {
@@ -112,12 +116,12 @@
 	h.deliverLoopback(now)
 }
 
-// Release gives up a key that is being claimed, or that is held and was never given to a pool.
-func (h *Machine) Release(now time.Duration, key Key) {
+// Release gives up a claim that is in progress, or that is held and whose run was never given to a pool.
+func (h *Machine) Release(now time.Duration, key Key, id uint64) {
 	if h.disowned {
 		return
 	}
-	if claim := h.claims[key]; claim != nil && claim.state != stateEnded {
+	if claim := h.claims[key]; claim != nil && claim.state != stateEnded && (claim.id == id || h.injected.claimIDIgnored) {
 		h.drop(claim)
 	}
 	h.deliverLoopback(now)
@@ -135,8 +139,8 @@
 	}
 }
 
-func (h *Machine) verdict(key Key, state ClaimState, result []byte, after time.Duration, why string) {
-	h.outputs.Verdicts = append(h.outputs.Verdicts, Verdict{Key: key, State: state, Result: result, After: after, Why: why})
+func (h *Machine) verdict(key Key, id uint64, state ClaimState, result []byte, after time.Duration, why string) {
+	h.outputs.Verdicts = append(h.outputs.Verdicts, Verdict{Key: key, ClaimID: id, State: state, Result: result, After: after, Why: why})
 }
 
 func endState(end *Outcome) ClaimState {
@@ -180,7 +184,7 @@
 func (h *Machine) finish(claim *claim) {
 	if !claim.finished {
 		claim.finished = true
-		h.outputs.Finished = append(h.outputs.Finished, Finished{Key: claim.request.Key, OK: true})
+		h.outputs.Finished = append(h.outputs.Finished, Finished{Key: claim.request.Key, ClaimID: claim.id, OK: true})
 	}
 	for _, replica := range h.replicas(claim.request.Key.Shard()) {
 		h.send(replica.Box, Item{Kind: kindSealed, Key: claim.request.Key})
@@ -227,7 +231,7 @@
 			continue
 		case claim.state == stateAsking && now >= claim.due:
 			h.drop(claim)
-			h.verdict(claim.request.Key, Unavailable, nil, retryAfter, "the replicas did not answer in time")
+			h.verdict(claim.request.Key, claim.id, Unavailable, nil, retryAfter, "the replicas did not answer in time")
 			continue
 		case now-claim.sentAt >= h.limits.RetryInterval && resent < maxResendsPerTick:
 			resent++
@@ -268,7 +272,7 @@
 		if item.End != nil {
 			result = item.End.Result
 		}
-		h.verdict(item.Key, item.State, result, item.After, item.Why)
+		h.verdict(item.Key, claim.id, item.State, result, item.After, item.Why)
 		return
 	default:
 		return
@@ -277,7 +281,7 @@
 		h.expiries.add(claim.expires, item.Key, false)
 		// The replicas are told with the next tick, unless there is an outcome by then.
 		claim.state, claim.storedBy, claim.sentAt = stateHeld, nil, now
-		h.verdict(item.Key, Won, nil, 0, "the replicas have the claim")
+		h.verdict(item.Key, claim.id, Won, nil, 0, "the replicas have the claim")
 	}
 }
 
--- a/internal/fleet/takeover/memory_test.go
+++ b/internal/fleet/takeover/memory_test.go
@@ -22,10 +22,10 @@
 			for i := range keys {
 				request := piece(fmt.Sprintf("token %020d", i))
 				request.Handle = fmt.Sprintf("%016x", i)
-				servers["c"].Claim(0, request)
+				servers["c"].Claim(0, 1, request)
 				deliver(0)
 				if finishes {
-					servers["c"].Finish(0, request.Key, true, []byte(fmt.Sprintf("result %020d", i)), "")
+					servers["c"].Finish(0, request.Key, 1, true, []byte(fmt.Sprintf("result %020d", i)), "")
 					deliver(0)
 				}
 			}
--- a/internal/fleet/takeover/world_test.go
+++ b/internal/fleet/takeover/world_test.go
@@ -40,6 +40,7 @@
 }
 
 type call struct {
+	claimID    uint64 // of its latest claim; 0 = it was taken over
 	request    KeyedRequest
 	started    time.Duration
 	askAgainAt time.Duration // when the core asks again; 0 = it waits for an answer
@@ -60,7 +61,7 @@
 // workerPool is the worker pool of one process, which it may outlive.
 type workerPool struct {
 	dead, fenced bool
-	runs         map[Key]*run
+	runs         map[string]*run // by handle
 }
 
 type packet struct {
@@ -91,6 +92,8 @@
 	loss         int           // per mille
 	maxDelay     time.Duration // maximum delay of a message
 	stats        map[string]int
+	lastClaimID  uint64
+	lastCall     int
 }
 
 func (w *world) logf(f string, a ...any) {
@@ -136,7 +139,7 @@
 	server.token, server.leaseEnd, server.calls = uint64(w.clock), w.now+leaseFor, map[Key]*call{}
 	lives[server.name] = server.token
 	owner := Owner{server.name, server.token}
-	w.pools[owner] = &workerPool{runs: map[Key]*run{}}
+	w.pools[owner] = &workerPool{runs: map[string]*run{}}
 	w.unknownPools[owner] = w.chance(100)
 }
 
@@ -289,11 +292,11 @@
 	}
 	for _, finished := range out.Finished {
 		request := server.calls[finished.Key]
-		if request == nil {
+		if request == nil || request.claimID != finished.ClaimID {
 			continue
 		}
 		delete(server.calls, finished.Key)
-		switch current := w.pools[Owner{server.name, server.token}].runs[finished.Key]; {
+		switch current := w.pools[Owner{server.name, server.token}].runs[request.request.Handle]; {
 		case finished.OK && request.failed:
 			w.op(finished.Key, Failed, "", request.finishedAt)
 		case finished.OK:
@@ -309,7 +312,11 @@
 // verdict is the core's reaction to the answer to a claim.
 func (w *world) verdict(server *server, verdict Verdict) {
 	request := server.calls[verdict.Key]
-	if request == nil {
+	if request == nil || request.running || request.claimID != verdict.ClaimID && !w.injected.claimIDIgnored {
+		if verdict.State == Won {
+			server.machine.Release(w.now, verdict.Key, verdict.ClaimID)
+			w.drain(server)
+		}
 		return
 	}
 	switch verdict.State {
@@ -319,7 +326,7 @@
 			w.clock++
 			w.op(verdict.Key, HeldElsewhere, "released", w.clock)
 			delete(server.calls, verdict.Key)
-			server.machine.Release(w.now, verdict.Key)
+			server.machine.Release(w.now, verdict.Key, verdict.ClaimID)
 			w.drain(server)
 			return
 		}
@@ -355,17 +362,17 @@
 // startRun gives a request to the server's pool, which receives it after a delay.
 func (w *world) startRun(server *server, key Key) {
 	pool, token, at := w.pools[Owner{server.name, server.token}], server.token, w.now+w.delay(2*w.maxDelay)
-	repeat := server.calls[key].request.Repeat
+	repeat, handle := server.calls[key].request.Repeat, server.calls[key].request.Handle
 	var deliver func()
 	deliver = func() {
 		switch {
 		case w.now < at:
 			w.pending = append(w.pending, deliver)
-		case pool.dead || pool.fenced || pool.runs[key] != nil:
+		case pool.dead || pool.fenced || pool.runs[handle] != nil:
 		default:
 			w.runCount[key]++
 			w.logf("%s runs %s", server.name, key.Token)
-			pool.runs[key] = &run{at: w.now, end: w.now + w.delay(900*ms) + 50*ms,
+			pool.runs[handle] = &run{at: w.now, end: w.now + w.delay(900*ms) + 50*ms,
 				result: fmt.Sprintf("%s-%s-%d", key.Token, server.name, token), server: server, token: token}
 			if w.runCount[key] > 1 && !repeat {
 				w.fail("%s ran %d times", key.Token, w.runCount[key])
@@ -380,20 +387,22 @@
 	for _, key := range sortedKeys(server.calls) {
 		request := server.calls[key]
 		pool := w.pools[Owner{server.name, server.token}]
-		switch current := pool.runs[key]; {
+		switch current := pool.runs[request.request.Handle]; {
 		case request.running && current != nil && current.end <= w.now && !current.reported && !pool.dead:
 			w.clock++
 			current.reported, request.finishedAt = true, w.clock
-			server.machine.Finish(w.now, key, true, []byte(current.result), "")
+			server.machine.Finish(w.now, key, request.claimID, true, []byte(current.result), "")
 			w.drain(server)
 		case request.running && request.finishedAt == 0 && (pool.dead || pool.fenced) && w.now-request.started > time.Second:
 			w.clock++
 			request.finishedAt, request.failed = w.clock, true
-			server.machine.Finish(w.now, key, false, nil, "its pool died")
+			server.machine.Finish(w.now, key, request.claimID, false, nil, "its pool died")
 			w.drain(server)
 		case !request.running && w.now-request.started > dueIn:
-			server.machine.Release(w.now, key)
+			server.machine.Release(w.now, key, request.claimID)
 			delete(server.calls, key)
+		case !request.running && request.askAgainAt == 0 && w.chance(withdrawalsPerMille):
+			w.withdraw(server, request)
 		case request.askAgainAt != 0 && request.askAgainAt <= w.now:
 			w.ask(server, request)
 		}
@@ -404,14 +413,35 @@
 	w.clock++
 	request.askAgainAt, request.askedAt = 0, w.clock
 	request.request.Due = dueIn - (w.now - request.started)
-	server.machine.Claim(w.now, request.request)
+	w.lastClaimID++
+	request.claimID = w.lastClaimID
+	server.machine.Claim(w.now, request.claimID, request.request)
 	w.drain(server)
 }
 
+// withdrawalsPerMille is how often in a thousand steps the caller of a request hangs up that waits for an answer to its
+// claim.
+const withdrawalsPerMille = 30
+
+// withdraw has the caller of a request hang up, and sometimes call again at once: its next try has another handle.
+func (w *world) withdraw(server *server, request *call) {
+	key := request.request.Key
+	delete(server.calls, key)
+	w.stats["withdrawn"]++
+	if !w.injected.claimIDIgnored {
+		server.machine.Release(w.now, key, request.claimID)
+		w.drain(server)
+	}
+	if w.chance(500) {
+		w.call(server, key, request.request.Repeat)
+	}
+}
+
 // call is a caller's request at a server.
 func (w *world) call(server *server, key Key, repeat bool) {
 	if w.awake(server) && server.machine.Active(w.now) && server.calls[key] == nil {
-		request := &call{request: KeyedRequest{Key: key, Body: []byte(key.Token), Life: 11 * time.Second, Repeat: repeat},
+		w.lastCall++
+		request := &call{request: KeyedRequest{Key: key, Handle: strconv.Itoa(w.lastCall), Body: []byte(key.Token), Life: 11 * time.Second, Repeat: repeat},
 			started: w.now}
 		server.calls[key] = request
 		w.stats["calls"]++
@@ -426,7 +456,7 @@
 	for _, asked := range request.Keys {
 		key := asked.Key
 		proof := Proof{State: NeverRan}
-		switch current := pool.runs[key]; {
+		switch current := pool.runs[asked.Handle]; {
 		case pool.dead:
 			proof.State = Unknown
 		case current != nil && current.end <= w.now:
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -44,23 +45,25 @@
 	Waits bool        // the store says of every end that it is to be waited for; set before the first event
 	lost  atomic.Bool // the store holds nothing any longer
 
-	closed atomic.Bool // the directory has been told
-	listed []string    // all that the directory was told
-	Done   chan struct{}
-	serve  time.Duration // a run takes so long; 0 = it ends by the test's own event
-	runs   map[string]int
-	count  map[string]int
-	hands  []string
-	sent   map[string]uint64        // events of each session
-	calls  map[string]uint64        // number of the newest call of each handle
-	lives  map[string]time.Duration // of the ends that the store was given, by token
+	closed                atomic.Bool // the directory has been told
+	listed                []string    // all that the directory was told
+	Done                  chan struct{}
+	serve                 time.Duration // a run takes so long; 0 = it ends by the test's own event
+	runs                  map[string]int
+	count                 map[string]int
+	hands                 []string
+	sent                  map[string]uint64         // events of each session
+	calls                 map[string]uint64         // number of the newest call of each handle
+	claimIDs, finishedIDs map[core.Key]core.ClaimID // of each key's newest claim, and of the newest one that was finished
+	lives                 map[string]time.Duration  // of the ends that the store was given, by token
 }
 
 // NewWorld starts a core with a warm worker pool. With shared, a store is attached, played by Claimed
 // events. The core ends with the test.
 func NewWorld(t *testing.T, site core.Config, shared bool, with ...func(*World)) *World {
 	w := &World{t: t, Core: core.New(site, slog.New(slog.DiscardHandler)), Done: make(chan struct{}), runs: map[string]int{}, count: map[string]int{},
-		sent: map[string]uint64{}, calls: map[string]uint64{}, lives: map[string]time.Duration{}}
+		sent: map[string]uint64{}, calls: map[string]uint64{}, claimIDs: map[core.Key]core.ClaimID{},
+		finishedIDs: map[core.Key]core.ClaimID{}, lives: map[string]time.Duration{}}
 	var s core.Store
 	if shared {
 		s = keys{w}
@@ -161,7 +164,35 @@
 	w.lines = append(w.lines, w.named(fmt.Sprintf(f, a...)))
 }
 
-// Send hands an event to the core. The end of a call that names no number is that of its handle's newest call.
+// NewestClaim returns the newest claim of a key, made by what was sent before.
+func (w *World) NewestClaim(key core.Key) core.ClaimID { return w.newest(w.claimIDs, key) }
+
+func (w *World) newest(ids map[core.Key]core.ClaimID, key core.Key) core.ClaimID {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return ids[key]
+}
+
+// withClaimID has an event of the store that names no claim name the newest one of its key.
+func (w *World) withClaimID(e core.Event) core.Event {
+	switch e := e.(type) {
+	case core.ClaimAnswered:
+		if e.ClaimID == 0 {
+			e.ClaimID = w.NewestClaim(e.Key)
+		}
+		return e
+	case core.FinishConfirmed:
+		if e.ClaimID == 0 {
+			e.ClaimID = w.newest(w.finishedIDs, e.Key)
+		}
+		return e
+	}
+	return e
+}
+
+// Send hands an event to the core. The end of a call that names no number is that of its handle's newest call, and an event
+// of the store that names no claim is that of the newest claim of its key.
 func (w *World) Send(events ...core.Event) {
 	for _, e := range events {
 		if x, ok := e.(core.CallEnded); ok && x.Number == 0 {
@@ -170,6 +201,7 @@
 			w.mu.Unlock()
 			e = x
 		}
+		e = w.withClaimID(e)
 		var on core.Session
 		switch e := e.(type) {
 		case core.RequestArrived:
@@ -394,18 +426,22 @@
 }
 
 func (k keys) Claim(p core.KeyedRequest) bool {
+	k.w.mu.Lock()
+	k.w.claimIDs[p.Key] = p.ClaimID
+	k.w.mu.Unlock()
 	k.w.note("claim %s", p.Key.Token)
 	return !k.w.full
 }
-func (k keys) Finish(key core.Key, _ [32]byte, ok bool, result []byte, life time.Duration) bool {
+func (k keys) Finish(key core.Key, claim core.ClaimID, _ [32]byte, ok bool, result []byte, life time.Duration) bool {
 	k.w.mu.Lock()
 	k.w.lives[key.Token] = life
+	k.w.finishedIDs[key] = claim
 	k.w.mu.Unlock()
 	k.w.note("finish %s %v %s", key.Token, ok, result)
 	return k.w.Waits
 }
-func (k keys) Release(key core.Key) { k.w.note("release %s", key.Token) }
-func (k keys) OwnsClaims() bool     { return !k.w.lost.Load() }
+func (k keys) Release(key core.Key, _ core.ClaimID) { k.w.note("release %s", key.Token) }
+func (k keys) OwnsClaims() bool                     { return !k.w.lost.Load() }
 
 func (s session) Drain(time.Duration) { s.w.note("draining to %s", s.name) }
 
--- a/internal/store/budget_test.go
+++ b/internal/store/budget_test.go
@@ -37,7 +37,7 @@
 		waiting *byteBudget
 	}{"files": {files, &files.waiting}, "redis": {database, &database.waiting}} {
 		for i := range 10 * room {
-			c.store.Finish(core.Key{Token: string(rune('a' + i))}, [32]byte{}, true, make([]byte, resultBytes), time.Minute)
+			c.store.Finish(core.Key{Token: string(rune('a' + i))}, claimID, [32]byte{}, true, make([]byte, resultBytes), time.Minute)
 		}
 		if used := c.waiting.used.Load(); used < room*resultBytes || used > limit {
 			t.Errorf("%s: %d bytes wait, at most %d are allowed", name, used, limit)
--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -238,7 +238,7 @@
 
 // Claim queues a claim of a key. It returns false if the queue is full.
 func (s *Files) Claim(p core.KeyedRequest) bool {
-	key, sum, lifetime := p.Key, p.Sum, p.Life
+	key, id, sum, lifetime := p.Key, p.ClaimID, p.Sum, p.Life
 	return s.enqueue(func(err error) {
 		state, result := core.ClaimUnavailable, []byte(nil)
 		if err == nil { // otherwise withLock has logged it
@@ -247,7 +247,7 @@
 				state = core.ClaimUnavailable
 			}
 		}
-		s.sink(core.ClaimAnswered{Key: key, State: state, Result: result})
+		s.sink(core.ClaimAnswered{Key: key, ClaimID: id, State: state, Result: result})
 	})
 }
 
@@ -273,7 +273,7 @@
 func (s *Files) OwnsClaims() bool { return true }
 
 // Finish replaces this process's claim by the outcome of the run. No event follows.
-func (s *Files) Finish(k core.Key, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
+func (s *Files) Finish(k core.Key, _ core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
 	mark := byte(markFailed)
 	if !ok {
 		result = nil
@@ -288,7 +288,7 @@
 }
 
 // Release removes this process's claim on a request that never ran.
-func (s *Files) Release(k core.Key) {
+func (s *Files) Release(k core.Key, _ core.ClaimID) {
 	s.replace(k, "release", 0, func(path string, oldSize int) error {
 		s.usedBytes -= int64(oldSize)
 		return os.Remove(path)
--- a/internal/store/files_test.go
+++ b/internal/store/files_test.go
@@ -43,9 +43,12 @@
 	return open("n1-old"), open("n1-new"), events, clock
 }
 
+// claimID is the claim of a test whose process makes one.
+const claimID = core.ClaimID(1)
+
 func claim(t *testing.T, s *Files, events chan core.Event, k core.Key, sum [32]byte) core.ClaimAnswered {
 	t.Helper()
-	if !s.Claim(core.KeyedRequest{Key: k, Sum: sum, Life: 10 * time.Second}) {
+	if !s.Claim(core.KeyedRequest{Key: k, ClaimID: claimID, Sum: sum, Life: 10 * time.Second}) {
 		t.Fatal("no room for a claim")
 	}
 	return (<-events).(core.ClaimAnswered)
@@ -73,12 +76,12 @@
 			t.Fatalf("claim by %s: %v, want %v", step.s.owner, got.State, step.want)
 		}
 	}
-	old.Finish(k, sum, true, []byte("booked"), 10*time.Second)
+	old.Finish(k, claimID, sum, true, []byte("booked"), 10*time.Second)
 	waitForQueue(old)
 	if got := claim(t, next, events, k, sum); got.State != core.ClaimDone || string(got.Result) != "booked" {
 		t.Fatalf("after the old one finished: %v %q", got.State, got.Result)
 	}
-	next.Release(k) // owned by the other process: nothing changes
+	next.Release(k, claimID) // owned by the other process: nothing changes
 	waitForQueue(next)
 	if got := claim(t, next, events, k, sum); got.State != core.ClaimDone {
 		t.Fatalf("after a release by another: %v", got.State)
@@ -97,8 +100,8 @@
 	failed, released := core.Key{Class: 1, Token: "f"}, core.Key{Class: 1, Token: "r"}
 	claim(t, old, events, failed, sum)
 	claim(t, old, events, released, sum)
-	old.Finish(failed, sum, false, []byte("ignored"), time.Second)
-	old.Release(released)
+	old.Finish(failed, claimID, sum, false, []byte("ignored"), time.Second)
+	old.Release(released, claimID)
 	waitForQueue(old)
 	if got := claim(t, next, events, failed, sum); got.State != core.ClaimFailed {
 		t.Fatalf("a failed run: %v", got.State)
@@ -166,11 +169,11 @@
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("100 claims were refused after %v", took)
 	}
-	next.Finish(ran, sum, true, []byte("booked"), 10*time.Second)
-	next.Finish(failed, sum, false, nil, 10*time.Second)
-	next.Release(free)
+	next.Finish(ran, claimID, sum, true, []byte("booked"), 10*time.Second)
+	next.Finish(failed, claimID, sum, false, nil, 10*time.Second)
+	next.Release(free, claimID)
 	for i := range 2 * queueLimit { // releasing refused claims must not displace pending ends of runs
-		next.Release(core.Key{Class: 1, Token: string(rune('A' + i))})
+		next.Release(core.Key{Class: 1, Token: string(rune('A' + i))}, claimID)
 		waitForQueue(next)
 	}
 	goOn()
@@ -192,8 +195,8 @@
 		t.Fatal(err)
 	}
 	last.now = old.now
-	last.Claim(core.KeyedRequest{Key: k, Sum: sum, Life: 10 * time.Second})
-	last.Finish(k, sum, true, []byte("booked"), 10*time.Second)
+	last.Claim(core.KeyedRequest{Key: k, ClaimID: claimID, Sum: sum, Life: 10 * time.Second})
+	last.Finish(k, claimID, sum, true, []byte("booked"), 10*time.Second)
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	last.Run(ctx)
@@ -215,14 +218,14 @@
 	slow.now = next.now
 	sum, key := [32]byte{1}, func(i int) core.Key { return core.Key{Class: 1, Token: string(rune('A' + i))} }
 	for i := range queueLimit {
-		if !slow.Claim(core.KeyedRequest{Key: key(i), Sum: sum, Life: 10 * time.Second}) {
+		if !slow.Claim(core.KeyedRequest{Key: key(i), ClaimID: claimID, Sum: sum, Life: 10 * time.Second}) {
 			t.Fatalf("no room for claim %d", i)
 		}
 	}
-	if slow.Claim(core.KeyedRequest{Key: key(queueLimit), Sum: sum, Life: 10 * time.Second}) {
+	if slow.Claim(core.KeyedRequest{Key: key(queueLimit), ClaimID: claimID, Sum: sum, Life: 10 * time.Second}) {
 		t.Fatal("a claim beyond the queue's limit was accepted")
 	}
-	slow.Release(key(queueLimit)) // must not block
+	slow.Release(key(queueLimit), claimID) // must not block
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
@@ -309,7 +312,7 @@
 	for _, lifetime := range []time.Duration{0, -time.Minute} {
 		k, sum := core.Key{Class: 1, Token: lifetime.String()}, [32]byte{1}
 		claim(t, old, events, k, sum)
-		old.Finish(k, sum, true, []byte("late"), lifetime)
+		old.Finish(k, claimID, sum, true, []byte("late"), lifetime)
 		waitForQueue(old)
 		if got := claim(t, next, events, k, sum); got.State != core.ClaimDone || string(got.Result) != "late" {
 			t.Errorf("lifetime %v: %v %q", lifetime, got.State, got.Result)
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -123,14 +123,14 @@
 
 // Claim queues a claim of a key. It returns false if the queue is full.
 func (s *Redis) Claim(p core.KeyedRequest) bool {
-	k, sum, lifetime := p.Key, p.Sum, p.Life
+	k, id, sum, lifetime := p.Key, p.ClaimID, p.Sum, p.Life
 	return s.enqueue(k, func(ctx context.Context, key string) {
 		state, result, err := s.claim(ctx, key, sum, lifetime)
 		if err != nil {
 			s.log.Warn("store", "do", "claim", "err", err)
 			state = core.ClaimUnavailable
 		}
-		s.sink(core.ClaimAnswered{Key: k, State: state, Result: result})
+		s.sink(core.ClaimAnswered{Key: k, ClaimID: id, State: state, Result: result})
 	})
 }
 
@@ -183,7 +183,7 @@
 func (s *Redis) OwnsClaims() bool { return true }
 
 // Finish replaces this process's claim by the outcome of the run. No event follows.
-func (s *Redis) Finish(k core.Key, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
+func (s *Redis) Finish(k core.Key, _ core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
 	mark := byte(markFailed)
 	if ok {
 		mark = markDone
@@ -199,7 +199,7 @@
 }
 
 // Release removes this process's claim on a request that never ran.
-func (s *Redis) Release(k core.Key) {
+func (s *Redis) Release(k core.Key, _ core.ClaimID) {
 	s.replace(k, replacement{operation: "release", attempts: 1,
 		change: func(ctx context.Context, tx redis.Pipeliner, key string) { tx.Del(ctx, key) }})
 }
--- a/internal/store/redis_test.go
+++ b/internal/store/redis_test.go
@@ -36,13 +36,16 @@
 	sum = [32]byte{1}
 )
 
+// claimID is the claim of a test whose server makes one.
+const claimID = core.ClaimID(1)
+
 // claim checks the answer to a claim of the key.
 func (b *testServer) claim(sum [32]byte, state core.Claim, result string) {
 	b.t.Helper()
-	if !b.store.Claim(core.KeyedRequest{Key: key, Sum: sum, Life: time.Minute}) {
+	if !b.store.Claim(core.KeyedRequest{Key: key, ClaimID: claimID, Sum: sum, Life: time.Minute}) {
 		b.t.Fatal("no room")
 	}
-	want := core.ClaimAnswered{Key: key, State: state}
+	want := core.ClaimAnswered{Key: key, ClaimID: claimID, State: state}
 	if result != "" {
 		want.Result = []byte(result)
 	}
@@ -63,17 +66,17 @@
 	a.claim(sum, core.ClaimWon, "")
 	b.claim(sum, core.ClaimOther, "")
 	b.claim([32]byte{2}, core.ClaimConflict, "")
-	b.store.Release(key) // owned by the other server: nothing happens
+	b.store.Release(key, claimID) // owned by the other server: nothing happens
 	b.claim(sum, core.ClaimOther, "")
 	a.claim(sum, core.ClaimWon, "") // its own claim, as after a lost answer
-	a.store.Release(key)
+	a.store.Release(key, claimID)
 	a.claim(sum, core.ClaimWon, "") // commands for one key stay in order
-	a.store.Release(key)
+	a.store.Release(key, claimID)
 	a.claim([32]byte{2}, core.ClaimWon, "")
-	a.store.Finish(key, [32]byte{2}, true, []byte("ride 7"), time.Minute)
+	a.store.Finish(key, claimID, [32]byte{2}, true, []byte("ride 7"), time.Minute)
 	a.claim([32]byte{2}, core.ClaimDone, "ride 7")
 	b.claim([32]byte{2}, core.ClaimDone, "ride 7")
-	a.store.Release(key) // the request ran, so its key stays
+	a.store.Release(key, claimID) // the request ran, so its key stays
 	a.claim([32]byte{2}, core.ClaimDone, "ride 7")
 }
 
@@ -84,7 +87,7 @@
 	go s.Serve(backend.Listener())
 	a, b := open(t, backend.Addr, "a", longTimeoutMs), open(t, backend.Addr, "b", longTimeoutMs)
 	a.claim(sum, core.ClaimWon, "")
-	a.store.Finish(key, sum, false, nil, time.Minute)
+	a.store.Finish(key, claimID, sum, false, nil, time.Minute)
 	a.claim(sum, core.ClaimFailed, "")
 	b.claim(sum, core.ClaimFailed, "")
 }
@@ -124,8 +127,8 @@
 	opt := store.Defaults()
 	opt.Redis, opt.TimeoutMs = backend.Addr, longTimeoutMs
 	last := store.NewRedis(opt, "last", []string{"book"}, 1<<20, func(core.Event) {}, slog.New(slog.DiscardHandler))
-	last.Claim(core.KeyedRequest{Key: key, Sum: sum, Life: time.Minute})
-	last.Finish(key, sum, true, []byte("ride 7"), -time.Minute) // the run ended after its window, with no lifetime left
+	last.Claim(core.KeyedRequest{Key: key, ClaimID: claimID, Sum: sum, Life: time.Minute})
+	last.Finish(key, claimID, sum, true, []byte("ride 7"), -time.Minute) // the run ended after its window, with no lifetime left
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	last.Run(ctx)
