--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -238,11 +238,12 @@
 
 // Claim queues a claim of a key. It returns false if the queue is full.
 func (s *Files) Claim(p core.KeyedRequest) bool {
-	key, id, sum, lifetime := p.Key, p.ClaimID, p.Sum, p.Life
+	key, id, lifetime := p.Key, p.ClaimID, p.Life
+	wanted := newClaimValue(s.owner, p)
 	return s.enqueue(func(err error) {
 		state, result := core.ClaimUnavailable, []byte(nil)
 		if err == nil { // otherwise withLock has logged it
-			if state, result, err = s.claim(s.path(key), sum, lifetime); err != nil {
+			if state, result, err = s.claim(s.path(key), wanted, lifetime); err != nil {
 				s.log.Warn("store", "do", "claim", "err", err)
 				state = core.ClaimUnavailable
 			}
@@ -251,19 +252,18 @@
 	})
 }
 
-func (s *Files) claim(path string, sum [32]byte, lifetime time.Duration) (core.Claim, []byte, error) {
-	mine := encodeValue(markClaim, sum, []byte(s.owner))
+func (s *Files) claim(path string, wanted claimValue, lifetime time.Duration) (core.Claim, []byte, error) {
 	current, size, err := s.load(path, lifetime)
 	if err != nil {
 		return core.ClaimUnavailable, nil, err
 	}
-	if current != nil {
-		return interpretValue(current, mine)
+	if current != nil && !wanted.replaces(current) {
+		return wanted.interpret(current)
 	}
-	if s.usedBytes > s.maxBytes {
+	if current == nil && s.usedBytes > s.maxBytes {
 		return core.ClaimUnavailable, nil, fmt.Errorf("the keys take %d bytes, the limit is %d", s.usedBytes, s.maxBytes)
 	}
-	if err := s.save(path, mine, lifetime, size); err != nil {
+	if err := s.save(path, wanted.value, lifetime, size); err != nil {
 		return core.ClaimUnavailable, nil, err
 	}
 	return core.ClaimWon, nil, nil
@@ -272,8 +272,8 @@
 // OwnsClaims implements core.Store. A claim belongs to this process until it is released or expires.
 func (s *Files) OwnsClaims() bool { return true }
 
-// Finish replaces this process's claim by the outcome of the run. No event follows.
-func (s *Files) Finish(k core.Key, _ core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
+// Finish replaces the claim by the outcome of the run. No event follows.
+func (s *Files) Finish(k core.Key, claim core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
 	mark := byte(markFailed)
 	if !ok {
 		result = nil
@@ -281,35 +281,36 @@
 		mark = markDone
 	}
 	end := encodeValue(mark, sum, result)
-	s.replace(k, "finish", len(end), func(path string, oldSize int) error {
+	s.replace(k, claim, "finish", len(end), func(path string, oldSize int) error {
 		return s.save(path, end, max(lifetime, time.Second), oldSize)
 	})
 	return false
 }
 
-// Release removes this process's claim on a request that never ran.
-func (s *Files) Release(k core.Key, _ core.ClaimID) {
-	s.replace(k, "release", 0, func(path string, oldSize int) error {
+// Release removes the claim of a request that never ran.
+func (s *Files) Release(k core.Key, claim core.ClaimID) {
+	s.replace(k, claim, "release", 0, func(path string, oldSize int) error {
 		s.usedBytes -= int64(oldSize)
 		return os.Remove(path)
 	})
 }
 
-// replace changes a key only while it holds this process's claim. waitingBytes is what the change keeps in memory until
+// replace changes a key only while it is held by the claim. waitingBytes is what the change keeps in memory until
 // then. A change that finds no room is dropped: repeats at the other process then get no answer until their deadline,
 // because the result is not shared.
-func (s *Files) replace(k core.Key, operation string, waitingBytes int, change func(path string, size int) error) {
+func (s *Files) replace(k core.Key, claim core.ClaimID, operation string, waitingBytes int, change func(path string, size int) error) {
 	logDropped := func() { s.log.Warn("store", "do", operation, "err", errNoRoom) }
 	if !s.waiting.take(waitingBytes) {
 		logDropped()
 		return
 	}
+	holder := claimHolder(s.owner, claim)
 	var end lockedJob
 	end = func(unlocked error) {
 		path := s.path(k)
 		current, size, err := s.load(path, corruptFileTTL)
-		switch mine := err == nil && len(current) >= 1+hexSumLen && current[0] == markClaim && string(current[1+hexSumLen:]) == s.owner; {
-		case !mine: // no other process writes a claim with this owner
+		switch isHeld := err == nil && isHeldBy(current, holder); {
+		case !isHeld: // no other process writes a claim with this owner, and this one makes no claim again
 		case unlocked == nil:
 			err = change(path, size)
 		case len(s.pendingEnds) < queueLimit:
--- a/internal/store/files_test.go
+++ b/internal/store/files_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"larchscale/internal/core"
 )
 
@@ -92,6 +94,31 @@
 	}
 }
 
+// A release of an earlier claim, however late, leaves the later claim of the same process.
+func TestFilesLateReleaseLeavesLaterClaim(t *testing.T) {
+	old, next, events, _ := twoProcesses(t, 1<<20)
+	k, sum := core.Key{Class: 1, Token: "t1"}, [32]byte{1}
+	claim(t, old, events, k, sum)
+	if !old.Claim(core.KeyedRequest{Key: k, ClaimID: claimID + 1, Sum: sum, Life: 10 * time.Second}) {
+		t.Fatal("no room for a claim")
+	}
+	want := core.ClaimAnswered{Key: k, ClaimID: claimID + 1, State: core.ClaimWon}
+	if diff := cmp.Diff(core.Event(want), <-events); diff != "" {
+		t.Fatal(diff)
+	}
+	old.Release(k, claimID)
+	old.Finish(k, claimID, sum, false, nil, 10*time.Second)
+	waitForQueue(old)
+	if got := claim(t, next, events, k, sum); got.State != core.ClaimOther {
+		t.Fatalf("after the late release: %v", got.State)
+	}
+	old.Finish(k, claimID+1, sum, true, []byte("booked"), 10*time.Second)
+	waitForQueue(old)
+	if got := claim(t, next, events, k, sum); got.State != core.ClaimDone {
+		t.Fatalf("after the run: %v", got.State)
+	}
+}
+
 // Checks that a failed run is reported as failed to the other process and that releasing the claim of a request that
 // never ran frees its key.
 func TestFilesFailedRunAndReleasedClaim(t *testing.T) {
--- a/internal/store/redis.go
+++ b/internal/store/redis.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/maphash"
@@ -33,13 +32,15 @@
 const (
 	workerCount    = 8   // worker goroutines; all commands for one key go through one of them, in order
 	queueLimit     = 256 // queue limit of each worker; when it is reached the store counts as unavailable
+	claimAttempts  = 2   // attempts to claim a key that changes at the same time
 	finishAttempts = 4   // attempts to store a result; if it is lost, repeats on other servers get no answer
 )
 
 // errNoRoom is logged for a change that is dropped.
 var errNoRoom = errors.New("no room for the changes that wait")
 
-// A value consists of a mark, the body's checksum in hex, and the owner of a claim or the result of a run.
+// A value consists of a mark, the body's checksum in hex, and the claim's holder or the result of a run. The holder is the
+// process and the claim's own number: see claimHolder.
 const (
 	markClaim  = 'c'
 	markDone   = 'd'
@@ -123,9 +124,11 @@
 
 // Claim queues a claim of a key. It returns false if the queue is full.
 func (s *Redis) Claim(p core.KeyedRequest) bool {
-	k, id, sum, lifetime := p.Key, p.ClaimID, p.Sum, p.Life
+	k, id := p.Key, p.ClaimID
+	wanted := newClaimValue(s.owner, p)
+	lifetime := p.Life
 	return s.enqueue(k, func(ctx context.Context, key string) {
-		state, result, err := s.claim(ctx, key, sum, lifetime)
+		state, result, err := s.claim(ctx, key, wanted, lifetime)
 		if err != nil {
 			s.log.Warn("store", "do", "claim", "err", err)
 			state = core.ClaimUnavailable
@@ -134,10 +137,9 @@
 	})
 }
 
-func (s *Redis) claim(ctx context.Context, key string, sum [32]byte, lifetime time.Duration) (core.Claim, []byte, error) {
-	mine := encodeValue(markClaim, sum, []byte(s.owner))
-	for range 2 {
-		err := s.client.SetArgs(ctx, key, mine, redis.SetArgs{Mode: "NX", TTL: lifetime}).Err()
+func (s *Redis) claim(ctx context.Context, key string, wanted claimValue, lifetime time.Duration) (core.Claim, []byte, error) {
+	for range claimAttempts {
+		err := s.client.SetArgs(ctx, key, wanted.value, redis.SetArgs{Mode: "NX", TTL: lifetime}).Err()
 		if err == nil {
 			return core.ClaimWon, nil, nil
 		}
@@ -151,39 +153,41 @@
 		if err != nil {
 			return core.ClaimUnavailable, nil, err
 		}
-		state, result, err := interpretValue(current, mine)
-		return state, result, err
-	}
-	return core.ClaimOther, nil, nil
-}
-
-// interpretValue interprets the value current of a key for a process whose claim would have the value mine.
-func interpretValue(current, mine []byte) (core.Claim, []byte, error) {
-	switch {
-	case len(current) < 1+hexSumLen:
-		return core.ClaimUnavailable, nil, fmt.Errorf("unexpected value of %d bytes", len(current))
-	case !bytes.Equal(current[1:1+hexSumLen], mine[1:1+hexSumLen]):
-		return core.ClaimConflict, nil, nil
-	case bytes.Equal(current, mine): // an earlier answer of the store was lost and nothing ran here
-		return core.ClaimWon, nil, nil
-	case current[0] == markDone:
-		return core.ClaimDone, current[1+hexSumLen:], nil
-	case current[0] == markFailed:
-		return core.ClaimFailed, nil, nil
+		if !wanted.replaces(current) {
+			return wanted.interpret(current)
+		}
+		err = s.replaceOwnClaim(ctx, key, current, wanted, lifetime)
+		if !errors.Is(err, redis.TxFailedErr) {
+			return core.ClaimWon, nil, err
+		}
 	}
 	return core.ClaimOther, nil, nil
 }
 
-func encodeValue(mark byte, sum [32]byte, rest []byte) []byte {
-	out := hex.AppendEncode([]byte{mark}, sum[:])
-	return append(out, rest...)
+// replaceOwnClaim replaces an earlier claim of this process. Commands about the earlier claim that are still on their way
+// then find another value, or that the value has changed since they read it.
+func (s *Redis) replaceOwnClaim(ctx context.Context, key string, earlier []byte, wanted claimValue, lifetime time.Duration) error {
+	return s.client.Watch(ctx, func(tx *redis.Tx) error {
+		current, err := tx.Get(ctx, key).Bytes()
+		if errors.Is(err, redis.Nil) || err == nil && !bytes.Equal(current, earlier) {
+			return redis.TxFailedErr
+		}
+		if err != nil {
+			return err
+		}
+		_, err = tx.TxPipelined(ctx, func(p redis.Pipeliner) error {
+			p.Set(ctx, key, wanted.value, lifetime)
+			return nil
+		})
+		return err
+	}, key)
 }
 
 // OwnsClaims implements core.Store. A claim belongs to this process until it is released or expires.
 func (s *Redis) OwnsClaims() bool { return true }
 
-// Finish replaces this process's claim by the outcome of the run. No event follows.
-func (s *Redis) Finish(k core.Key, _ core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
+// Finish replaces the claim by the outcome of the run. No event follows.
+func (s *Redis) Finish(k core.Key, claim core.ClaimID, sum [32]byte, ok bool, result []byte, lifetime time.Duration) bool {
 	mark := byte(markFailed)
 	if ok {
 		mark = markDone
@@ -191,28 +195,29 @@
 		result = nil
 	}
 	end := encodeValue(mark, sum, result)
-	s.replace(k, replacement{operation: "finish", attempts: finishAttempts, size: len(end),
+	s.replace(k, replacement{holder: claimHolder(s.owner, claim), operation: "finish", attempts: finishAttempts, size: len(end),
 		change: func(ctx context.Context, tx redis.Pipeliner, key string) {
 			tx.Set(ctx, key, end, max(lifetime, time.Second))
 		}})
 	return false
 }
 
-// Release removes this process's claim on a request that never ran.
-func (s *Redis) Release(k core.Key, _ core.ClaimID) {
-	s.replace(k, replacement{operation: "release", attempts: 1,
+// Release removes the claim of a request that never ran.
+func (s *Redis) Release(k core.Key, claim core.ClaimID) {
+	s.replace(k, replacement{holder: claimHolder(s.owner, claim), operation: "release", attempts: 1,
 		change: func(ctx context.Context, tx redis.Pipeliner, key string) { tx.Del(ctx, key) }})
 }
 
-// replacement changes a key that holds this process's claim.
+// replacement changes a key that is held by a claim.
 type replacement struct {
+	holder    string // of the claim
 	operation string // for the log
 	attempts  int    // that are left
 	size      int    // bytes that it keeps in memory
 	change    func(ctx context.Context, tx redis.Pipeliner, key string)
 }
 
-// replace changes a key only while it holds this process's claim. A change without room is dropped.
+// replace changes a key only while it is held by the claim. A change without room is dropped.
 func (s *Redis) replace(k core.Key, r replacement) {
 	if !s.waiting.take(r.size) {
 		s.log.Warn("store", "do", r.operation, "err", errNoRoom)
@@ -232,7 +237,7 @@
 			if err != nil {
 				return err
 			}
-			if len(current) < 1+hexSumLen || current[0] != markClaim || string(current[1+hexSumLen:]) != s.owner {
+			if !isHeldBy(current, r.holder) {
 				return nil
 			}
 			_, err = tx.TxPipelined(ctx, func(p redis.Pipeliner) error {
--- a/internal/store/redis_test.go
+++ b/internal/store/redis_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"errors"
 	"log/slog"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/redis/go-redis/v9"
 
 	"larchscale/internal/core"
 	"larchscale/internal/scenario"
@@ -31,6 +34,9 @@
 	return b
 }
 
+// redisKey is the key in Redis.
+const redisKey = "larchscale:book:k"
+
 var (
 	key = core.Key{Class: 0, Token: "k"}
 	sum = [32]byte{1}
@@ -42,10 +48,16 @@
 // claim checks the answer to a claim of the key.
 func (b *testServer) claim(sum [32]byte, state core.Claim, result string) {
 	b.t.Helper()
-	if !b.store.Claim(core.KeyedRequest{Key: key, ClaimID: claimID, Sum: sum, Life: time.Minute}) {
+	b.claimAs(claimID, sum, state, result)
+}
+
+// claimAs is claim for a claim with its own id.
+func (b *testServer) claimAs(id core.ClaimID, sum [32]byte, state core.Claim, result string) {
+	b.t.Helper()
+	if !b.store.Claim(core.KeyedRequest{Key: key, ClaimID: id, Sum: sum, Life: time.Minute}) {
 		b.t.Fatal("no room")
 	}
-	want := core.ClaimAnswered{Key: key, ClaimID: claimID, State: state}
+	want := core.ClaimAnswered{Key: key, ClaimID: id, State: state}
 	if result != "" {
 		want.Result = []byte(result)
 	}
@@ -80,6 +92,46 @@
 	a.claim([32]byte{2}, core.ClaimDone, "ride 7")
 }
 
+// A release of an earlier claim, in whatever state it is when the later claim of the same server is won, leaves the later
+// claim.
+func TestRedisLateReleaseLeavesLaterClaim(t *testing.T) {
+	backend := scenario.Listen(t)
+	s := keystore.New()
+	go s.Serve(backend.Listener())
+	a, b := open(t, backend.Addr, "a", longTimeoutMs), open(t, backend.Addr, "b", longTimeoutMs)
+	a.claim(sum, core.ClaimWon, "")
+	client := redis.NewClient(&redis.Options{Addr: backend.Addr, DisableIdentity: true, Protocol: 2})
+	defer client.Close()
+	err := client.Watch(t.Context(), func(late *redis.Tx) error { // a release that has read the earlier claim
+		a.claimAs(claimID+1, sum, core.ClaimWon, "")
+		_, err := late.TxPipelined(t.Context(), func(p redis.Pipeliner) error { return p.Del(t.Context(), redisKey).Err() })
+		return err
+	}, redisKey)
+	if !errors.Is(err, redis.TxFailedErr) {
+		t.Errorf("the late release ends with %v", err)
+	}
+	a.store.Release(key, claimID)
+	a.store.Finish(key, claimID, sum, false, nil, time.Minute)
+	a.claimAs(claimID+2, sum, core.ClaimWon, "") // after the commands before
+	b.claim(sum, core.ClaimOther, "")
+	a.store.Finish(key, claimID+2, sum, true, []byte("ride 7"), time.Minute)
+	a.claimAs(claimID+3, sum, core.ClaimDone, "ride 7")
+}
+
+// A claim in the form of before claims had numbers belongs to another process.
+func TestRedisClaimWithoutNumberIsAnothers(t *testing.T) {
+	backend := scenario.Listen(t)
+	s := keystore.New()
+	go s.Serve(backend.Listener())
+	a := open(t, backend.Addr, "a", longTimeoutMs)
+	s.Put(redisKey, "c"+hex.EncodeToString(sum[:])+"a")
+	a.claim(sum, core.ClaimOther, "")
+	a.store.Release(key, claimID)
+	a.claim(sum, core.ClaimOther, "")
+	s.Put(redisKey, "d"+hex.EncodeToString(sum[:])+"ride 7")
+	a.claim(sum, core.ClaimDone, "ride 7")
+}
+
 // Checks that a failed run is reported as failed to every server.
 func TestRedisFailedRunIsShared(t *testing.T) {
 	backend := scenario.Listen(t)
@@ -114,7 +166,7 @@
 	go s.Serve(l)
 	b := open(t, backend.Addr, "b", longTimeoutMs)
 	b.claim(sum, core.ClaimOther, "")
-	s.Put("larchscale:book:k", "odd")
+	s.Put(redisKey, "odd")
 	b.claim(sum, core.ClaimUnavailable, "")
 }
 
