--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -97,6 +97,16 @@
 	if s.link != nil {
 		s.link.Close()
 	}
+	s.endRuns()
+}
+
+// endRuns ends all runs, of which nobody hears any longer; s.mu is held.
+func (s *Site) endRuns() {
+	s.starts++
+	for _, waiting := range s.waiting {
+		close(waiting)
+	}
+	s.waiting = map[string]chan string{}
 }
 
 // SetUse sets the share of the cores that the worker pool says is in use.
@@ -233,13 +243,9 @@
 func (s *Site) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.starts++
+	s.endRuns()
 	s.cold, s.began = true, time.Now()
 	s.notices, s.begun = nil, map[string]string{}
-	for _, waiting := range s.waiting {
-		close(waiting)
-	}
-	s.waiting = map[string]chan string{}
 	if s.link != nil {
 		s.link.Close()
 	}
