Port the shim of failing system calls to arm64

Cause: internal/soak/shim_test.go used the numbers of system calls and the names of registers of x86-64, so go vet failed on arm64.

Measured: go vet passes on arm64, and with GOARCH=amd64 and no cgo for x86-64.

--- a/internal/soak/shim_test.go
+++ b/internal/soak/shim_test.go
@@ -59,22 +59,6 @@
 	os.Exit(code)
 }
 
-// Numbers of system calls on amd64.
-const (
-	sysRead       = 0
-	sysWrite      = 1
-	sysWritev     = 20
-	sysSocket     = 41
-	sysConnect    = 42
-	sysListen     = 50
-	sysFsync      = 74
-	sysRename     = 82
-	sysOpenat     = 257
-	sysRenameat   = 264
-	sysEpollPwait = 281
-	sysAccept4    = 288
-)
-
 // failure is how a system call may fail: one in each so many, with one of the errors; none = it is cut short.
 type failure struct {
 	each int
@@ -179,42 +163,41 @@
 
 // entered decides about a system call that begins.
 func (i *injector) entered(thread int) {
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(thread, &regs) != nil {
+	var regs registers
+	if regs.get(thread) != nil {
 		return
 	}
-	i.begun = i.begun || regs.Orig_rax == sysListen
+	i.begun = i.begun || regs.number() == sysListen
 	if !i.begun {
 		return
 	}
-	if f, ok := failures[regs.Orig_rax]; ok && i.random.IntN(f.each) == 0 && mayFail(&regs) {
+	if f, ok := failures[regs.number()]; ok && i.random.IntN(f.each) == 0 && mayFail(&regs) {
 		i.fails[thread] = f.errs[i.random.IntN(len(f.errs))]
-		regs.Orig_rax = ^uint64(0) // no system call: it does nothing
-		syscall.PtraceSetRegs(thread, &regs)
+		regs.cancel(thread)
 		return
 	}
 	if i.random.IntN(cutShort) != 0 {
 		return
 	}
 	switch {
-	case (regs.Orig_rax == sysRead || regs.Orig_rax == sysWrite) && regs.Rdx >= cutLeast:
-		regs.Rdx = 1 + i.random.Uint64N(regs.Rdx-1)
-	case regs.Orig_rax == sysWritev && regs.Rdx > 1:
-		regs.Rdx = 1
+	case (regs.number() == sysRead || regs.number() == sysWrite) && *regs.third() >= cutLeast:
+		*regs.third() = 1 + i.random.Uint64N(*regs.third()-1)
+	case regs.number() == sysWritev && *regs.third() > 1:
+		*regs.third() = 1
 	default:
 		return
 	}
 	i.short++
-	syscall.PtraceSetRegs(thread, &regs)
+	regs.set(thread)
 }
 
 // mayFail leaves out the calls of the runtime's own, on what is no socket and no file of the program's.
-func mayFail(regs *syscall.PtraceRegs) bool {
-	switch regs.Orig_rax {
+func mayFail(regs *registers) bool {
+	switch regs.number() {
 	case sysRead, sysWrite:
-		return regs.Rdx >= cutLeast
+		return *regs.third() >= cutLeast
 	case sysOpenat:
-		return regs.Rdx&syscall.O_CREAT != 0
+		return *regs.third()&syscall.O_CREAT != 0
 	}
 	return true
 }
@@ -226,12 +209,12 @@
 		return
 	}
 	delete(i.fails, thread)
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(thread, &regs) != nil {
+	var regs registers
+	if regs.get(thread) != nil {
 		return
 	}
-	regs.Rax = uint64(-int64(err))
-	if syscall.PtraceSetRegs(thread, &regs) == nil {
+	*regs.result() = uint64(-int64(err))
+	if regs.set(thread) == nil {
 		i.counts[err]++
 	}
 }
