--- a/review/second/boxes.go
+++ b/review/second/boxes.go
@@ -130,10 +130,13 @@
 func (p *play) fleetTables(more string) func(i int, addrs []string) string {
 	return func(i int, addrs []string) string {
 		return peersTable(i, addrs, "") + fmt.Sprintf("[fleet]\ndir = %q\nzone = %q\nvoters = 3\n%s",
-			filepath.Join(p.home, fmt.Sprintf("n%d", i+1), "fleet"), string(rune('a'+i)), more)
+			p.fleetDir(fmt.Sprintf("n%d", i+1)), string(rune('a'+i)), more)
 	}
 }
 
+// fleetDir is where the fleet keeps what it has at a box.
+func (p *play) fleetDir(box string) string { return filepath.Join(p.home, box, "fleet") }
+
 // found begins the fleet.
 func (p *play) found(b *box) error {
 	return until("the fleet is founded", 20*time.Second, func() bool {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -104,9 +104,9 @@
 
 // cases are the cases by name. Each returns how the rule was broken; nothing = it held.
 var cases = map[string]func(*play) ([]string, error){
+	"back":      playBack,
 	"first":     playFirst,
 	"calls":     playCalls,
-	"moved":     playMoved,
 	"statement": playStatement,
 	"closed":    playClosed,
 	"held":      playHeld,
--- a/review/second/pool.go
+++ b/review/second/pool.go
@@ -17,6 +17,7 @@
 // plan is how each run of a worker pool goes: it works, makes a call if it makes any, and works again.
 type plan struct {
 	before, after time.Duration
+	step          time.Duration // the run of each write works so much longer than that of the write before
 	calls         bool
 	most          time.Duration // after so long a run that waits for its call is ended: its request is over
 }
@@ -26,6 +27,10 @@
 	if strings.Contains(body, warm) {
 		return plan{before: 20 * time.Millisecond}
 	}
+	if _, number, ok := strings.Cut(body, "struck "); ok {
+		n, _ := strconv.Atoi(number)
+		o.before += time.Duration(n) * o.step
+	}
 	return o
 }
 
@@ -72,25 +77,6 @@
 	return nil
 }
 
-// move has the pool listen at another address. The old one takes nothing new; a link to it is closed after 1.5 s.
-func (w *pool) move() error {
-	old := w.listener
-	if err := w.listen(); err != nil {
-		return err
-	}
-	old.Close()
-	w.mu.Lock()
-	link := w.link
-	w.mu.Unlock()
-	time.AfterFunc(1500*time.Millisecond, func() {
-		if link != nil {
-			link.Close()
-		}
-	})
-	w.p.note("pool of %s: from %s to %s", w.box, old.Addr(), w.addr())
-	return nil
-}
-
 // accept serves each connection of a listener until that is closed.
 func accept(l net.Listener, serve func(net.Conn)) {
 	for {
--- a/review/second/takeover.go
+++ b/review/second/takeover.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -11,8 +11,8 @@
 const struck = 6
 
 // takeOver has a fleet of three lose n1 with keyed writes in hand, whose callers repeat them at the others. before is
-// called once the fleet is whole. The worker pool of n1 lives on.
-func (p *play) takeOver(how plan, before func(boxes []*box) error) (boxes []*box, writes []*write, err error) {
+// called once the fleet is whole, after once n1 is dead. The worker pool of n1 lives on.
+func (p *play) takeOver(how plan, before func(boxes []*box) error, after func(lost *box) error) (boxes []*box, writes []*write, err error) {
 	if boxes, err = p.newBoxes(3, how, p.fleetTables("take_over = true\n")); err != nil {
 		return nil, nil, err
 	}
@@ -49,6 +49,9 @@
 	if p.trouble {
 		lost.kill()
 		p.note("n1 killed")
+		if err = after(lost); err != nil {
+			return nil, nil, err
+		}
 	}
 	callers.Wait()
 	for _, w := range writes {
@@ -67,6 +70,16 @@
 	return runs
 }
 
+// ranTwice tells which writes ran more than once.
+func ranTwice(boxes []*box, writes []*write) (broken []string) {
+	for _, w := range writes {
+		if runs := runsOf(w, boxes); runs > 1 {
+			broken = append(broken, fmt.Sprintf("%q, a keyed write with one token, ran %d times", w.Body, runs))
+		}
+	}
+	return broken
+}
+
 // lostWork tells which writes nobody has the result of.
 func lostWork(boxes []*box, writes []*write) (broken []string) {
 	for _, w := range writes {
@@ -87,6 +100,40 @@
 	return nil
 }
 
+// staysDown leaves a lost box down.
+func staysDown(*box) error { return nil }
+
+// playBack has a box come back without its disk 6 s after its death, while its runs end one after the other.
+func playBack(p *play) ([]string, error) {
+	how := plan{before: 5800 * time.Millisecond, step: 100 * time.Millisecond}
+	inService := func(boxes []*box) error {
+		for range 10 {
+			if err := p.warmUp(boxes); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	boxes, writes, err := p.takeOver(how, inService, func(lost *box) error {
+		if !set("BACK") {
+			return nil
+		}
+		time.Sleep(6 * time.Second)
+		if set("WIPE") {
+			if err := os.RemoveAll(p.fleetDir(lost.Name)); err != nil {
+				return err
+			}
+			p.note("what the fleet kept at n1 is gone")
+		}
+		if err := lost.start(); err != nil {
+			return void("%v", err)
+		}
+		p.note("n1 started")
+		return nil
+	})
+	return ranTwice(boxes, writes), err
+}
+
 // playFirst loses a box that has just started: none of its runs has ended or made a call yet.
 func playFirst(p *play) ([]string, error) {
 	boxes, writes, err := p.takeOver(plan{before: 2 * time.Second}, func(boxes []*box) error {
@@ -94,42 +141,13 @@
 			return nil
 		}
 		return p.warmUp(boxes)
-	})
-	var broken []string
-	for _, w := range writes {
-		if runs := runsOf(w, boxes); runs > 1 {
-			broken = append(broken, fmt.Sprintf("%q, a keyed write with one token, ran %d times", w.Body, runs))
-		}
-	}
-	return broken, err
+	}, staysDown)
+	return ranTwice(boxes, writes), err
 }
 
 // playCalls has the runs of a lost box make a call below after its loss.
 func playCalls(p *play) ([]string, error) {
 	how := plan{before: 6 * time.Second, after: 300 * time.Millisecond, calls: set("CALLS"), most: deadline + time.Second}
-	boxes, writes, err := p.takeOver(how, p.warmUp)
-	return lostWork(boxes, writes), err
-}
-
-// playMoved has the worker pool of a box move to another address before the box is lost.
-func playMoved(p *play) ([]string, error) {
-	boxes, writes, err := p.takeOver(plan{before: 6 * time.Second}, func(boxes []*box) error {
-		if err := p.warmUp(boxes); err != nil || !p.trouble || !set("MOVE") {
-			return err
-		}
-		b := boxes[0]
-		if err := b.pool.move(); err != nil {
-			return err
-		}
-		if err := b.Rewrite(func(config map[string]any) { config["pool"] = b.pool.addr() }); err != nil {
-			return err
-		}
-		if err := b.Signal(syscall.SIGHUP); err != nil {
-			return err
-		}
-		p.note("SIGHUP to n1")
-		time.Sleep(5 * time.Second) // the fleet may hear of it
-		return nil
-	})
+	boxes, writes, err := p.takeOver(how, p.warmUp, staysDown)
 	return lostWork(boxes, writes), err
 }
